Lay out the workspace, the core types and the interfaces between services

Cause: nothing stands yet, and several people are to work beside each other. What was weighed: one crate for all, and a crate for each service; taken was Cargo's own shape, one library with core, ops and util, and support crates.

--- /dev/null
+++ b/crates/wisteria-testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Builders shared by the test suite.
--- /dev/null
+++ b/src/bin/wisteriactl/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/src/wisteriahead/core/message.rs
@@ -0,0 +1,91 @@
+//! Messages between the tier's own hosts.
+//!
+//! A message is an [`Envelope`]: a version, the sender, a topic and a body that
+//! the topic's service encodes. Bodies are MessagePack maps with named fields, so
+//! unknown fields are ignored; an unknown version is refused.
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// Version of the envelope that this program speaks.
+pub const VERSION: u16 = 1;
+/// Most bytes in one encoded envelope.
+pub const ENVELOPE_MAX_BYTES: usize = 8 << 20;
+
+/// The service that a message is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Topic {
+    /// Membership and failure detection.
+    Member,
+    /// Endpoint registry.
+    Registry,
+    /// Endpoint budgets.
+    Allowance,
+    /// Replicated log.
+    Control,
+    /// Claims on non-idempotent requests.
+    Orders,
+    /// Quarantine of requests that stop endpoints.
+    Quarantine,
+}
+
+/// One message on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Version of the envelope.
+    pub version: u16,
+    /// Name of the sending host.
+    pub from: String,
+    /// Service that it is for.
+    pub topic: Topic,
+    /// Body, encoded by the service.
+    pub body: Vec<u8>,
+}
+
+/// Why bytes could not be read as a message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DecodeError {
+    /// The bytes are not a message of the expected type.
+    Malformed(String),
+    /// The message has a version that this program does not speak.
+    Version(u16),
+}
+
+impl std::fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Malformed(e) => write!(f, "malformed message: {e}"),
+            Self::Version(v) => {
+                write!(f, "message of version {v}; this host speaks {VERSION}, upgrade the older")
+            }
+        }
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+/// Encodes a message body.
+pub fn encode<T: Serialize>(body: &T) -> Vec<u8> {
+    rmp_serde::to_vec_named(body).unwrap_or_default()
+}
+
+/// Decodes a message body.
+///
+/// # Errors
+///
+/// Returns [`DecodeError::Malformed`] when the bytes are not a `T`.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+    rmp_serde::from_slice(bytes).map_err(|e| DecodeError::Malformed(e.to_string()))
+}
+
+impl Envelope {
+    /// Reads an envelope and checks its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DecodeError`] for bytes that are not an envelope of [`VERSION`].
+    pub fn read(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let e: Self = decode(bytes)?;
+        if e.version == VERSION { Ok(e) } else { Err(DecodeError::Version(e.version)) }
+    }
+}
--- /dev/null
+++ b/src/wisteriahead/core/mod.rs
@@ -0,0 +1,12 @@
+//! What things are, and every decision the tier makes.
+//!
+//! State machines here have the shape `step(&mut self, now, event) -> actions`.
+//! The services feed them, so a property test can replay any sequence of events.
+
+pub mod document;
+pub mod endpoint;
+pub mod message;
+pub mod query;
+pub mod registry;
+pub mod time;
+pub mod verdict;
--- /dev/null
+++ b/src/wisteriahead/core/query.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/src/wisteriahead/ops/mod.rs
@@ -0,0 +1,1 @@
+//! What each command does, with a struct of options for each.
--- /dev/null
+++ b/src/wisteriahead/util/mod.rs
@@ -0,0 +1,1 @@
+//! Plumbing that knows nothing of queries.
