Add the daemon's settings, registry, search path and demonstration

Cause: the thin whole path needs a request served from end to end. What was weighed: dropping a connection to cancel an attempt, against a cancel call on another connection. Ruled out: giving the permit back when the caller stops waiting; the endpoint may still be running, so the exchange holds it to its end.

--- a/crates/wisteria-testkit/src/lib.rs
+++ b/crates/wisteria-testkit/src/lib.rs
@@ -1,1 +1,7 @@
-//! Builders shared by the test suite.
+//! Builders for tests and demonstrations: keys, daemons and stand-in endpoints as
+//! processes on loopback, and a small HTTP client.
+
+pub mod client;
+pub mod keys;
+pub mod process;
+pub mod tier;
--- /dev/null
+++ b/crates/wisteria-testkit/src/tier.rs
@@ -0,0 +1,189 @@
+//! A whole tier on loopback: daemons and stand-in endpoints, each its own process.
+
+use crate::client;
+use crate::keys::Keys;
+use crate::process::Process;
+use anyhow::{Context as _, Result, bail};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tempfile::TempDir;
+use wisteriahead::util::tls::TlsPaths;
+
+/// Pause between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(20);
+/// Looks at a condition before it counts as never met.
+const LOOKS_MAX: u32 = 1_500;
+
+/// A running daemon.
+pub struct Daemon {
+    /// Name of its host.
+    pub host: String,
+    /// Its process.
+    pub process: Process,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for announcements.
+    pub endpoints: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Address for other hosts.
+    pub peers: SocketAddr,
+}
+
+/// A process of stand-in endpoints.
+pub struct Leaves {
+    /// Its process.
+    pub process: Process,
+    /// Address of its control port.
+    pub control: SocketAddr,
+    /// Addresses of the endpoints.
+    pub addresses: Vec<SocketAddr>,
+}
+
+/// A tier of daemons on loopback with one folder for keys and data.
+pub struct Tier {
+    programs: PathBuf,
+    folder: TempDir,
+    keys: Keys,
+    /// The daemons, in the order of their start.
+    pub daemons: Vec<Daemon>,
+    /// The stand-in endpoints.
+    pub leaves: Vec<Leaves>,
+}
+
+impl Tier {
+    /// A tier without processes; `programs` is the folder of built programs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no folder for keys and data can be made.
+    pub fn new(programs: &Path) -> Result<Self> {
+        let folder = tempfile::tempdir().context("could not make a folder for the tier")?;
+        let keys = Keys::make(&folder.path().join("keys"))?;
+        keys.operator("operator")?;
+        let (daemons, leaves) = (Vec::new(), Vec::new());
+        Ok(Self { programs: programs.to_owned(), folder, keys, daemons, leaves })
+    }
+
+    /// Folder of the tier, removed with it.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// The operator's key.
+    pub fn operator(&self) -> TlsPaths {
+        self.keys.paths("operator")
+    }
+
+    /// Starts a daemon that knows all earlier ones.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon does not say that it is ready.
+    pub async fn daemon(&mut self, host: &str, zone: &str, more: &[&str]) -> Result<&mut Daemon> {
+        let tls = match self.keys.paths(host) {
+            known if known.cert.exists() => known,
+            _ => self.keys.host(host, zone)?,
+        };
+        let mut args: Vec<String> = ["--host", host, "--zone", zone].map(str::to_owned).into();
+        for (flag, path) in [("--ca", &tls.ca), ("--cert", &tls.cert), ("--key", &tls.key)] {
+            args.extend([flag.to_owned(), path.to_string_lossy().into_owned()]);
+        }
+        for flag in ["--caller-listen", "--endpoint-listen", "--operator-listen", "--peer-listen"] {
+            args.extend([flag.to_owned(), "127.0.0.1:0".to_owned()]);
+        }
+        for d in &self.daemons {
+            args.extend(["--peer".to_owned(), d.peers.to_string()]);
+        }
+        args.extend(more.iter().map(|&a| a.to_owned()));
+        let mut process = Process::start(&self.programs.join("wisteriahead"), &args)?;
+        let line = process.line().await?;
+        let daemon = Daemon {
+            host: host.to_owned(),
+            process,
+            callers: field(&line, "callers")?,
+            endpoints: field(&line, "endpoints")?,
+            operators: field(&line, "operators")?,
+            peers: field(&line, "peers")?,
+        };
+        self.daemons.push(daemon);
+        self.daemons.last_mut().context("no daemon was started")
+    }
+
+    /// Starts `n` stand-in endpoints that announce themselves to the given daemons.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the endpoints do not say that they are ready.
+    pub async fn leaves(&mut self, n: usize, to: &[usize], more: &[&str]) -> Result<&mut Leaves> {
+        let mut args: Vec<String> = vec!["--leaves".into(), n.to_string()];
+        for flag in ["--listen", "--control"] {
+            args.extend([flag.to_owned(), "127.0.0.1:0".to_owned()]);
+        }
+        for &i in to {
+            args.extend(["--announce".to_owned(), self.daemons[i].endpoints.to_string()]);
+        }
+        args.extend(more.iter().map(|&a| a.to_owned()));
+        let mut process = Process::start(&self.programs.join("wisteria-leaf"), &args)?;
+        let (mut addresses, mut control) = (Vec::new(), None);
+        while addresses.len() < n || control.is_none() {
+            let line = process.line().await?;
+            match line.split_whitespace().collect::<Vec<_>>()[..] {
+                ["leaf", _, address] => addresses.push(address.parse()?),
+                ["control", address] => control = Some(address.parse()?),
+                _ => bail!("unexpected line from the stand-in: {line}"),
+            }
+        }
+        let control = control.context("the stand-in has no control port")?;
+        self.leaves.push(Leaves { process, control, addresses });
+        self.leaves.last_mut().context("no endpoints were started")
+    }
+
+    /// Runs the operators' tool against a daemon and returns its exit status and output.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the tool cannot be run.
+    pub async fn ctl(&self, daemon: usize, args: &[&str]) -> Result<(Option<i32>, String)> {
+        let tls = self.operator();
+        let output = tokio::process::Command::new(self.programs.join("wisteriactl"))
+            .env("WISTERIACTL_SERVER", self.daemons[daemon].operators.to_string())
+            .env("WISTERIACTL_CA", &tls.ca)
+            .env("WISTERIACTL_CERT", &tls.cert)
+            .env("WISTERIACTL_KEY", &tls.key)
+            .args(args)
+            .output()
+            .await
+            .context("could not run wisteriactl")?;
+        let text = [output.stdout, output.stderr].concat();
+        Ok((output.status.code(), String::from_utf8_lossy(&text).into_owned()))
+    }
+
+    /// Searches until an answer covers `shards` shards; returns that answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no such answer comes.
+    pub async fn covered(&self, daemon: usize, collection: &str, shards: u64) -> Result<Value> {
+        let body = json!({"collection": collection, "query": {"text": "rope"}});
+        let mut last = Value::Null;
+        for _ in 0..LOOKS_MAX {
+            let answer = client::post(self.daemons[daemon].callers, "/v1/search", &body).await?;
+            if answer.body["coverage"]["answered"] == shards {
+                return Ok(answer.body);
+            }
+            last = answer.body;
+            tokio::time::sleep(LOOK).await;
+        }
+        bail!("no answer covered {shards} shards; the last was {last}")
+    }
+}
+
+fn field(line: &str, name: &str) -> Result<SocketAddr> {
+    let prefix = format!("{name}=");
+    let value = line.split_whitespace().find_map(|w| w.strip_prefix(&prefix));
+    let value = value.with_context(|| format!("no `{name}` in the daemon's line: {line}"))?;
+    value.parse().with_context(|| format!("`{value}` is no address"))
+}
--- /dev/null
+++ b/src/bin/wisteriahead/cli.rs
@@ -0,0 +1,112 @@
+//! The daemon's command line: every setting as a flag and an environment variable.
+
+use bpaf::{OptionParser, Parser, construct, long};
+use wisteriahead::ops::serve::settings::RawSettings;
+
+/// What the command line says.
+#[derive(Clone, Debug)]
+pub struct Args {
+    /// The settings as given.
+    pub raw: RawSettings,
+    /// Whether only to check them.
+    pub check: bool,
+}
+
+fn text(
+    flag: &'static str,
+    env: &'static str,
+    meta: &'static str,
+    help: &'static str,
+) -> impl Parser<String> {
+    long(flag).env(env).help(help).argument::<String>(meta)
+}
+
+/// The command line.
+pub fn options() -> OptionParser<Args> {
+    let host = text("host", "WISTERIAHEAD_HOST", "NAME", "Name of this host");
+    let zone = text("zone", "WISTERIAHEAD_ZONE", "NAME", "Availability zone of this host");
+    let caller_listen =
+        text("caller-listen", "WISTERIAHEAD_CALLER_LISTEN", "IP:PORT", "Address for callers")
+            .fallback("127.0.0.1:7100".into())
+            .display_fallback();
+    let endpoint_listen = text(
+        "endpoint-listen",
+        "WISTERIAHEAD_ENDPOINT_LISTEN",
+        "IP:PORT",
+        "Address for endpoints' announcements",
+    )
+    .fallback("127.0.0.1:7101".into())
+    .display_fallback();
+    let operator_listen =
+        text("operator-listen", "WISTERIAHEAD_OPERATOR_LISTEN", "IP:PORT", "Address for operators")
+            .fallback("127.0.0.1:7102".into())
+            .display_fallback();
+    let peer_listen =
+        text("peer-listen", "WISTERIAHEAD_PEER_LISTEN", "IP:PORT", "UDP address for other hosts")
+            .fallback("127.0.0.1:7103".into())
+            .display_fallback();
+    let peers = list("peer", "WISTERIAHEAD_PEERS", "IP:PORT", "UDP address of another host");
+    let ca = text("ca", "WISTERIAHEAD_CA", "FILE", "Certificate authority")
+        .fallback("keys/ca.pem".into())
+        .display_fallback();
+    let cert = text("cert", "WISTERIAHEAD_CERT", "FILE", "Certificate of this host");
+    let key = text("key", "WISTERIAHEAD_KEY", "FILE", "Private key of this host");
+    let data = text("data", "WISTERIAHEAD_DATA", "FOLDER", "Data folder; without one, no vote")
+        .optional();
+    let voters = list("voter", "WISTERIAHEAD_VOTERS", "NAME", "Host of the first quorum");
+    let metrics =
+        text("metrics", "WISTERIAHEAD_METRICS", "IP:PORT", "Send metrics here by UDP").optional();
+    let log_level = text("log-level", "WISTERIAHEAD_LOG_LEVEL", "LEVEL", "Least severe log lines")
+        .fallback("info".into())
+        .display_fallback();
+    let log_format = text("log-format", "WISTERIAHEAD_LOG_FORMAT", "FORMAT", "text or json")
+        .fallback("text".into())
+        .display_fallback();
+    let drain_timeout = text(
+        "drain-timeout",
+        "WISTERIAHEAD_DRAIN_TIMEOUT",
+        "TIME",
+        "Longest wait for requests in flight at a stop",
+    )
+    .fallback("10s".into())
+    .display_fallback();
+    let raw = construct!(RawSettings {
+        host,
+        zone,
+        caller_listen,
+        endpoint_listen,
+        operator_listen,
+        peer_listen,
+        peers,
+        ca,
+        cert,
+        key,
+        data,
+        voters,
+        metrics,
+        log_level,
+        log_format,
+        drain_timeout,
+    });
+    let check = long("check").help("Check the settings and stop").switch();
+    construct!(Args { raw, check })
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("The query tier's daemon, one on each entry host")
+}
+
+/// A setting given several times as a flag, or once in the environment with commas.
+fn list(
+    flag: &'static str,
+    env: &'static str,
+    meta: &'static str,
+    help: &'static str,
+) -> impl Parser<Vec<String>> {
+    let flags = long(flag).help(help).argument::<String>(meta).some("unreachable");
+    let from_env = long(flag)
+        .env(env)
+        .argument::<String>(meta)
+        .hide()
+        .map(|all| all.split(',').filter(|s| !s.is_empty()).map(str::to_owned).collect());
+    construct!([flags, from_env]).fallback(Vec::new())
+}
--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -5,8 +5,10 @@
 
 pub mod document;
 pub mod endpoint;
+pub mod hits;
 pub mod message;
 pub mod query;
 pub mod registry;
+pub mod routes;
 pub mod time;
 pub mod verdict;
--- /dev/null
+++ b/src/wisteriahead/ops/serve/mod.rs
@@ -0,0 +1,106 @@
+//! Runs the daemon: starts its services, waits for a signal, stops them in order.
+
+pub mod settings;
+
+use self::settings::Settings;
+use crate::kernel::Kernel;
+use crate::prelude::*;
+use crate::services::allowance::AllowanceService;
+use crate::services::control::ControlService;
+use crate::services::entry::EntryService;
+use crate::services::operator::{OperatorService, OperatorSettings};
+use crate::services::peers::{PeerSettings, PeersService};
+use crate::services::registry::RegistryService;
+use crate::services::transport::TransportService;
+use crate::util::logging;
+use crate::util::metrics::Metrics;
+use crate::util::tls::TlsPaths;
+use std::net::SocketAddr;
+use std::time::SystemTime;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Serves until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when a service cannot start, with its name and the cause.
+pub fn run(settings: &Settings) -> Result<()> {
+    logging::init(settings.log_level, settings.log_format, &settings.host)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context("could not start the runtime")?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: &Settings) -> Result<()> {
+    let mut term = signal(SignalKind::terminate()).context("could not listen for SIGTERM")?;
+    let mut int = signal(SignalKind::interrupt()).context("could not listen for SIGINT")?;
+    let mut kernel = Kernel::default();
+    let started = start(&mut kernel, settings).await;
+    if let Ok(addresses) = &started {
+        announce_ready(settings, addresses);
+        tokio::select! {
+            _ = term.recv() => log::info!("SIGTERM: stopping"),
+            _ = int.recv() => log::info!("SIGINT: stopping"),
+        }
+    }
+    kernel.stop(settings.drain_timeout).await;
+    started.map(drop)
+}
+
+/// The addresses that the daemon listens on.
+struct Addresses {
+    callers: Option<SocketAddr>,
+    endpoints: Option<SocketAddr>,
+    operators: Option<SocketAddr>,
+    peers: Option<SocketAddr>,
+}
+
+/// Says on standard output that the host serves, and where.
+fn announce_ready(settings: &Settings, a: &Addresses) {
+    let show = |x: Option<SocketAddr>| x.map(|x| x.to_string()).unwrap_or_default();
+    println!(
+        "ready host={} callers={} endpoints={} operators={} peers={}",
+        settings.host,
+        show(a.callers),
+        show(a.endpoints),
+        show(a.operators),
+        show(a.peers)
+    );
+}
+
+async fn start(kernel: &mut Kernel, s: &Settings) -> Result<Addresses> {
+    let metrics = Metrics::new(s.metrics)?;
+    let tls = TlsPaths { ca: s.ca.clone(), cert: s.cert.clone(), key: s.key.clone() };
+    let peers = Arc::new(PeersService::new(PeerSettings {
+        host: s.host.clone(),
+        zone: s.zone.clone(),
+        listen: s.peer_listen,
+        seeds: s.peers.clone(),
+        tls: tls.clone(),
+    }));
+    let registry = Arc::new(RegistryService::new(s.endpoint_listen));
+    let operators =
+        Arc::new(OperatorService::new(OperatorSettings { listen: s.operator_listen, tls }));
+    let entry = Arc::new(EntryService::new(s.caller_listen, s.host.clone(), boot(), metrics));
+    kernel.start(peers.clone()).await?;
+    kernel.start(Arc::new(ControlService::default())).await?;
+    kernel.start(registry.clone()).await?;
+    kernel.start(Arc::new(AllowanceService)).await?;
+    kernel.start(Arc::new(TransportService)).await?;
+    kernel.start(operators.clone()).await?;
+    kernel.start(entry.clone()).await?;
+    Ok(Addresses {
+        callers: entry.address(),
+        endpoints: registry.address(),
+        operators: operators.address(),
+        peers: peers.address(),
+    })
+}
+
+/// A number that differs at each start of a host's process.
+fn boot() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or_default()
+}
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -6,14 +6,18 @@
 
 use crate::core::document::{Document, Revision};
 use crate::core::message::Topic;
-use crate::core::verdict::Refusal;
-use anyhow::Result;
+use crate::core::routes::{Routes, Target};
+use crate::prelude::*;
+use bytes::Bytes;
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
 use tokio::sync::watch;
 
+pub mod allowance;
+pub mod entry;
 pub mod peers;
+pub mod registry;
+pub mod transport;
 
 /// Handles the messages of one topic.
 pub trait Handler: Send + Sync {
@@ -105,3 +109,218 @@
     /// Name in the kernel.
     pub const NAME: &'static str = "control";
 }
+
+/// The endpoints that this host knows.
+pub trait Endpoints: Send + Sync {
+    /// The index that queries plan on.
+    fn routes(&self) -> Arc<Routes>;
+}
+
+impl dyn Endpoints {
+    /// Name in the kernel.
+    pub const NAME: &'static str = "endpoints";
+}
+
+/// Views of this host for operators, by name, such as `zones` and `endpoints`.
+pub trait Views: Send + Sync {
+    /// The view with the given name.
+    fn view(&self, what: &str) -> Option<serde_json::Value>;
+}
+
+impl dyn Views {
+    /// Name in the kernel.
+    pub const NAME: &'static str = "views";
+}
+
+/// One request for one endpoint.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Name that is unique over all hosts and time.
+    pub id: Arc<str>,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Collection to run on.
+    pub collection: Arc<str>,
+    /// Snapshot to run on.
+    pub snapshot: Arc<str>,
+    /// Shard to run on.
+    pub shard: u32,
+    /// Time that is left for the answer.
+    pub timeout: Span,
+    /// Body, as the caller sent it.
+    pub body: Bytes,
+}
+
+/// Sends attempts to endpoints.
+pub trait Transport: Send + Sync {
+    /// Sends one attempt and waits for its answer, whose labels it has checked.
+    ///
+    /// The permit is held until the endpoint has ended the attempt, also when the
+    /// caller no longer waits for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal whose verdict says whether the attempt may have run.
+    fn run<'a>(
+        &'a self,
+        to: &'a Target,
+        attempt: Attempt,
+        permit: Permit,
+    ) -> BoxFuture<'a, Result<Bytes, Refusal>>;
+
+    /// Cancels an attempt whose answer is no longer wanted.
+    fn cancel(&self, to: &Target, id: Arc<str>);
+}
+
+impl dyn Transport {
+    /// Name in the kernel.
+    pub const NAME: &'static str = "transport";
+}
+
+/// Grants the right to send to endpoints, so that no endpoint is sent more than it can bear.
+pub trait Allowance: Send + Sync {
+    /// Takes the right to have one request in flight at an endpoint.
+    fn acquire(&self, to: &Target) -> Option<Permit>;
+
+    /// Takes note of what an attempt showed; it can lower what is granted at once.
+    fn observe(&self, to: &Target, seen: Observation);
+
+    /// Requests that this host has in flight at an endpoint.
+    fn in_flight(&self, to: EndpointKey) -> u32;
+}
+
+impl dyn Allowance {
+    /// Name in the kernel.
+    pub const NAME: &'static str = "allowance";
+}
+
+/// The right to have one request in flight at an endpoint; dropping it gives it back.
+pub struct Permit(Option<Box<dyn FnOnce() + Send>>);
+
+impl Permit {
+    /// A permit that calls `release` when dropped.
+    pub fn new(release: impl FnOnce() + Send + 'static) -> Self {
+        Self(Some(Box::new(release)))
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some(release) = self.0.take() {
+            release();
+        }
+    }
+}
+
+impl std::fmt::Debug for Permit {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Permit")
+    }
+}
+
+/// What an attempt showed of its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Observation {
+    /// It answered after this time.
+    Answered(Span),
+    /// It refused the attempt.
+    Refused(Reason),
+    /// The connection failed or no answer came.
+    Failed,
+    /// It answered with another incarnation than the announced one.
+    Restarted(u64),
+}
+
+/// What is known of a key's request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It ran, with this answer.
+    Ran(Vec<u8>),
+    /// It did not run and never will under this claim; the key may be claimed again.
+    NotRun,
+    /// It may have run.
+    MayHaveRun,
+}
+
+/// The answer to a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// The caller of [`Claims::claim`] alone may now send one attempt, once.
+    Granted,
+    /// The key was claimed before with the same request, and this became of it.
+    Known(Outcome),
+    /// The key was claimed before with the same request, which may still be running.
+    Running,
+}
+
+/// Makes non-idempotent requests run at most once.
+pub trait Claims: Send + Sync {
+    /// Makes a ticket: a fresh key whose home is this host's availability zone.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with "not run" when the home cannot take claims now.
+    fn ticket(&self) -> BoxFuture<'_, Result<String, Refusal>>;
+
+    /// Claims a key for the request with the given digest; durable at a majority of the
+    /// key's home before it returns [`Claim::Granted`].
+    ///
+    /// # Errors
+    ///
+    /// Refuses with "not run" when the claim is not granted and no outcome is known.
+    fn claim<'a>(
+        &'a self,
+        key: &'a str,
+        digest: [u8; 32],
+    ) -> BoxFuture<'a, Result<Claim, Refusal>>;
+
+    /// Records what became of a granted claim; best effort, resends see [`Claim::Running`]
+    /// and later [`Outcome::MayHaveRun`] when it is lost.
+    fn record<'a>(&'a self, key: &'a str, outcome: Outcome) -> BoxFuture<'a, ()>;
+}
+
+impl dyn Claims {
+    /// Name in the kernel.
+    pub const NAME: &'static str = "claims";
+}
+
+/// How a host of the tier is seen from here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Health {
+    /// It answers.
+    Alive,
+    /// It was silent lately, and may be lost.
+    Suspect,
+    /// It is taken for lost.
+    Lost,
+    /// It said that it leaves.
+    Left,
+}
+
+/// A host of the tier.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Name of the host.
+    pub host: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// How it is seen.
+    pub health: Health,
+    /// Number that rises with each start of its process.
+    pub incarnation: u64,
+    /// Whether it has a data folder.
+    pub durable: bool,
+}
+
+/// The hosts of the tier, this one included.
+pub trait Members: Send + Sync {
+    /// All hosts known, in the order of their names.
+    fn watch(&self) -> watch::Receiver<Arc<Vec<Member>>>;
+}
+
+impl dyn Members {
+    /// Name in the kernel.
+    pub const NAME: &'static str = "members";
+}
--- /dev/null
+++ b/src/wisteriahead/services/transport/exchange.rs
@@ -0,0 +1,146 @@
+//! One request and its response on one connection, with the proof of its verdict.
+//!
+//! "Not run" is claimed when the request was not written, or when the endpoint
+//! refused this very attempt by name. Everything else that fails may have run.
+
+use super::pool::Lease;
+use crate::prelude::*;
+use crate::services::Attempt;
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderMap, HeaderName};
+use hyper::{Method, Request, Response, StatusCode};
+
+/// Most bytes of an endpoint's response.
+const RESPONSE_MAX_BYTES: usize = 4 << 20;
+
+const ATTEMPT: HeaderName = HeaderName::from_static("wisteria-attempt");
+const KIND: HeaderName = HeaderName::from_static("wisteria-kind");
+const COLLECTION: HeaderName = HeaderName::from_static("wisteria-collection");
+const SNAPSHOT: HeaderName = HeaderName::from_static("wisteria-snapshot");
+const SHARD: HeaderName = HeaderName::from_static("wisteria-shard");
+const TIMEOUT: HeaderName = HeaderName::from_static("wisteria-timeout-ms");
+const INCARNATION: HeaderName = HeaderName::from_static("wisteria-incarnation");
+const VERDICT: HeaderName = HeaderName::from_static("wisteria-verdict");
+const REASON: HeaderName = HeaderName::from_static("wisteria-reason");
+
+/// What a response is checked against besides its request.
+#[derive(Clone, Copy, Debug)]
+pub struct Verify {
+    /// Process start of the endpoint that the request was planned for.
+    pub incarnation: u64,
+}
+
+/// Sends one attempt and reads its whole answer.
+///
+/// # Errors
+///
+/// Returns a refusal whose verdict says whether the attempt may have run.
+pub async fn run(mut lease: Lease, attempt: &Attempt, verify: Verify) -> Result<Bytes, Refusal> {
+    let request = request(attempt)?;
+    let response = send(&mut lease, request).await?;
+    let matched = check(response.headers(), attempt);
+    let status = response.status();
+    let headers = response.headers().clone();
+    let body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES).collect().await;
+    let body = body.map_err(|e| {
+        Refusal::may_have_run(Reason::Connection, format!("the response broke off: {e}"))
+    })?;
+    // A response to another request means that the connection is out of step: it is closed.
+    matched?;
+    lease.give_back().await;
+    note_incarnation(&headers, verify);
+    if status == StatusCode::OK {
+        return Ok(body.to_bytes());
+    }
+    Err(refusal(status, &headers))
+}
+
+fn request(a: &Attempt) -> Result<Request<Full<Bytes>>, Refusal> {
+    Request::builder()
+        .method(Method::POST)
+        .uri("/v1/run")
+        .header(HOST, "endpoint")
+        .header(ATTEMPT, &*a.id)
+        .header(KIND, if a.idempotent { "search" } else { "order" })
+        .header(COLLECTION, &*a.collection)
+        .header(SNAPSHOT, &*a.snapshot)
+        .header(SHARD, a.shard)
+        .header(TIMEOUT, a.timeout.as_millis())
+        .body(Full::new(a.body.clone()))
+        .map_err(|e| Refusal::not_run(Reason::BadRequest, format!("cannot be sent: {e}")))
+}
+
+async fn send(
+    lease: &mut Lease,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, Refusal> {
+    let Some(sender) = lease.sender() else {
+        return Err(Refusal::not_run(Reason::Connection, "the connection is closed"));
+    };
+    match sender.try_send_request(request).await {
+        Ok(response) => Ok(response),
+        Err(mut e) => match e.take_message() {
+            // The library hands the request back only when it wrote none of it.
+            Some(_) => Err(Refusal::not_run(Reason::Connection, "the connection was closed")),
+            None => Err(Refusal::may_have_run(
+                Reason::Connection,
+                format!("the connection failed: {}", e.error()),
+            )),
+        },
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
+    headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default()
+}
+
+fn check(headers: &HeaderMap, a: &Attempt) -> Result<(), Refusal> {
+    let same = text(headers, &ATTEMPT) == &*a.id
+        && text(headers, &SNAPSHOT) == &*a.snapshot
+        && text(headers, &SHARD).parse() == Ok(a.shard);
+    if same {
+        return Ok(());
+    }
+    Err(Refusal::may_have_run(Reason::Mismatch, "the response is to another request"))
+}
+
+fn note_incarnation(headers: &HeaderMap, verify: Verify) {
+    if let Ok(seen) = text(headers, &INCARNATION).parse::<u64>()
+        && seen != verify.incarnation
+    {
+        log::debug!("an endpoint has incarnation {seen}, not {}", verify.incarnation);
+    }
+}
+
+fn refusal(status: StatusCode, headers: &HeaderMap) -> Refusal {
+    let verdict = Verdict::parse(text(headers, &VERDICT)).unwrap_or(Verdict::MayHaveRun);
+    let reason = match text(headers, &REASON) {
+        "busy" => Reason::Busy,
+        "draining" => Reason::Draining,
+        "wrong-snapshot" => Reason::WrongSnapshot,
+        "deadline" => Reason::Deadline,
+        "cancelled" => Reason::Cancelled,
+        _ => Reason::Connection,
+    };
+    // Only a failure that names "not run" is one; "ran" without an answer is no proof of an end.
+    let verdict = if verdict == Verdict::Ran { Verdict::MayHaveRun } else { verdict };
+    Refusal { verdict, reason, detail: format!("the endpoint answered {status}") }
+}
+
+/// Cancels an attempt at its endpoint.
+pub async fn cancel(mut lease: Lease, id: &str) {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri("/v1/cancel")
+        .header(HOST, "endpoint")
+        .header(ATTEMPT, id)
+        .body(Full::new(Bytes::new()));
+    let Ok(request) = request else { return };
+    if let Ok(response) = send(&mut lease, request).await
+        && Limited::new(response.into_body(), RESPONSE_MAX_BYTES).collect().await.is_ok()
+    {
+        lease.give_back().await;
+    }
+}
--- /dev/null
+++ b/src/wisteriahead/services/transport/mod.rs
@@ -0,0 +1,131 @@
+//! Sends attempts to endpoints over pooled HTTP/1.1 connections.
+//!
+//! A connection carries one request at a time and goes back to its pool only
+//! after its whole response was read and matched its request. An attempt that is
+//! no longer wanted is cancelled at the endpoint; its connection is kept busy
+//! until the endpoint has answered, so the late answer cannot meet another request.
+
+mod exchange;
+mod pool;
+
+use self::exchange::Verify;
+use self::pool::{Lease, Pool};
+use super::{Attempt, Permit, Transport};
+use crate::core::routes::Target;
+use crate::kernel::{Context, Service};
+use crate::prelude::*;
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time in which a connection must be set up.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after an attempt's own deadline in which its connection may still be saved.
+const GRACE: Span = Span::millis(500);
+/// Silence after which the pool of an address is dropped.
+const POOL_IDLE: Duration = Duration::from_secs(30);
+
+/// Pools of connections to all endpoints.
+#[derive(Default)]
+pub struct Connections {
+    pools: Mutex<IndexMap<SocketAddr, Arc<Pool>>>,
+}
+
+impl Connections {
+    fn pool(&self, to: &Target) -> Arc<Pool> {
+        let mut pools = self.pools.lock();
+        let pool = pools.entry(to.address).or_insert_with(|| Arc::new(Pool::new(to.address)));
+        pool.set_max(to.connections);
+        Arc::clone(pool)
+    }
+
+    fn sweep(&self) {
+        self.pools.lock().retain(|_, p| !p.is_idle_for(POOL_IDLE));
+    }
+}
+
+impl Transport for Connections {
+    fn run<'a>(
+        &'a self,
+        to: &'a Target,
+        attempt: Attempt,
+        permit: Permit,
+    ) -> BoxFuture<'a, Result<Bytes, Refusal>> {
+        let pool = self.pool(to);
+        let verify = Verify { incarnation: to.incarnation };
+        Box::pin(async move {
+            let timeout = attempt.timeout;
+            let lease = connect(pool, timeout).await?;
+            let (tx, rx) = oneshot::channel();
+            // The exchange outlives its caller, so that a late answer still frees the connection.
+            tokio::spawn(async move {
+                let bound = Span(timeout.0.saturating_add(GRACE.0)).to_std();
+                let sent = exchange::run(lease, &attempt, verify);
+                let result = tokio::time::timeout(bound, sent).await.unwrap_or_else(|_| {
+                    Err(Refusal::may_have_run(Reason::Deadline, "the endpoint did not answer"))
+                });
+                drop(permit);
+                let _ = tx.send(result);
+            });
+            match tokio::time::timeout(timeout.to_std(), rx).await {
+                Ok(Ok(result)) => result,
+                Ok(Err(_)) => Err(Refusal::may_have_run(Reason::Internal, "the exchange stopped")),
+                Err(_) => {
+                    Err(Refusal::may_have_run(Reason::Deadline, "the endpoint did not answer"))
+                }
+            }
+        })
+    }
+
+    fn cancel(&self, to: &Target, id: Arc<str>) {
+        let pool = self.pool(to);
+        tokio::spawn(async move {
+            if let Ok(lease) = connect(pool, Span::from(CONNECT_TIMEOUT)).await {
+                let sent = exchange::cancel(lease, &id);
+                // A cancel that fails costs the endpoint some work and nothing else.
+                let _ = tokio::time::timeout(CONNECT_TIMEOUT, sent).await;
+            }
+        });
+    }
+}
+
+async fn connect(pool: Arc<Pool>, timeout: Span) -> Result<Lease, Refusal> {
+    let bound = timeout.to_std().min(CONNECT_TIMEOUT);
+    let late = |_| Refusal::not_run(Reason::Connection, "no connection could be set up in time");
+    tokio::time::timeout(bound, Pool::lease(pool)).await.unwrap_or_else(|e| Err(late(e)))
+}
+
+/// Publishes the transport.
+pub struct TransportService;
+
+impl Service for TransportService {
+    fn name(&self) -> &'static str {
+        "transport"
+    }
+
+    fn start<'a>(&'a self, ctx: &'a Context) -> BoxFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let connections = Arc::new(Connections::default());
+            ctx.publish::<dyn Transport>(<dyn Transport>::NAME, connections.clone());
+            let stopped = ctx.stopped();
+            tokio::spawn(async move {
+                let mut stopped = std::pin::pin!(stopped);
+                let mut tick = tokio::time::interval(POOL_IDLE);
+                loop {
+                    tokio::select! {
+                        () = &mut stopped => return,
+                        _ = tick.tick() => connections.sweep(),
+                    }
+                }
+            });
+            Ok(())
+        })
+    }
+
+    fn stop(&self, _bound: Span) -> BoxFuture<'_, ()> {
+        Box::pin(async {})
+    }
+}
--- /dev/null
+++ b/src/wisteriahead/services/transport/pool.rs
@@ -0,0 +1,131 @@
+//! The connections to one endpoint.
+
+use crate::prelude::*;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// The sending side of one connection.
+pub type Sender = SendRequest<Full<Bytes>>;
+
+#[derive(Default)]
+struct State {
+    idle: Vec<Sender>,
+    open: u32,
+    max: u32,
+}
+
+/// Connections to one address, at most `max` of them open.
+pub struct Pool {
+    address: SocketAddr,
+    state: Mutex<State>,
+    used: Mutex<Instant>,
+}
+
+impl Pool {
+    /// A pool without connections.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, state: Mutex::default(), used: Mutex::new(Instant::now()) }
+    }
+
+    /// Sets how many connections may be open.
+    pub fn set_max(&self, max: u32) {
+        self.state.lock().max = max;
+        *self.used.lock() = Instant::now();
+    }
+
+    /// Whether no request used the pool for `span` and none holds a connection.
+    pub fn is_idle_for(&self, span: Duration) -> bool {
+        let s = self.state.lock();
+        s.open as usize == s.idle.len() && self.used.lock().elapsed() >= span
+    }
+
+    /// Takes an idle connection or sets one up.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with "not run": nothing was sent.
+    pub async fn lease(pool: Arc<Self>) -> Result<Lease, Refusal> {
+        let slot = match pool.take()? {
+            Taken::Idle(sender) => return Ok(Lease { pool, sender: Some(sender), kept: false }),
+            // From here on the slot is given back when the lease is dropped.
+            Taken::Slot => Lease { pool, sender: None, kept: false },
+        };
+        slot.connect().await
+    }
+
+    fn take(&self) -> Result<Taken, Refusal> {
+        let mut s = self.state.lock();
+        while let Some(sender) = s.idle.pop() {
+            if sender.is_ready() {
+                return Ok(Taken::Idle(sender));
+            }
+            s.open -= 1;
+        }
+        if s.open >= s.max {
+            return Err(Refusal::not_run(Reason::Busy, "all connections to the endpoint are busy"));
+        }
+        s.open += 1;
+        Ok(Taken::Slot)
+    }
+}
+
+enum Taken {
+    Idle(Sender),
+    Slot,
+}
+
+/// One connection in use; dropping it closes the connection.
+pub struct Lease {
+    pool: Arc<Pool>,
+    sender: Option<Sender>,
+    /// Whether the connection stays open in the pool.
+    kept: bool,
+}
+
+impl Lease {
+    async fn connect(mut self) -> Result<Self, Refusal> {
+        let failed = |e: &dyn std::fmt::Display| {
+            Refusal::not_run(Reason::Connection, format!("could not connect: {e}"))
+        };
+        let stream = TcpStream::connect(self.pool.address).await.map_err(|e| failed(&e))?;
+        // Requests are one small write each; waiting to fill a packet only delays them.
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|e| failed(&e))?;
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                log::trace!("a connection to an endpoint ended: {e}");
+            }
+        });
+        self.sender = Some(sender);
+        Ok(self)
+    }
+
+    /// The sending side.
+    pub fn sender(&mut self) -> Option<&mut Sender> {
+        self.sender.as_mut()
+    }
+
+    /// Gives the connection back for reuse; its last response was read whole.
+    pub async fn give_back(mut self) {
+        let Some(mut sender) = self.sender.take() else { return };
+        if sender.ready().await.is_ok() {
+            self.pool.state.lock().idle.push(sender);
+            self.kept = true;
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if !self.kept {
+            self.pool.state.lock().open -= 1;
+        }
+    }
+}
--- a/src/wisteriahead/util/mod.rs
+++ b/src/wisteriahead/util/mod.rs
@@ -1,1 +1,5 @@
 //! Plumbing that knows nothing of queries.
+
+pub mod http;
+pub mod logging;
+pub mod metrics;
