Add the stand-in leaf and the open-loop load program

Neither is shipped. wisteria-leaf hosts many leaves in one process, follows docs/API.md, injects faults by a control port and logs each execution. wisteria-load sends Poisson arrivals from a seed and reports tail latency, coverage, refusals and extra load.

Also ruled out: faults that are used up by refused requests; all but reset-before now hit only a request that got a slot.

--- /dev/null
+++ b/crates/wisteria-leaf/src/group.rs
@@ -0,0 +1,106 @@
+//! All leaves of one process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::{Context, Result};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+use crate::announce::announce;
+use crate::control;
+use crate::executions::{ExecutionLog, Executions};
+use crate::faults::{Fault, Target};
+use crate::leaf::Leaf;
+use crate::profile::Profile;
+use crate::server::serve;
+
+/// Leaves that share a log and a control port; dropping it ends their tasks.
+#[derive(Debug)]
+pub struct Group {
+    shared: Arc<Shared>,
+    control: SocketAddr,
+    _tasks: JoinSet<()>,
+}
+
+/// What the control port works on.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) leaves: Vec<Arc<Leaf>>,
+    pub(crate) log: Arc<ExecutionLog>,
+}
+
+impl Group {
+    /// Binds and starts a leaf for each profile and address, and the control port.
+    pub async fn start(
+        leaves: Vec<(SocketAddr, Profile)>,
+        control: SocketAddr,
+        entries: &[SocketAddr],
+    ) -> Result<Self> {
+        let log = Arc::new(ExecutionLog::default());
+        let mut tasks = JoinSet::new();
+        let mut started = Vec::with_capacity(leaves.len());
+        for (address, profile) in leaves {
+            let listener = bind(address).await?;
+            let leaf = Arc::new(Leaf::new(profile, listener.local_addr()?, Arc::clone(&log)));
+            tasks.spawn(serve(Arc::clone(&leaf), listener));
+            tasks.spawn(announce(Arc::clone(&leaf), entries.to_vec()));
+            started.push(leaf);
+        }
+        let shared = Arc::new(Shared { leaves: started, log });
+        let listener = bind(control).await?;
+        let control = listener.local_addr()?;
+        tasks.spawn(control::serve(listener, Arc::clone(&shared)));
+        Ok(Self { shared, control, _tasks: tasks })
+    }
+
+    /// The leaves in the order given.
+    pub fn leaves(&self) -> &[Arc<Leaf>] {
+        &self.shared.leaves
+    }
+
+    /// Address of the control port.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Brings a fault about; false if it names no leaf of this process.
+    pub fn inject(&self, fault: &Fault) -> bool {
+        self.shared.inject(fault)
+    }
+
+    /// What has run so far.
+    pub fn executions(&self) -> Executions {
+        self.shared.log.snapshot()
+    }
+}
+
+impl Drop for Group {
+    fn drop(&mut self) {
+        for leaf in &self.shared.leaves {
+            leaf.die();
+        }
+    }
+}
+
+impl Shared {
+    pub(crate) fn inject(&self, fault: &Fault) -> bool {
+        let mut found = false;
+        for (index, leaf) in self.leaves.iter().enumerate() {
+            let hit = match &fault.leaf {
+                None => true,
+                Some(Target::Index(wanted)) => *wanted == index,
+                Some(Target::Name(wanted)) => wanted == leaf.name(),
+            };
+            if hit {
+                leaf.inject(fault);
+                found = true;
+            }
+        }
+        found
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("can't listen on {address}"))
+}
--- /dev/null
+++ b/crates/wisteria-leaf/tests/leaf.rs
@@ -0,0 +1,320 @@
+//! The stand-in leaf as an endpoint's callers and a test's control see it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::header::HeaderMap;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::mpsc;
+use wisteria_leaf::{
+    Announcement, Fault, Group, Holding, Kind, Latency, Outcome, Profile, State, shard_hits,
+};
+
+/// An execution time that no test waits for.
+const FOREVER: Duration = Duration::from_secs(3_600);
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn profile(mean: Duration) -> Profile {
+    Profile {
+        name: "leaf-0".to_owned(),
+        host: "h0".to_owned(),
+        zone: "north".to_owned(),
+        service: "kits".to_owned(),
+        holdings: vec![Holding {
+            collection: "kits".to_owned(),
+            snapshot: "s1".to_owned(),
+            shard: 3,
+            shards: 4,
+        }],
+        slots: 2,
+        bearable: 1,
+        connections: 25,
+        setup: Duration::ZERO,
+        cold: Duration::ZERO,
+        latency: Latency { mean, stragglers: 0.0, factor: 1.0 },
+        seed: 7,
+    }
+}
+
+async fn start(profile: Profile) -> Group {
+    Group::start(vec![(any_port(), profile)], any_port(), &[])
+        .await
+        .expect("free ports on loopback")
+}
+
+struct Reply {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Value,
+}
+
+impl Reply {
+    fn header(&self, name: &str) -> &str {
+        self.headers[name].to_str().expect("a text header")
+    }
+}
+
+async fn send(to: SocketAddr, request: Request<Full<Bytes>>) -> Result<Reply, hyper::Error> {
+    let stream = TcpStream::connect(to).await.expect("the leaf listens");
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let (head, body) = sender.send_request(request).await?.into_parts();
+    let bytes = body.collect().await?.to_bytes();
+    let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+    Ok(Reply { status: head.status, headers: head.headers, body })
+}
+
+fn run(attempt: &str, kind: &str, body: &Value) -> Request<Full<Bytes>> {
+    Request::post("/v1/run")
+        .header("host", "leaf")
+        .header("wisteria-attempt", attempt)
+        .header("wisteria-kind", kind)
+        .header("wisteria-collection", "kits")
+        .header("wisteria-snapshot", "s1")
+        .header("wisteria-shard", "3")
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("a well-formed request")
+}
+
+fn search(attempt: &str) -> Request<Full<Bytes>> {
+    run(attempt, "search", &json!({"limit": 3}))
+}
+
+fn cancel(attempt: &str) -> Request<Full<Bytes>> {
+    Request::post("/v1/cancel")
+        .header("host", "leaf")
+        .header("wisteria-attempt", attempt)
+        .body(Full::default())
+        .expect("a well-formed request")
+}
+
+/// Waits until the leaf has logged this many executions.
+async fn executions_reach(group: &Group, count: u64) {
+    while group.executions().total < count {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[tokio::test]
+async fn search_answers_with_the_hits_of_its_shard() {
+    let group = start(profile(Duration::ZERO)).await;
+    let reply = send(group.leaves()[0].address(), search("a1")).await.unwrap();
+    assert_eq!(reply.status, StatusCode::OK);
+    assert_eq!(reply.header("wisteria-attempt"), "a1");
+    assert_eq!(reply.header("wisteria-snapshot"), "s1");
+    assert_eq!(reply.header("wisteria-shard"), "3");
+    assert_eq!(reply.header("wisteria-incarnation"), "1");
+    assert_eq!(reply.header("wisteria-verdict"), "ran");
+    assert_eq!(reply.body, json!({"hits": shard_hits("kits", "s1", 3)}));
+}
+
+#[tokio::test]
+async fn order_runs_once_and_is_logged_with_its_key() {
+    let group = start(profile(Duration::ZERO)).await;
+    let mut request = run("a1", "order", &json!({"id": "o-9"}));
+    request.headers_mut().insert("idempotency-key", "k-1".parse().unwrap());
+    let reply = send(group.leaves()[0].address(), request).await.unwrap();
+    assert_eq!(reply.body, json!({"order": "o-9", "leaf": "leaf-0"}));
+    let log = group.executions();
+    assert_eq!(log.executions.len(), 1);
+    assert_eq!(log.executions[0].key.as_deref(), Some("k-1"));
+    assert_eq!(log.executions[0].outcome, Outcome::Ran);
+}
+
+#[tokio::test]
+async fn full_slots_refuse_and_cancellation_stops_what_runs() {
+    let group = start(profile(FOREVER)).await;
+    let to = group.leaves()[0].address();
+    let first = tokio::spawn(send(to, search("a1")));
+    let second = tokio::spawn(send(to, search("a2")));
+    executions_reach(&group, 2).await;
+
+    let third = send(to, search("a3")).await.unwrap();
+    assert_eq!(third.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(third.header("wisteria-verdict"), "not-run");
+    assert_eq!(third.header("wisteria-reason"), "busy");
+    assert_eq!(group.executions().total, 2);
+
+    for (attempt, running) in [("a1", first), ("a2", second)] {
+        assert_eq!(send(to, cancel(attempt)).await.unwrap().status, StatusCode::NO_CONTENT);
+        let stopped = running.await.unwrap().unwrap();
+        assert_eq!(stopped.status.as_u16(), 499);
+        assert_eq!(stopped.header("wisteria-verdict"), "may-have-run");
+        assert_eq!(stopped.header("wisteria-reason"), "cancelled");
+    }
+    let log = group.executions();
+    assert!(log.executions.iter().all(|e| e.outcome == Outcome::Cancelled));
+    assert_eq!(log.leaves["leaf-0"].max_concurrent, 2);
+}
+
+#[tokio::test]
+async fn cancellation_before_the_request_keeps_it_from_running() {
+    let group = start(profile(Duration::ZERO)).await;
+    let to = group.leaves()[0].address();
+    assert_eq!(send(to, cancel("a1")).await.unwrap().status, StatusCode::NO_CONTENT);
+    let reply = send(to, search("a1")).await.unwrap();
+    assert_eq!(reply.status.as_u16(), 499);
+    assert_eq!(reply.header("wisteria-verdict"), "not-run");
+    assert_eq!(group.executions().total, 0);
+}
+
+#[tokio::test]
+async fn deadline_stops_what_runs() {
+    let group = start(profile(FOREVER)).await;
+    let mut request = search("a1");
+    request.headers_mut().insert("wisteria-timeout-ms", "5".parse().unwrap());
+    let reply = send(group.leaves()[0].address(), request).await.unwrap();
+    assert_eq!(reply.status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(reply.header("wisteria-verdict"), "may-have-run");
+    assert_eq!(group.executions().executions[0].outcome, Outcome::Deadline);
+}
+
+#[tokio::test]
+async fn cold_leaf_collapses_over_its_bearable_load() {
+    let group = start(Profile { cold: FOREVER, ..profile(FOREVER) }).await;
+    let to = group.leaves()[0].address();
+    let first = tokio::spawn(send(to, search("a1")));
+    executions_reach(&group, 1).await;
+    assert_eq!(group.executions().leaves["leaf-0"].collapsed, 0);
+    let second = tokio::spawn(send(to, search("a2")));
+    executions_reach(&group, 2).await;
+    let counters = group.executions().leaves["leaf-0"];
+    assert_eq!((counters.collapsed, counters.max_cold), (1, 2));
+    first.abort();
+    second.abort();
+}
+
+#[tokio::test]
+async fn poisonous_request_kills_the_leaf_until_it_is_revived() {
+    let group = start(profile(Duration::ZERO)).await;
+    let to = group.leaves()[0].address();
+    assert!(send(to, run("a1", "search", &json!({"poison": true}))).await.is_err());
+    assert_eq!(group.executions().total, 1);
+    assert!(group.inject(&Fault::new(Kind::Revive)));
+    let revived = loop {
+        if TcpStream::connect(to).await.is_ok()
+            && let Ok(reply) = send(to, search("a2")).await
+        {
+            break reply;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    };
+    assert_eq!(revived.header("wisteria-incarnation"), "2");
+}
+
+#[tokio::test]
+async fn control_port_injects_faults_and_shows_what_ran() {
+    let group = start(profile(Duration::ZERO)).await;
+    let to = group.leaves()[0].address();
+    let fault = json!({"leaf": "leaf-0", "kind": "reset-after", "count": 1});
+    let request = Request::post("/fault")
+        .header("host", "control")
+        .body(Full::new(Bytes::from(fault.to_string())))
+        .unwrap();
+    let answer = send(group.control(), request).await.unwrap();
+    assert_eq!(answer.status, StatusCode::NO_CONTENT);
+    assert!(send(to, search("a1")).await.is_err());
+    assert_eq!(send(to, search("a2")).await.unwrap().status, StatusCode::OK);
+    let request =
+        Request::get("/executions").header("host", "control").body(Full::default()).unwrap();
+    let log = send(group.control(), request).await.unwrap().body;
+    assert_eq!(log["total"], 2);
+    assert_eq!(log["executions"][0]["attempt"], "a1");
+    assert_eq!(log["executions"][0]["outcome"], "ran");
+}
+
+#[tokio::test]
+async fn reset_before_runs_nothing_and_crossed_repeats_another_attempt() {
+    let group = start(profile(Duration::ZERO)).await;
+    let to = group.leaves()[0].address();
+    for kind in [Kind::ResetBefore, Kind::Crossed, Kind::Truncate] {
+        assert!(group.inject(&Fault { count: Some(1), ..Fault::new(kind) }));
+    }
+    assert!(send(to, search("a1")).await.is_err());
+    assert_eq!(group.executions().total, 0);
+    let crossed = send(to, search("a2")).await.unwrap();
+    assert_ne!(crossed.header("wisteria-attempt"), "a2");
+    assert!(send(to, search("a3")).await.is_err());
+    assert_eq!(send(to, search("a4")).await.unwrap().header("wisteria-attempt"), "a4");
+    assert_eq!(group.executions().total, 3);
+}
+
+#[tokio::test]
+async fn draining_leaf_refuses_and_keeps_what_runs() {
+    let group = start(profile(FOREVER)).await;
+    let to = group.leaves()[0].address();
+    let first = tokio::spawn(send(to, search("a1")));
+    executions_reach(&group, 1).await;
+    assert!(group.inject(&Fault::new(Kind::Drain)));
+    let refused = send(to, search("a2")).await.unwrap();
+    assert_eq!(refused.header("wisteria-reason"), "draining");
+    assert_eq!(group.executions().executions[0].outcome, Outcome::Running);
+    first.abort();
+}
+
+#[tokio::test]
+async fn frozen_leaf_neither_answers_nor_runs() {
+    let group = start(profile(Duration::ZERO)).await;
+    let to = group.leaves()[0].address();
+    assert!(group.inject(&Fault::new(Kind::Freeze)));
+    let waiting = tokio::time::timeout(Duration::from_millis(20), send(to, search("a1")));
+    assert!(waiting.await.is_err());
+    assert_eq!(group.executions().total, 0);
+}
+
+/// An entry host that passes on what it is told.
+async fn entry_host() -> (SocketAddr, mpsc::UnboundedReceiver<Announcement>) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let listener = TcpListener::bind(any_port()).await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let sender = sender.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let sender = sender.clone();
+                async move {
+                    let body = request.into_body().collect().await?.to_bytes();
+                    let announcement = serde_json::from_slice(&body).expect("an announcement");
+                    let _ = sender.send(announcement);
+                    Ok::<_, hyper::Error>(Response::new(Full::<Bytes>::default()))
+                }
+            });
+            let server = hyper::server::conn::http1::Builder::new();
+            tokio::spawn(server.serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    (address, receiver)
+}
+
+#[tokio::test]
+async fn leaf_announces_to_the_next_entry_host_when_one_fails() {
+    let closed = TcpSocket::new_v4().unwrap();
+    closed.bind(any_port()).unwrap();
+    let (entry, mut announcements) = entry_host().await;
+    let entries = [closed.local_addr().unwrap(), entry];
+    let profile = Profile { cold: FOREVER, ..profile(Duration::ZERO) };
+    let group = Group::start(vec![(any_port(), profile)], any_port(), &entries).await.unwrap();
+    let first = announcements.recv().await.unwrap();
+    assert_eq!(first.address, group.leaves()[0].address());
+    assert_eq!((first.state, first.bearable), (State::Starting, 1));
+    assert!(group.inject(&Fault::new(Kind::Lie)));
+    let lie = loop {
+        let next = announcements.recv().await.unwrap();
+        assert!(next.sequence > first.sequence);
+        if next.state == State::Warm {
+            break next;
+        }
+    };
+    assert_eq!((lie.incarnation, lie.bearable), (1, 2));
+}
--- /dev/null
+++ b/crates/wisteria-load/src/lib.rs
@@ -0,0 +1,15 @@
+//! Open-loop load for experiments; it is not shipped.
+//!
+//! Requests arrive as a Poisson process from a seed, whether or not earlier ones are answered,
+//! and each latency counts from the intended arrival. The report also reads how many executions
+//! the leaves logged, to tell the extra load.
+
+mod arrivals;
+mod client;
+mod report;
+mod run;
+mod settings;
+
+pub use crate::report::{Quantiles, Report};
+pub use crate::run::run;
+pub use crate::settings::{Settings, settings};
--- /dev/null
+++ b/crates/wisteria-load/src/run.rs
@@ -0,0 +1,136 @@
+//! One run: arrivals in, report out.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::arrivals::Arrivals;
+use crate::client::{Client, Reply, executions};
+use crate::report::{Collector, Ending, Report};
+use crate::settings::Settings;
+
+/// Time past its timeout that a request waits for the refusal.
+const GRACE: Duration = Duration::from_secs(1);
+/// Hits asked for.
+const LIMIT: u32 = 10;
+
+#[derive(Serialize)]
+struct Query {
+    limit: u32,
+    sequence: u64,
+}
+
+#[derive(Serialize)]
+struct Search<'a> {
+    collection: &'a str,
+    query: Query,
+    limit: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    min_coverage: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Coverage {
+    shards: u64,
+    answered: u64,
+}
+
+#[derive(Deserialize)]
+struct SearchAnswer {
+    coverage: Coverage,
+}
+
+#[derive(Deserialize)]
+struct Refusal {
+    verdict: String,
+    reason: String,
+}
+
+/// Sends the load and waits for every answer.
+pub async fn run(settings: &Settings) -> Result<Report> {
+    let before = total(&settings.leaf_control).await?;
+    let mut collector = Collector::new()?;
+    for (latency, ending) in send_all(settings).await? {
+        collector.add(latency, ending);
+    }
+    let after = total(&settings.leaf_control).await?;
+    let known = !settings.leaf_control.is_empty();
+    Ok(collector.finish(known.then(|| after.saturating_sub(before))))
+}
+
+async fn total(controls: &[SocketAddr]) -> Result<u64> {
+    let mut total = 0;
+    for &control in controls {
+        total += executions(control).await.with_context(|| format!("leaf control {control}"))?;
+    }
+    Ok(total)
+}
+
+async fn send_all(settings: &Settings) -> Result<Vec<(Duration, Ending)>> {
+    let client = Arc::new(Client::new(&settings.target));
+    let span = Duration::from_secs_f64(settings.seconds);
+    let start = Instant::now();
+    let mut tasks = JoinSet::new();
+    for (sequence, arrival) in (0..).zip(Arrivals::new(settings.seed, settings.rate, span)) {
+        let intended = start + arrival;
+        let request = request(settings, sequence)?;
+        let limit = Duration::from_millis(settings.timeout_ms) + GRACE;
+        sleep_until(intended).await;
+        let client = Arc::clone(&client);
+        tasks.spawn(async move {
+            let ending = exchange(&client, request, limit).await;
+            (intended.elapsed(), ending)
+        });
+    }
+    Ok(tasks.join_all().await)
+}
+
+fn request(settings: &Settings, sequence: u64) -> Result<Request<Full<Bytes>>> {
+    let search = Search {
+        collection: &settings.collection,
+        query: Query { limit: LIMIT, sequence },
+        limit: LIMIT,
+        min_coverage: settings.min_coverage,
+    };
+    let mut builder = Request::post("/v1/search")
+        .header("content-type", "application/json")
+        .header("wisteria-timeout-ms", settings.timeout_ms);
+    if let Some(class) = &settings.class {
+        builder = builder.header("wisteria-class", class);
+    }
+    Ok(builder.body(Full::new(Bytes::from(serde_json::to_vec(&search)?)))?)
+}
+
+async fn exchange(client: &Client, request: Request<Full<Bytes>>, limit: Duration) -> Ending {
+    match timeout(limit, client.send(request)).await {
+        Ok(Ok(reply)) => read(&reply),
+        Ok(Err(error)) => {
+            log::debug!("{error:#}");
+            Ending::Failed("connection")
+        }
+        Err(_) => Ending::Failed("no-answer"),
+    }
+}
+
+fn read(reply: &Reply) -> Ending {
+    if reply.status == StatusCode::OK {
+        return match serde_json::from_slice::<SearchAnswer>(&reply.body) {
+            Ok(SearchAnswer { coverage: Coverage { shards, answered } }) => {
+                Ending::Answered { shards, answered }
+            }
+            Err(_) => Ending::Failed("malformed-answer"),
+        };
+    }
+    match serde_json::from_slice::<Refusal>(&reply.body) {
+        Ok(refusal) => Ending::Refused(format!("{}/{}", refusal.verdict, refusal.reason)),
+        Err(_) => Ending::Failed("malformed-refusal"),
+    }
+}
--- /dev/null
+++ b/crates/wisteria-load/tests/load.rs
@@ -0,0 +1,95 @@
+//! The load program against a target of one test.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpSocket};
+use wisteria_load::{Report, Settings, run};
+
+const COMPLETE: &str = r#"{"verdict":"ran","snapshot":"s1",
+    "coverage":{"shards":4,"answered":4,"missing":[]},"hits":[]}"#;
+const PARTIAL: &str = r#"{"verdict":"ran","snapshot":"s1",
+    "coverage":{"shards":4,"answered":3,"missing":[2]},"hits":[]}"#;
+const REFUSAL: &str = r#"{"verdict":"not-run","reason":"busy","detail":""}"#;
+
+async fn target(status: StatusCode, body: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(move |_: Request<Incoming>| async move {
+                let mut response = Response::new(Full::new(Bytes::from_static(body.as_bytes())));
+                *response.status_mut() = status;
+                Ok::<_, Infallible>(response)
+            });
+            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    address
+}
+
+/// A port that is taken but refuses connections while the socket lives.
+fn closed_port() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+    let address = socket.local_addr().expect("a bound address");
+    (socket, address)
+}
+
+async fn load(target: Vec<SocketAddr>) -> Report {
+    let settings = Settings {
+        target,
+        rate: 1_000.0,
+        seconds: 0.1,
+        seed: 5,
+        collection: "kits".to_owned(),
+        class: None,
+        timeout_ms: 60_000,
+        min_coverage: None,
+        leaf_control: Vec::new(),
+        json: false,
+    };
+    run(&settings).await.expect("a report")
+}
+
+#[tokio::test]
+async fn same_seed_gives_the_same_arrivals() {
+    let target = target(StatusCode::OK, COMPLETE).await;
+    let (first, second) = (load(vec![target]).await, load(vec![target]).await);
+    assert!(first.requests > 0);
+    assert_eq!(first.requests, second.requests);
+    assert_eq!(first.complete, 1.0);
+    assert_eq!(first.least, 4 * first.requests);
+}
+
+#[tokio::test]
+async fn partial_answers_count_by_their_coverage() {
+    let report = load(vec![target(StatusCode::OK, PARTIAL).await]).await;
+    assert_eq!(report.answered, report.requests);
+    assert_eq!(report.coverage, Some(0.75));
+    assert_eq!(report.complete, 0.0);
+}
+
+#[tokio::test]
+async fn refusals_count_by_verdict_and_reason() {
+    let report = load(vec![target(StatusCode::SERVICE_UNAVAILABLE, REFUSAL).await]).await;
+    assert_eq!(report.refusals.get("not-run/busy"), Some(&report.requests));
+    assert_eq!(report.coverage, None);
+}
+
+#[tokio::test]
+async fn unreachable_target_is_passed_over() {
+    let (_socket, closed) = closed_port();
+    let targets = vec![closed, target(StatusCode::OK, COMPLETE).await];
+    let report = load(targets).await;
+    assert_eq!(report.answered, report.requests);
+    let alone = load(vec![closed]).await;
+    assert_eq!(alone.errors.get("connection"), Some(&alone.requests));
+}
