Add keys, mutual TLS, messages between hosts, and the operator API

Cause: the thin path needs hosts that reach each other, a document that operators can change, and a tool for them. Ruled out: one shared connection for two hosts, since both would wait on one side's dial; each host sends over the connections that it opened itself.

--- /dev/null
+++ b/src/bin/wisteriactl/commands/mod.rs
@@ -0,0 +1,35 @@
+//! Runs each command and renders its result.
+
+mod inventory;
+mod keys;
+mod show;
+
+use crate::cli::Command;
+use anyhow::Context;
+use serde::Serialize;
+use wisteriahead::ops::failure::Failure;
+use wisteriahead::ops::show::What;
+
+/// Runs a command and returns what to print.
+///
+/// # Errors
+///
+/// Returns why the command did not do what it was asked.
+pub fn run(command: Command) -> Result<String, Failure> {
+    match command {
+        Command::Keys { keys } => keys::run(keys),
+        Command::Status { remote } => show::run(remote, What::Status),
+        Command::Zones { remote } => show::run(remote, What::Zones),
+        Command::Endpoints { remote } => show::run(remote, What::Endpoints),
+        Command::Inventory { inventory } => inventory::run(inventory),
+    }
+}
+
+fn block_on<T>(task: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.context("could not start the runtime")?.block_on(task)
+}
+
+fn json(value: &impl Serialize) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_default() + "\n"
+}
--- /dev/null
+++ b/src/wisteriahead/ops/show.rs
@@ -0,0 +1,44 @@
+//! Shows what a host knows.
+
+use super::client::{Client, Server};
+use super::failure::Failure;
+use serde_json::Value;
+
+/// What to show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum What {
+    /// The host itself.
+    Status,
+    /// Availability zones.
+    Zones,
+    /// Endpoints.
+    Endpoints,
+}
+
+impl What {
+    const fn path(self) -> &'static str {
+        match self {
+            Self::Status => "/v1/status",
+            Self::Zones => "/v1/zones",
+            Self::Endpoints => "/v1/endpoints",
+        }
+    }
+}
+
+/// Options of [`show`].
+#[derive(Clone, Debug)]
+pub struct ShowOptions {
+    /// Host to ask.
+    pub server: Server,
+    /// What to show.
+    pub what: What,
+}
+
+/// Asks a host for one of its views.
+///
+/// # Errors
+///
+/// Fails when the host cannot be reached or refuses.
+pub async fn show(opts: &ShowOptions) -> Result<Value, Failure> {
+    Client::new(&opts.server)?.get(opts.what.path()).await
+}
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -13,6 +13,8 @@
 use std::sync::Arc;
 use tokio::sync::watch;
 
+pub mod control;
+pub mod operator;
 pub mod peers;
 
 /// Handles the messages of one topic.
@@ -105,3 +107,14 @@
     /// Name in the kernel.
     pub const NAME: &'static str = "control";
 }
+
+/// Shows what this host knows, for operators.
+pub trait Views: Send + Sync {
+    /// The view of the given name, such as `endpoints` or `zones`; none if there is no such view.
+    fn view(&self, what: &str) -> Option<serde_json::Value>;
+}
+
+impl dyn Views {
+    /// Name in the kernel.
+    pub const NAME: &'static str = "views";
+}
--- a/src/wisteriahead/services/peers.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
--- /dev/null
+++ b/src/wisteriahead/services/peers/hub.rs
@@ -0,0 +1,271 @@
+//! What this host knows of the others, and the [`Peers`] that its services use.
+
+use super::PeerSettings;
+use super::queue::Queue;
+use super::wire::{Answer, CONTACTS_MAX, Contact, Hello};
+use super::{accept, dial};
+use crate::core::message::{self, ENVELOPE_MAX_BYTES, Envelope, Topic};
+use crate::prelude::*;
+use crate::services::{Handler, Peers};
+use crate::util::tls::Identity;
+use anyhow::bail;
+use futures::future::BoxFuture;
+use parking_lot::{Mutex, RwLock};
+use quinn::{Connection, Endpoint};
+use std::net::SocketAddr;
+use std::sync::OnceLock;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Most hosts remembered.
+const PEERS_MAX: usize = 1024;
+/// Time allowed for one call, connecting included.
+const CALL_TIMEOUT: Span = Span::secs(5);
+/// Time allowed to hand one message to the connection.
+const SEND_TIMEOUT: Span = Span::secs(2);
+
+/// Another host.
+pub struct Peer {
+    /// Address that it listens on.
+    pub address: Mutex<SocketAddr>,
+    /// Messages that wait for it.
+    pub queue: Queue,
+    /// The connection that this host opened to it.
+    pub link: watch::Sender<Option<Connection>>,
+}
+
+impl Peer {
+    async fn connected(&self) -> Result<Connection> {
+        let mut rx = self.link.subscribe();
+        let link = rx.wait_for(Option::is_some).await.context("the host was forgotten")?;
+        link.clone().context("the host is not connected")
+    }
+}
+
+/// All that the tasks of the service share.
+pub struct Hub {
+    /// Settings of the service.
+    pub settings: PeerSettings,
+    /// The bound socket.
+    pub endpoint: OnceLock<Endpoint>,
+    handlers: RwLock<IndexMap<Topic, Arc<dyn Handler>>>,
+    peers: RwLock<IndexMap<String, Arc<Peer>>>,
+    dials: Mutex<IndexSet<SocketAddr>>,
+    stop: watch::Sender<bool>,
+}
+
+impl Hub {
+    /// A hub that knows no other host yet.
+    pub fn new(settings: PeerSettings) -> Self {
+        Self {
+            settings,
+            endpoint: OnceLock::new(),
+            handlers: RwLock::default(),
+            peers: RwLock::default(),
+            dials: Mutex::default(),
+            stop: watch::channel(false).0,
+        }
+    }
+
+    /// Runs a task until it ends or the service stops.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let mut stop = self.stop.subscribe();
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = stop.wait_for(|stop| *stop) => {}
+                () = task => {}
+            }
+        });
+    }
+
+    /// Ends all tasks.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Address that the socket is bound to.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.endpoint.get()?.local_addr().ok()
+    }
+
+    /// What this host tells another first.
+    pub fn hello(&self) -> Hello {
+        let contact = |(name, p): (&String, &Arc<Peer>)| Contact {
+            name: name.clone(),
+            listen: *p.address.lock(),
+        };
+        Hello {
+            version: message::VERSION,
+            name: self.settings.host.clone(),
+            zone: self.settings.zone.clone(),
+            listen: self.address().unwrap_or(self.settings.listen),
+            others: self.peers.read().iter().take(CONTACTS_MAX).map(contact).collect(),
+        }
+    }
+
+    /// Remembers a host by its certificate and hello, and dials those that it knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the hello does not fit the certificate or too many hosts are known.
+    pub fn meet(
+        self: &Arc<Self>,
+        id: &Identity,
+        hello: Hello,
+        remote: SocketAddr,
+    ) -> Result<Arc<Peer>> {
+        if hello.name != id.name {
+            bail!("host `{}` calls itself `{}`; check its settings", id.name, hello.name);
+        }
+        if id.zone.as_ref().is_some_and(|z| *z != hello.zone) {
+            bail!("host `{}` is not of zone `{}`; check its settings", id.name, hello.zone);
+        }
+        let mut listen = hello.listen;
+        if listen.ip().is_unspecified() {
+            listen.set_ip(remote.ip());
+        }
+        let peer = self.remember(&id.name, listen)?;
+        self.dial(Some(&id.name), listen);
+        for contact in hello.others.into_iter().take(CONTACTS_MAX) {
+            self.dial(Some(&contact.name), contact.listen);
+        }
+        Ok(peer)
+    }
+
+    fn remember(&self, name: &str, listen: SocketAddr) -> Result<Arc<Peer>> {
+        let mut peers = self.peers.write();
+        if let Some(peer) = peers.get(name) {
+            *peer.address.lock() = listen;
+            return Ok(peer.clone());
+        }
+        if peers.len() >= PEERS_MAX {
+            bail!("{PEERS_MAX} hosts are known already; `{name}` is left out");
+        }
+        let peer = Arc::new(Peer {
+            address: Mutex::new(listen),
+            queue: Queue::default(),
+            link: watch::channel(None).0,
+        });
+        peers.insert(name.to_owned(), peer.clone());
+        self.spawn(pump(peer.clone()));
+        Ok(peer)
+    }
+
+    /// Keeps a connection to an address, unless this host does so already.
+    pub fn dial(self: &Arc<Self>, name: Option<&str>, address: SocketAddr) {
+        if name == Some(self.settings.host.as_str()) {
+            return;
+        }
+        let mut dials = self.dials.lock();
+        if dials.len() < PEERS_MAX && dials.insert(address) {
+            self.spawn(dial::keep(self.clone(), name.map(str::to_owned), address));
+        }
+    }
+
+    /// Forgets an address, so that it can be dialled again later.
+    pub fn hang_up(&self, address: SocketAddr) {
+        self.dials.lock().swap_remove(&address);
+    }
+
+    /// Whether the named host has since said that it listens elsewhere.
+    pub fn moved(&self, name: &str, address: SocketAddr) -> bool {
+        self.peers.read().get(name).is_some_and(|p| *p.address.lock() != address)
+    }
+
+    /// The handler of a topic.
+    pub fn handler(&self, topic: Topic) -> Option<Arc<dyn Handler>> {
+        self.handlers.read().get(&topic).cloned()
+    }
+
+    /// Number of one-way messages lost so far.
+    pub fn dropped(&self) -> u64 {
+        self.peers.read().values().map(|p| p.queue.dropped()).sum()
+    }
+
+    fn peer(&self, name: &str) -> Option<Arc<Peer>> {
+        self.peers.read().get(name).cloned()
+    }
+
+    fn seal(&self, topic: Topic, body: Vec<u8>) -> Result<Vec<u8>> {
+        let from = self.settings.host.clone();
+        let bytes = message::encode(&Envelope { version: message::VERSION, from, topic, body });
+        if bytes.len() > ENVELOPE_MAX_BYTES {
+            bail!(
+                "the message has {} bytes; at most {ENVELOPE_MAX_BYTES} are allowed",
+                bytes.len()
+            );
+        }
+        Ok(bytes)
+    }
+}
+
+impl Peers for Hub {
+    fn host(&self) -> &str {
+        &self.settings.host
+    }
+
+    fn zone(&self) -> &str {
+        &self.settings.zone
+    }
+
+    fn others(&self) -> Vec<String> {
+        self.peers.read().keys().cloned().collect()
+    }
+
+    fn handle(&self, topic: Topic, handler: Arc<dyn Handler>) {
+        self.handlers.write().insert(topic, handler);
+    }
+
+    fn send(&self, to: &str, topic: Topic, body: Vec<u8>) {
+        match (self.peer(to), self.seal(topic, body)) {
+            (Some(peer), Ok(bytes)) => peer.queue.push(bytes),
+            (None, _) => log::debug!("message for unknown host `{to}` lost"),
+            (_, Err(e)) => log::warn!("message for host `{to}` lost: {e}"),
+        }
+    }
+
+    fn call<'a>(
+        &'a self,
+        to: &'a str,
+        topic: Topic,
+        body: Vec<u8>,
+    ) -> BoxFuture<'a, Result<Vec<u8>>> {
+        Box::pin(async move {
+            let peer = self.peer(to).with_context(|| format!("host `{to}` is not known here"))?;
+            let bytes = self.seal(topic, body)?;
+            let answer = timeout(CALL_TIMEOUT.to_std(), exchange(&peer, &bytes))
+                .await
+                .with_context(|| format!("host `{to}` did not answer in {CALL_TIMEOUT}"))?
+                .with_context(|| format!("the call to host `{to}` failed"))?;
+            match answer {
+                Answer::Done(body) => Ok(body),
+                Answer::Refused(cause) => bail!("host `{to}` refused the call: {cause}"),
+            }
+        })
+    }
+}
+
+async fn exchange(peer: &Peer, bytes: &[u8]) -> Result<Answer> {
+    let (mut tx, mut rx) = peer.connected().await?.open_bi().await?;
+    tx.write_all(bytes).await?;
+    tx.finish()?;
+    Ok(Answer::read(&rx.read_to_end(accept::ANSWER_MAX_BYTES).await?)?)
+}
+
+/// Sends the messages that wait for a host, one stream each.
+async fn pump(peer: Arc<Peer>) {
+    loop {
+        let bytes = peer.queue.pop().await;
+        let Ok(link) = peer.connected().await else { return };
+        let sent = timeout(SEND_TIMEOUT.to_std(), deliver(&link, &bytes)).await;
+        if !matches!(sent, Ok(Ok(()))) {
+            peer.queue.lost();
+        }
+    }
+}
+
+async fn deliver(link: &Connection, bytes: &[u8]) -> Result<()> {
+    let mut tx = link.open_uni().await?;
+    tx.write_all(bytes).await?;
+    Ok(tx.finish()?)
+}
--- /dev/null
+++ b/src/wisteriahead/services/peers/wire.rs
@@ -0,0 +1,95 @@
+//! What goes over a connection besides envelopes: the hello and the answer to a call.
+//!
+//! The first bidirectional stream of a connection carries a [`Hello`] each way. Every
+//! later one carries an envelope and an [`Answer`]; unidirectional streams carry
+//! one envelope each.
+
+use crate::core::message::{self, DecodeError};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Most bytes in an encoded hello.
+pub const HELLO_MAX_BYTES: usize = 256 << 10;
+/// Most contacts sent or read in one hello.
+pub const CONTACTS_MAX: usize = 1024;
+
+/// Where another host listens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Name of the host.
+    pub name: String,
+    /// Address that it listens on.
+    pub listen: SocketAddr,
+}
+
+/// What two hosts tell each other first.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Version of the envelope that the host speaks.
+    pub version: u16,
+    /// Name of the host.
+    pub name: String,
+    /// Availability zone of the host.
+    pub zone: String,
+    /// Address that it listens on.
+    pub listen: SocketAddr,
+    /// Other hosts that it knows.
+    pub others: Vec<Contact>,
+}
+
+impl Hello {
+    /// Reads a hello and checks its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DecodeError`] for bytes that are not a hello of this version.
+    pub fn read(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let hello: Self = message::decode(bytes)?;
+        if hello.version == message::VERSION {
+            Ok(hello)
+        } else {
+            Err(DecodeError::Version(hello.version))
+        }
+    }
+}
+
+/// The answer to a call: one byte for its outcome, then the body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The call was carried out.
+    Done(Vec<u8>),
+    /// The call was refused, for the given cause.
+    Refused(String),
+}
+
+impl Answer {
+    const DONE: u8 = 0;
+    const REFUSED: u8 = 1;
+
+    /// Encodes the answer.
+    pub fn write(&self) -> Vec<u8> {
+        let (tag, body) = match self {
+            Self::Done(body) => (Self::DONE, body.as_slice()),
+            Self::Refused(cause) => (Self::REFUSED, cause.as_bytes()),
+        };
+        let mut bytes = Vec::with_capacity(body.len() + 1);
+        bytes.push(tag);
+        bytes.extend_from_slice(body);
+        bytes
+    }
+
+    /// Decodes an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DecodeError::Malformed`] for an empty answer or an unknown outcome.
+    pub fn read(bytes: &[u8]) -> Result<Self, DecodeError> {
+        match bytes.split_first() {
+            Some((&Self::DONE, body)) => Ok(Self::Done(body.to_vec())),
+            Some((&Self::REFUSED, body)) => {
+                Ok(Self::Refused(String::from_utf8_lossy(body).into_owned()))
+            }
+            _ => Err(DecodeError::Malformed("the answer has no known outcome".to_owned())),
+        }
+    }
+}
--- a/src/wisteriahead/util/mod.rs
+++ b/src/wisteriahead/util/mod.rs
@@ -1,1 +1,2 @@
 //! Plumbing that knows nothing of queries.
+pub mod tls;
--- /dev/null
+++ b/src/wisteriahead/util/tls.rs
@@ -0,0 +1,215 @@
+//! TLS with mutual authentication against one certificate authority.
+//!
+//! A certificate names its holder in a URI among its alternative names,
+//! `wisteriahead:KIND:NAME`, and may carry `wisteriahead:zone:ZONE`. Addresses play
+//! no part in verification: every host's certificate also holds one common DNS name,
+//! [`SERVER_NAME`], so a client learns the host's name from the certificate itself.
+
+use crate::prelude::*;
+use anyhow::{anyhow, bail};
+use rustls::server::WebPkiClientVerifier;
+use rustls::{ClientConfig, RootCertStore, ServerConfig};
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+use x509_parser::prelude::{FromDer, GeneralName, X509Certificate};
+
+/// DNS name in the certificate of every host, which clients ask for.
+pub const SERVER_NAME: &str = "host.wisteriahead";
+/// Scheme of the URIs that carry the holder's kind, name and zone.
+pub const SCHEME: &str = "wisteriahead";
+/// Protocol name (ALPN) between hosts.
+pub const ALPN_HOST: &[u8] = b"wisteriahead/1";
+/// Protocol name (ALPN) of the operator API.
+pub const ALPN_HTTP: &[u8] = b"http/1.1";
+
+/// What the holder of a certificate is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A host of the tier.
+    Host,
+    /// An operator.
+    Operator,
+}
+
+impl Kind {
+    /// Name in certificates and on the command line.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Host => "host",
+            Self::Operator => "operator",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for Kind {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        [Self::Host, Self::Operator]
+            .into_iter()
+            .find(|k| k.name() == s)
+            .ok_or_else(|| format!("kind `{s}` is unknown; `host` or `operator` is allowed"))
+    }
+}
+
+/// Who holds a certificate.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Kind of the holder.
+    pub kind: Kind,
+    /// Name of the holder.
+    pub name: String,
+    /// Availability zone of the holder, if the certificate carries one.
+    pub zone: Option<String>,
+}
+
+impl Identity {
+    /// Reads the holder from a certificate that has been verified already.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the certificate does not name exactly one holder.
+    pub fn read(cert: &CertificateDer<'_>) -> Result<Self> {
+        let (_, cert) = X509Certificate::from_der(cert).context("malformed certificate")?;
+        let names = cert.subject_alternative_name().context("malformed alternative names")?;
+        let uris = names
+            .iter()
+            .flat_map(|n| &n.value.general_names)
+            .filter_map(|n| match n {
+                GeneralName::URI(uri) => Some(*uri),
+                _ => None,
+            })
+            .filter_map(|uri| uri.strip_prefix(SCHEME)?.strip_prefix(':')?.split_once(':'));
+        Self::collect(uris)
+    }
+
+    fn collect<'a>(fields: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Self> {
+        let (mut holder, mut zone) = (None, None);
+        for (field, value) in fields {
+            if field == "zone" {
+                zone = Some(value.to_owned());
+            } else if let Ok(kind) = field.parse::<Kind>()
+                && holder.replace((kind, value.to_owned())).is_some()
+            {
+                bail!("the certificate names two holders; issue it anew");
+            }
+        }
+        let (kind, name) = holder.ok_or_else(|| {
+            anyhow!("the certificate names no holder; issue it by `wisteriactl keys issue`")
+        })?;
+        Ok(Self { kind, name, zone })
+    }
+
+    /// Reads the holder at the other end of a connection and checks its kind.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no certificate or its holder is of another kind.
+    pub fn expect(chain: Option<&[CertificateDer<'_>]>, kind: Kind) -> Result<Self> {
+        let cert = chain.and_then(<[_]>::first).context("the other side has no certificate")?;
+        let id = Self::read(cert)?;
+        if id.kind != kind {
+            bail!("`{}` holds a certificate of kind {}; {kind} is needed here", id.name, id.kind);
+        }
+        Ok(id)
+    }
+}
+
+/// Files that a program authenticates with.
+#[derive(Clone, Debug)]
+pub struct TlsPaths {
+    /// Certificate of the authority.
+    pub ca: PathBuf,
+    /// The program's own certificate.
+    pub cert: PathBuf,
+    /// The program's own private key.
+    pub key: PathBuf,
+}
+
+/// Loaded certificates and private key.
+pub struct Credentials {
+    roots: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+}
+
+impl Credentials {
+    /// Loads the files.
+    ///
+    /// # Errors
+    ///
+    /// Names the file that cannot be read or used.
+    pub fn load(paths: &TlsPaths) -> Result<Self> {
+        let mut roots = RootCertStore::empty();
+        for cert in certificates(&paths.ca)? {
+            roots.add(cert).with_context(|| format!("could not use {}", paths.ca.display()))?;
+        }
+        let key = PrivateKeyDer::from_pem_file(&paths.key)
+            .map_err(|e| anyhow!("could not read private key {}: {e}", paths.key.display()))?;
+        Ok(Self { roots: Arc::new(roots), chain: certificates(&paths.cert)?, key })
+    }
+
+    /// The holder of the own certificate, which must be of the given kind.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the certificate names no holder or one of another kind.
+    pub fn identity(&self, kind: Kind) -> Result<Identity> {
+        Identity::expect(Some(&self.chain), kind)
+    }
+
+    /// Configuration of a server that demands a certificate of every client.
+    ///
+    /// # Errors
+    ///
+    /// Fails when key and certificate do not fit each other.
+    pub fn server(&self, alpn: &[u8]) -> Result<ServerConfig> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(self.roots.clone(), provider.clone())
+                .build()
+                .context("could not use the certificate authority")?;
+        let mut config = ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())
+            .context("key and certificate do not fit each other")?;
+        config.alpn_protocols = vec![alpn.to_vec()];
+        Ok(config)
+    }
+
+    /// Configuration of a client that shows its certificate.
+    ///
+    /// # Errors
+    ///
+    /// Fails when key and certificate do not fit each other.
+    pub fn client(&self, alpn: &[u8]) -> Result<ClientConfig> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut config = ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_root_certificates(self.roots.clone())
+            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
+            .context("key and certificate do not fit each other")?;
+        config.alpn_protocols = vec![alpn.to_vec()];
+        Ok(config)
+    }
+}
+
+fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>> {
+    let certs: Vec<_> = CertificateDer::pem_file_iter(path)
+        .and_then(Iterator::collect)
+        .map_err(|e| anyhow!("could not read certificate {}: {e}", path.display()))?;
+    if certs.is_empty() {
+        bail!("{} holds no certificate; issue one by `wisteriactl keys issue`", path.display());
+    }
+    Ok(certs)
+}
