--- a/crates/wisteria-demo/src/main.rs
+++ b/crates/wisteria-demo/src/main.rs
@@ -76,7 +76,8 @@
 /// Lets the stand-ins in by an edit of the inventory.
 async fn admit(tier: &Tier) -> Result<()> {
     let file = tier.folder().join("inventory.toml");
-    let text = "[[zone]]\nname = \"north\"\n\n[[zone]]\nname = \"south\"\n\n[rules]\nadmit = \"any\"\n";
+    let text =
+        "[[zone]]\nname = \"north\"\n\n[[zone]]\nname = \"south\"\n\n[rules]\nadmit = \"any\"\n";
     std::fs::write(&file, text).context("could not write the inventory")?;
     let path = file.to_string_lossy().into_owned();
     let (status, output) = tier.ctl(0, &["inventory", "apply", "--file", &path]).await?;
--- a/src/bin/wisteriahead/cli.rs
+++ b/src/bin/wisteriahead/cli.rs
@@ -51,8 +51,8 @@
         .display_fallback();
     let cert = text("cert", "WISTERIAHEAD_CERT", "FILE", "Certificate of this host");
     let key = text("key", "WISTERIAHEAD_KEY", "FILE", "Private key of this host");
-    let data = text("data", "WISTERIAHEAD_DATA", "FOLDER", "Data folder; without one, no vote")
-        .optional();
+    let data =
+        text("data", "WISTERIAHEAD_DATA", "FOLDER", "Data folder; without one, no vote").optional();
     let voters = list("voter", "WISTERIAHEAD_VOTERS", "NAME", "Host of the first quorum");
     let metrics =
         text("metrics", "WISTERIAHEAD_METRICS", "IP:PORT", "Send metrics here by UDP").optional();
--- a/src/wisteriahead/core/query.rs
+++ b/src/wisteriahead/core/query.rs
@@ -212,11 +212,8 @@
 
     /// The coverage so far.
     pub fn coverage(&self) -> Coverage {
-        let missing: Vec<u32> = (0u32..)
-            .zip(&self.shards)
-            .filter(|(_, s)| s.hits.is_none())
-            .map(|(i, _)| i)
-            .collect();
+        let missing: Vec<u32> =
+            (0u32..).zip(&self.shards).filter(|(_, s)| s.hits.is_none()).map(|(i, _)| i).collect();
         let shards = self.shards.len() as u32;
         Coverage { shards, answered: shards - missing.len() as u32, missing }
     }
--- a/src/wisteriahead/core/registry.rs
+++ b/src/wisteriahead/core/registry.rs
@@ -104,14 +104,12 @@
         self.judge(host.map(|h| (h.zone.as_str(), h.state)), a)
     }
 
-    fn judge(
-        &self,
-        host: Option<(&str, HostState)>,
-        a: &Announcement,
-    ) -> Option<(String, u32)> {
+    fn judge(&self, host: Option<(&str, HostState)>, a: &Announcement) -> Option<(String, u32)> {
         let (zone, state) = match host {
             Some(found) => found,
-            None if self.document.rules.admit == Admit::Any => (a.zone.as_str(), HostState::Serving),
+            None if self.document.rules.admit == Admit::Any => {
+                (a.zone.as_str(), HostState::Serving)
+            }
             None => return None,
         };
         let out = self.document.zone(zone).is_some_and(|z| z.state == ZoneState::Out);
--- a/src/wisteriahead/ops/mod.rs
+++ b/src/wisteriahead/ops/mod.rs
@@ -1,3 +1,8 @@
 //! What each command does, with a struct of options for each.
 
+pub mod client;
+pub mod failure;
+pub mod inventory;
+pub mod keys;
 pub mod serve;
+pub mod show;
--- a/src/wisteriahead/services/entry/request.rs
+++ b/src/wisteriahead/services/entry/request.rs
@@ -71,8 +71,8 @@
     ///
     /// Refuses what is malformed or out of bounds, naming what is allowed.
     pub fn parse(bytes: &[u8]) -> Result<Self, Refusal> {
-        let f: SearchFields =
-            serde_json::from_slice(bytes).map_err(|e| bad(format!("the body is no search: {e}")))?;
+        let f: SearchFields = serde_json::from_slice(bytes)
+            .map_err(|e| bad(format!("the body is no search: {e}")))?;
         check_name("collection", &f.collection).map_err(bad)?;
         let limit = f.limit.unwrap_or(LIMIT_DEFAULT);
         if limit > LIMIT_MAX {
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -14,7 +14,9 @@
 use tokio::sync::watch;
 
 pub mod allowance;
+pub mod control;
 pub mod entry;
+pub mod operator;
 pub mod peers;
 pub mod registry;
 pub mod transport;
@@ -269,11 +271,8 @@
     /// # Errors
     ///
     /// Refuses with "not run" when the claim is not granted and no outcome is known.
-    fn claim<'a>(
-        &'a self,
-        key: &'a str,
-        digest: [u8; 32],
-    ) -> BoxFuture<'a, Result<Claim, Refusal>>;
+    fn claim<'a>(&'a self, key: &'a str, digest: [u8; 32])
+    -> BoxFuture<'a, Result<Claim, Refusal>>;
 
     /// Records what became of a granted claim; best effort, resends see [`Claim::Running`]
     /// and later [`Outcome::MayHaveRun`] when it is lost.
--- a/src/wisteriahead/services/registry.rs
+++ b/src/wisteriahead/services/registry.rs
@@ -201,10 +201,8 @@
     fn stop(&self, bound: Span) -> BoxFuture<'_, ()> {
         let server = self.server.lock().clone();
         Box::pin(async move {
-            if let Some(Err(e)) = futures::future::OptionFuture::from(
-                server.as_ref().map(|s| s.stop(bound)),
-            )
-            .await
+            if let Some(Err(e)) =
+                futures::future::OptionFuture::from(server.as_ref().map(|s| s.stop(bound))).await
             {
                 log::warn!("announcements: {e}");
             }
--- a/src/wisteriahead/util/logging.rs
+++ b/src/wisteriahead/util/logging.rs
@@ -40,11 +40,7 @@
     let dispatch = match format {
         Format::Text => dispatch.format(|out, message, record| {
             let time = humantime::format_rfc3339_millis(SystemTime::now());
-            out.finish(format_args!(
-                "{time} {:<5} {}: {message}",
-                record.level(),
-                record.target()
-            ));
+            out.finish(format_args!("{time} {:<5} {}: {message}", record.level(), record.target()));
         }),
         Format::Json => dispatch.format(move |out, message, record| {
             let line = serde_json::json!({
--- a/src/wisteriahead/util/mod.rs
+++ b/src/wisteriahead/util/mod.rs
@@ -3,3 +3,4 @@
 pub mod http;
 pub mod logging;
 pub mod metrics;
+pub mod tls;
