Join the thin whole path: daemons, stand-ins, a search, an edit

Cause: the parts stood beside each other; nothing showed that they work together. What was ruled out: that announcements are lost between hosts. The demonstration showed one zone empty at the third host; the cause was that it looked before the first heartbeat after the hosts had met. It now waits until all are known, and a test states that every host comes to know every endpoint. Also: refusals of operators' changes have reasons of their own (conflict, unavailable), and a message's body is bytes on the wire, not a list of numbers. Conclusion: a request is served from end to end by separate processes.

--- a/crates/wisteria-demo/src/main.rs
+++ b/crates/wisteria-demo/src/main.rs
@@ -64,6 +64,7 @@
             begun.elapsed().as_millis()
         );
     }
+    tier.known(2, 2 * SHARDS as usize).await?;
     for what in ["zones", "endpoints"] {
         println!("     Showing wisteriactl {what}");
         println!("{}", tier.ctl(2, &[what]).await?.1);
--- a/crates/wisteria-testkit/src/lib.rs
+++ b/crates/wisteria-testkit/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod client;
 pub mod keys;
+pub mod matrix;
 pub mod process;
 pub mod tier;
--- a/crates/wisteria-testkit/src/tier.rs
+++ b/crates/wisteria-testkit/src/tier.rs
@@ -161,6 +161,25 @@
         Ok((output.status.code(), String::from_utf8_lossy(&text).into_owned()))
     }
 
+    /// Waits until a daemon knows `n` endpoints.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it never does.
+    pub async fn known(&self, daemon: usize, n: usize) -> Result<()> {
+        let mut last = String::new();
+        for _ in 0..LOOKS_MAX {
+            let (_, output) = self.ctl(daemon, &["endpoints", "--json"]).await?;
+            let rows: Value = serde_json::from_str(&output).unwrap_or_default();
+            if rows.as_array().is_some_and(|r| r.len() == n) {
+                return Ok(());
+            }
+            last = output;
+            tokio::time::sleep(LOOK).await;
+        }
+        bail!("the daemon does not know {n} endpoints; the last were {last}")
+    }
+
     /// Searches until an answer covers `shards` shards; returns that answer.
     ///
     /// # Errors
--- a/src/wisteriahead/core/message.rs
+++ b/src/wisteriahead/core/message.rs
@@ -39,6 +39,7 @@
     /// Service that it is for.
     pub topic: Topic,
     /// Body, encoded by the service.
+    #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
 }
 
--- a/src/wisteriahead/core/verdict.rs
+++ b/src/wisteriahead/core/verdict.rs
@@ -82,6 +82,10 @@
     ExpiredKey,
     /// The key was used before with another request.
     KeyReused,
+    /// Another change was accepted since the one that was edited.
+    Conflict,
+    /// A part of this host that the request needs does not run.
+    Unavailable,
     /// An internal fault of the tier.
     Internal,
 }
--- a/src/wisteriahead/services/control.rs
+++ b/src/wisteriahead/services/control.rs
@@ -163,7 +163,7 @@
         format!("by operator `{}`", winner.operator)
     };
     Refusal::not_run(
-        Reason::Mismatch,
+        Reason::Conflict,
         format!(
             "revision {} is in force, {by}, but the change is based on {}; get it and edit anew",
             winner.revision, change.base
--- a/src/wisteriahead/services/operator/api.rs
+++ b/src/wisteriahead/services/operator/api.rs
@@ -4,6 +4,7 @@
 use crate::kernel::Context;
 use crate::prelude::*;
 use crate::services::{Change, Control, Peers, Views};
+use crate::util::http;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{ALLOW, CONTENT_TYPE};
@@ -122,13 +123,7 @@
 
 impl From<Refusal> for Fault {
     fn from(refusal: Refusal) -> Self {
-        let status = match refusal.reason {
-            Reason::BadRequest => StatusCode::BAD_REQUEST,
-            Reason::Mismatch | Reason::KeyReused => StatusCode::CONFLICT,
-            Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
-            Reason::Internal => StatusCode::INTERNAL_SERVER_ERROR,
-            _ => StatusCode::SERVICE_UNAVAILABLE,
-        };
+        let status = http::status(refusal.reason);
         Self { status, refusal }
     }
 }
@@ -153,7 +148,7 @@
 }
 
 fn unavailable(detail: String) -> Fault {
-    let refusal = Refusal::not_run(Reason::Internal, detail);
+    let refusal = Refusal::not_run(Reason::Unavailable, detail);
     Fault { status: StatusCode::SERVICE_UNAVAILABLE, refusal }
 }
 
--- a/src/wisteriahead/util/http.rs
+++ b/src/wisteriahead/util/http.rs
@@ -56,7 +56,7 @@
     match reason {
         Reason::BadRequest => StatusCode::BAD_REQUEST,
         Reason::UnknownCollection => StatusCode::NOT_FOUND,
-        Reason::InProgress | Reason::KeyReused => StatusCode::CONFLICT,
+        Reason::InProgress | Reason::KeyReused | Reason::Conflict => StatusCode::CONFLICT,
         Reason::ExpiredKey => StatusCode::GONE,
         Reason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
         Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
@@ -68,6 +68,7 @@
         | Reason::Draining
         | Reason::WrongSnapshot
         | Reason::Cancelled
+        | Reason::Unavailable
         | Reason::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,3 +6,4 @@
 mod operator;
 mod peers;
 mod support;
+mod whole;
--- a/tests/testsuite/operator.rs
+++ b/tests/testsuite/operator.rs
@@ -95,7 +95,7 @@
     let bob = bench.ca.issue(Kind::Operator, "bob");
     let late = ApplyOptions { server: bench.host.server(bob), ..bench.change(SOUTH, 0, "2") };
     let refusal = refusal(apply(&late).await.unwrap_err());
-    assert_eq!((refusal.verdict, refusal.reason), (Verdict::NotRun, Reason::Mismatch));
+    assert_eq!((refusal.verdict, refusal.reason), (Verdict::NotRun, Reason::Conflict));
     assert!(refusal.detail.contains("revision 1"), "{refusal}");
     assert!(refusal.detail.contains("`ann`"), "{refusal}");
 
--- a/tests/testsuite/whole.rs
+++ b/tests/testsuite/whole.rs
@@ -48,6 +48,14 @@
     assert_eq!(answers[0], answers[2]);
 }
 
+#[tokio::test]
+async fn every_host_knows_every_endpoint() {
+    let tier = tier(2).await;
+    for daemon in 0..3 {
+        tier.known(daemon, 4).await.unwrap();
+    }
+}
+
 #[tokio::test]
 async fn lost_shard_is_named_as_missing() {
     let tier = tier(4).await;
@@ -96,8 +104,9 @@
     let callers = tier.daemons[0].callers;
     let headers = [("wisteria-timeout-ms", "9000")];
     let body = json!({"collection": "kits", "query": {}}).to_string();
-    let search =
-        tokio::spawn(async move { client::send(callers, hyper::Method::POST, "/v1/search", &headers, body).await });
+    let search = tokio::spawn(async move {
+        client::send(callers, hyper::Method::POST, "/v1/search", &headers, body).await
+    });
     let control = tier.leaves[0].control;
     wait_for_execution(control).await;
     tier.daemons[0].process.terminate().await.unwrap();
@@ -111,7 +120,8 @@
 async fn wait_for_execution(control: std::net::SocketAddr) {
     for _ in 0..1_000 {
         let seen = client::get(control, "/executions").await.unwrap();
-        if seen.body["running"].as_u64().unwrap_or(0) > 0 {
+        let all = seen.body["executions"].as_array().unwrap();
+        if all.iter().any(|e| e["outcome"] == "running") {
             return;
         }
         tokio::time::sleep(std::time::Duration::from_millis(10)).await;
