--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,5 +5,6 @@
 mod keys;
 mod operator;
 mod peers;
+mod storage;
 mod support;
 mod whole;
--- /dev/null
+++ b/tests/testsuite/storage.rs
@@ -0,0 +1,172 @@
+use crate::support::config;
+use proptest::prelude::*;
+use std::sync::Arc;
+use wisteria_testkit::disk::FakeDisk;
+use wisteriahead::util::disk::{Disk, DiskError, Folder, Journal};
+
+const NAME: &str = "journal";
+
+#[derive(Clone, Debug)]
+enum Step {
+    Append(Vec<u8>),
+    Sync,
+    Compact,
+    /// A crash, with the seed of what it leaves.
+    Crash(u64),
+    Full(usize),
+    Reopen,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => prop::collection::vec(any::<u8>(), 1..200).prop_map(Step::Append),
+        4 => Just(Step::Sync),
+        1 => Just(Step::Compact),
+        3 => any::<u64>().prop_map(Step::Crash),
+        1 => (0..300usize).prop_map(Step::Full),
+        1 => Just(Step::Reopen),
+    ]
+}
+
+/// The base of a journal in these tests is all records so far, each with its length.
+fn pack(records: &[Vec<u8>]) -> Vec<u8> {
+    records.iter().flat_map(|r| [&[r.len() as u8], r.as_slice()].concat()).collect()
+}
+
+fn unpack(mut base: &[u8]) -> Vec<Vec<u8>> {
+    let mut records = Vec::new();
+    while let Some((&len, rest)) = base.split_first() {
+        let (record, rest) = rest.split_at(usize::from(len));
+        records.push(record.to_vec());
+        base = rest;
+    }
+    records
+}
+
+fn open(disk: &Arc<FakeDisk>) -> Result<(Journal, Vec<Vec<u8>>), DiskError> {
+    let opened = Journal::open(disk.clone(), NAME)?;
+    let all = unpack(&opened.base).into_iter().chain(opened.records).collect();
+    Ok((opened.journal, all))
+}
+
+/// Runs the steps; what was synced is there after every crash, and nothing else than what
+/// was written, in its order.
+fn run(steps: Vec<Step>) -> (Arc<FakeDisk>, Vec<Vec<u8>>) {
+    let disk = Arc::new(FakeDisk::default());
+    let (mut journal, _) = open(&disk).unwrap();
+    let (mut written, mut synced) = (Vec::new(), 0);
+    for step in steps {
+        let reopen = matches!(step, Step::Crash(_) | Step::Reopen);
+        match step {
+            Step::Append(body) => {
+                // A record whose write failed may be there or not.
+                if !matches!(journal.append(&body), Err(DiskError::Failed)) {
+                    written.push(body);
+                }
+            }
+            Step::Sync => {
+                if journal.sync().is_ok() {
+                    synced = written.len();
+                }
+            }
+            Step::Compact => {
+                if journal.sync().is_ok() && journal.compact(&pack(&written)).is_ok() {
+                    synced = written.len();
+                }
+            }
+            Step::Crash(seed) => disk.crash(seed),
+            Step::Full(room) => disk.room(Some(room)),
+            Step::Reopen => {}
+        }
+        if reopen {
+            disk.room(None);
+            let (again, read) = open(&disk).unwrap();
+            assert!(read.len() >= synced, "synced {synced}, read {}", read.len());
+            assert_eq!(read, written[..read.len()]);
+            journal = again;
+            written = read;
+            synced = written.len();
+        }
+    }
+    disk.room(None);
+    let _ = journal.sync();
+    let (_, read) = open(&disk).unwrap_or_else(|e| panic!("{e}"));
+    assert!(read.len() >= synced, "synced {synced}, read {}", read.len());
+    (disk, read)
+}
+
+proptest! {
+    #![proptest_config(config(512))]
+
+    #[test]
+    fn synced_records_survive_any_crash(steps in prop::collection::vec(step(), 1..60)) {
+        run(steps);
+    }
+
+    #[test]
+    fn flipped_bit_is_never_read_as_true(
+        steps in prop::collection::vec(step(), 1..30),
+        file in any::<prop::sample::Index>(),
+        bit in any::<prop::sample::Index>(),
+    ) {
+        let (disk, read) = run(steps);
+        let names = disk.list().unwrap();
+        let name = &names[file.index(names.len())];
+        let bits = 8 * disk.read(name).unwrap().len();
+        if bits > 0 {
+            disk.flip(name, bit.index(bits));
+            match open(&disk) {
+                // Only a mark that is of no more use was hit.
+                Ok((_, again)) => prop_assert_eq!(again, read),
+                Err(DiskError::Corrupt { .. }) => {}
+                Err(e) => panic!("{e}"),
+            }
+        }
+    }
+}
+
+#[test]
+fn damaged_middle_is_refused_with_its_place() {
+    let disk = Arc::new(FakeDisk::default());
+    let (mut journal, _) = open(&disk).unwrap();
+    for body in [b"one", b"two"] {
+        journal.append(body).unwrap();
+        journal.sync().unwrap();
+    }
+    let file = disk.list().unwrap().remove(0);
+    // The body of the first record follows a mark and a head.
+    disk.flip(&file, 8 * 29);
+    let fault = open(&disk).map(drop).unwrap_err().to_string();
+    assert!(fault.contains(&file) && fault.contains("damaged at byte"), "{fault}");
+}
+
+#[test]
+fn failed_write_ends_writing_until_a_restart() {
+    let disk = Arc::new(FakeDisk::default());
+    let (mut journal, _) = open(&disk).unwrap();
+    journal.append(b"one").unwrap();
+    journal.sync().unwrap();
+    disk.room(Some(5));
+    assert!(matches!(journal.append(b"two"), Err(DiskError::Io { .. })));
+    disk.room(None);
+    assert!(matches!(journal.append(b"three"), Err(DiskError::Failed)));
+    assert!(matches!(journal.sync(), Err(DiskError::Failed)));
+    assert_eq!(open(&disk).unwrap().1, [b"one"]);
+}
+
+#[test]
+fn folder_is_held_by_one_process() {
+    let dir = tempfile::TempDir::new().unwrap();
+    let root = dir.path().join("data");
+    let folder: Arc<dyn Disk> = Arc::new(Folder::open(&root).unwrap());
+    assert!(Folder::open(&root).err().unwrap().to_string().contains("in use"));
+    let mut journal = Journal::open(folder.clone(), NAME).unwrap().journal;
+    journal.append(b"one").unwrap();
+    journal.sync().unwrap();
+    journal.compact(b"base").unwrap();
+    journal.append(b"two").unwrap();
+    journal.sync().unwrap();
+    drop((journal, folder));
+    let opened = Journal::open(Arc::new(Folder::open(&root).unwrap()), NAME).unwrap();
+    assert_eq!((opened.base, opened.records), (b"base".to_vec(), vec![b"two".to_vec()]));
+}
