--- a/crates/wisteria-load/src/lib.rs
+++ b/crates/wisteria-load/src/lib.rs
@@ -10,6 +10,6 @@
 mod run;
 mod settings;
 
-pub use crate::report::{Quantiles, Report};
-pub use crate::run::run;
+pub use crate::report::{Ending, Quantiles, Report, Sample};
+pub use crate::run::{query, run, samples, total};
 pub use crate::settings::{Settings, settings};
--- a/crates/wisteria-load/src/report.rs
+++ b/crates/wisteria-load/src/report.rs
@@ -53,18 +53,45 @@
 
 /// How one request ended.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Ending {
+pub enum Ending {
     /// An answer.
-    Answered { shards: u64, answered: u64 },
+    Answered {
+        /// Shards of the snapshot.
+        shards: u64,
+        /// Shards that the answer covers.
+        answered: u64,
+        /// Snapshot that the answer names.
+        snapshot: String,
+    },
     /// A refusal, as `verdict/reason`.
     Refused(String),
     /// Neither.
     Failed(&'static str),
 }
 
+impl Ending {
+    /// Whether this is an answer from all shards.
+    pub fn is_complete(&self) -> bool {
+        matches!(self, Self::Answered { shards, answered, .. } if shards == answered)
+    }
+}
+
+/// One request of a run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sample {
+    /// Number of the request, from 0; a part of its query.
+    pub sequence: u64,
+    /// Intended arrival since the start of the run.
+    pub arrival: Duration,
+    /// Time from the intended arrival to the end.
+    pub latency: Duration,
+    /// How it ended.
+    pub ending: Ending,
+}
+
 /// Collects endings into a report.
 #[derive(Debug)]
-pub(crate) struct Collector {
+struct Collector {
     report: Report,
     answers: Histogram<u64>,
     all: Histogram<u64>,
@@ -73,7 +100,7 @@
 }
 
 impl Collector {
-    pub(crate) fn new() -> anyhow::Result<Self> {
+    fn new() -> anyhow::Result<Self> {
         Ok(Self {
             report: Report::default(),
             answers: Histogram::new(SIGNIFICANT_DIGITS)?,
@@ -83,26 +110,29 @@
         })
     }
 
-    pub(crate) fn add(&mut self, latency: Duration, ending: Ending) {
-        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
-        self.all.saturating_record(micros);
+    fn add(&mut self, sample: &Sample) -> anyhow::Result<()> {
+        let micros = u64::try_from(sample.latency.as_micros()).unwrap_or(u64::MAX);
+        self.all.record(micros)?;
         self.report.requests += 1;
-        match ending {
-            Ending::Answered { shards, answered } => {
-                self.answers.saturating_record(micros);
+        match &sample.ending {
+            &Ending::Answered { shards, answered, .. } => {
+                self.answers.record(micros)?;
                 self.report.answered += 1;
                 self.report.least += answered;
                 self.coverage += answered as f64 / shards.max(1) as f64;
                 self.complete += u64::from(answered == shards);
             }
-            Ending::Refused(refusal) => *self.report.refusals.entry(refusal).or_default() += 1,
+            Ending::Refused(refusal) => {
+                *self.report.refusals.entry(refusal.clone()).or_default() += 1;
+            }
             Ending::Failed(kind) => {
-                *self.report.errors.entry(kind.to_owned()).or_default() += 1;
+                *self.report.errors.entry((*kind).to_owned()).or_default() += 1;
             }
         }
+        Ok(())
     }
 
-    pub(crate) fn finish(self, executions: Option<u64>) -> Report {
+    fn finish(self, executions: Option<u64>) -> Report {
         let mut report = self.report;
         report.answers = quantiles(&self.answers);
         report.all = quantiles(&self.all);
@@ -114,6 +144,21 @@
     }
 }
 
+impl Report {
+    /// The report on these requests, with the executions that leaves logged meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no histogram can be made.
+    pub fn of(samples: &[Sample], executions: Option<u64>) -> anyhow::Result<Self> {
+        let mut collector = Collector::new()?;
+        for sample in samples {
+            collector.add(sample)?;
+        }
+        Ok(collector.finish(executions))
+    }
+}
+
 fn ratio(of: f64, over: u64) -> Option<f64> {
     (over > 0).then(|| of / over as f64)
 }
--- a/crates/wisteria-load/src/run.rs
+++ b/crates/wisteria-load/src/run.rs
@@ -14,7 +14,7 @@
 
 use crate::arrivals::Arrivals;
 use crate::client::{Client, Reply, executions};
-use crate::report::{Collector, Ending, Report};
+use crate::report::{Ending, Report, Sample};
 use crate::settings::Settings;
 
 /// Time past its timeout that a request waits for the refusal.
@@ -43,8 +43,15 @@
     answered: u64,
 }
 
+#[derive(Deserialize)]
+struct Hit {
+    id: String,
+}
+
 #[derive(Deserialize)]
 struct SearchAnswer {
+    snapshot: String,
+    hits: Vec<Hit>,
     coverage: Coverage,
 }
 
@@ -54,19 +61,25 @@
     reason: String,
 }
 
-/// Sends the load and waits for every answer.
+/// Sends the load, waits for every answer and reports.
+///
+/// # Errors
+///
+/// Fails when a control port of leaves does not answer.
 pub async fn run(settings: &Settings) -> Result<Report> {
     let before = total(&settings.leaf_control).await?;
-    let mut collector = Collector::new()?;
-    for (latency, ending) in send_all(settings).await? {
-        collector.add(latency, ending);
-    }
+    let samples = samples(settings).await?;
     let after = total(&settings.leaf_control).await?;
     let known = !settings.leaf_control.is_empty();
-    Ok(collector.finish(known.then(|| after.saturating_sub(before))))
+    Report::of(&samples, known.then(|| after.saturating_sub(before)))
 }
 
-async fn total(controls: &[SocketAddr]) -> Result<u64> {
+/// Executions that the leaves behind these control ports have logged.
+///
+/// # Errors
+///
+/// Fails when a control port does not answer.
+pub async fn total(controls: &[SocketAddr]) -> Result<u64> {
     let mut total = 0;
     for &control in controls {
         total += executions(control).await.with_context(|| format!("leaf control {control}"))?;
@@ -74,7 +87,12 @@
     Ok(total)
 }
 
-async fn send_all(settings: &Settings) -> Result<Vec<(Duration, Ending)>> {
+/// Sends the load and waits for every answer.
+///
+/// # Errors
+///
+/// Fails when the settings make no request.
+pub async fn samples(settings: &Settings) -> Result<Vec<Sample>> {
     let client = Arc::new(Client::new(&settings.target));
     let span = Duration::from_secs_f64(settings.seconds);
     let start = Instant::now();
@@ -83,16 +101,26 @@
         let intended = start + arrival;
         let request = request(settings, sequence)?;
         let limit = Duration::from_millis(settings.timeout_ms) + GRACE;
+        let collection = settings.collection.clone();
         sleep_until(intended).await;
         let client = Arc::clone(&client);
         tasks.spawn(async move {
-            let ending = exchange(&client, request, limit).await;
-            (intended.elapsed(), ending)
+            let ending = exchange(&client, request, &collection, limit).await;
+            Sample { sequence, arrival, latency: intended.elapsed(), ending }
         });
     }
     Ok(tasks.join_all().await)
 }
 
+/// The query of a request, as the leaves get it.
+///
+/// # Errors
+///
+/// Fails when it can't be written as JSON.
+pub fn query(sequence: u64) -> Result<Vec<u8>> {
+    Ok(serde_json::to_vec(&Query { limit: LIMIT, sequence })?)
+}
+
 fn request(settings: &Settings, sequence: u64) -> Result<Request<Full<Bytes>>> {
     let search = Search {
         collection: &settings.collection,
@@ -109,9 +137,14 @@
     Ok(builder.body(Full::new(Bytes::from(serde_json::to_vec(&search)?)))?)
 }
 
-async fn exchange(client: &Client, request: Request<Full<Bytes>>, limit: Duration) -> Ending {
+async fn exchange(
+    client: &Client,
+    request: Request<Full<Bytes>>,
+    collection: &str,
+    limit: Duration,
+) -> Ending {
     match timeout(limit, client.send(request)).await {
-        Ok(Ok(reply)) => read(&reply),
+        Ok(Ok(reply)) => read(&reply, collection),
         Ok(Err(error)) => {
             log::debug!("{error:#}");
             Ending::Failed("connection")
@@ -120,12 +153,10 @@
     }
 }
 
-fn read(reply: &Reply) -> Ending {
+fn read(reply: &Reply, collection: &str) -> Ending {
     if reply.status == StatusCode::OK {
         return match serde_json::from_slice::<SearchAnswer>(&reply.body) {
-            Ok(SearchAnswer { coverage: Coverage { shards, answered } }) => {
-                Ending::Answered { shards, answered }
-            }
+            Ok(answer) => answer.ending(collection),
             Err(_) => Ending::Failed("malformed-answer"),
         };
     }
@@ -134,3 +165,15 @@
         Err(_) => Ending::Failed("malformed-refusal"),
     }
 }
+
+impl SearchAnswer {
+    fn ending(self, collection: &str) -> Ending {
+        let Self { snapshot, coverage: Coverage { shards, answered }, hits } = self;
+        // The stand-in's hits name the snapshot that they come from.
+        let prefix = format!("{collection}-{snapshot}-");
+        if hits.iter().any(|hit| !hit.id.starts_with(&prefix)) {
+            return Ending::Failed("mixed-snapshots");
+        }
+        Ending::Answered { shards, answered, snapshot }
+    }
+}
--- a/crates/wisteria-load/tests/load.rs
+++ b/crates/wisteria-load/tests/load.rs
@@ -10,8 +10,9 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use wisteria_load::{Report, Settings, run};
+use wisteria_load::{Ending, Report, Sample, Settings, run};
 
 const COMPLETE: &str = r#"{"verdict":"ran","snapshot":"s1",
     "coverage":{"shards":4,"answered":4,"missing":[]},"hits":[]}"#;
@@ -93,3 +94,29 @@
     let alone = load(vec![closed]).await;
     assert_eq!(alone.errors.get("connection"), Some(&alone.requests));
 }
+
+#[test]
+fn quantiles_are_those_of_the_samples() {
+    let samples: Vec<Sample> = (1..=1_000)
+        .map(|sequence| Sample {
+            sequence,
+            arrival: Duration::ZERO,
+            latency: Duration::from_millis(sequence),
+            ending: Ending::Refused("not-run/busy".to_owned()),
+        })
+        .collect();
+    let report = Report::of(&samples, None).expect("a report");
+    let near = |found: f64, wanted: f64| (found - wanted).abs() <= wanted / 500.0;
+    assert!(near(report.all.p50_ms, 500.0), "{report}");
+    assert!(near(report.all.p99_ms, 990.0), "{report}");
+    assert!(near(report.all.max_ms, 1_000.0), "{report}");
+}
+
+#[tokio::test]
+async fn answer_with_hits_of_another_snapshot_is_no_answer() {
+    const MIXED: &str = r#"{"verdict":"ran","snapshot":"s1",
+        "coverage":{"shards":2,"answered":2,"missing":[]},
+        "hits":[{"id":"kits-s1-0-1"},{"id":"kits-s2-1-1"}]}"#;
+    let report = load(vec![target(StatusCode::OK, MIXED).await]).await;
+    assert_eq!(report.errors.get("mixed-snapshots"), Some(&report.requests));
+}
