Make the stand-in's execution times a function of seed, shard and query

An experiment needs the lower bound of a perfect replica choice on the same draws, so the draw may not depend on the order of arrival. It is now computed from the leaf's seed, the shard and the request's body alone. A sampler with state per leaf was ruled out: order differs from run to run.

--- a/crates/wisteria-leaf/src/group.rs
+++ b/crates/wisteria-leaf/src/group.rs
@@ -40,11 +40,14 @@
         let log = Arc::new(ExecutionLog::default());
         let mut tasks = JoinSet::new();
         let mut started = Vec::with_capacity(leaves.len());
-        for (address, profile) in leaves {
+        for (index, (address, profile)) in leaves.into_iter().enumerate() {
+            let mut entries = entries.to_vec();
+            let first = index % entries.len().max(1);
+            entries.rotate_left(first);
             let listener = bind(address).await?;
             let leaf = Arc::new(Leaf::new(profile, listener.local_addr()?, Arc::clone(&log)));
             tasks.spawn(serve(Arc::clone(&leaf), listener));
-            tasks.spawn(announce(Arc::clone(&leaf), entries.to_vec()));
+            tasks.spawn(announce(Arc::clone(&leaf), entries));
             started.push(leaf);
         }
         let shared = Arc::new(Shared { leaves: started, log });
--- a/crates/wisteria-leaf/src/latency.rs
+++ b/crates/wisteria-leaf/src/latency.rs
@@ -5,6 +5,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::hits::hash;
+
 /// Share of the mean that every execution takes at least.
 const FLOOR: f64 = 0.5;
 
@@ -19,23 +21,16 @@
     pub factor: f64,
 }
 
-/// A seeded source of execution times.
-#[derive(Debug)]
-pub(crate) struct Sampler {
-    latency: Latency,
-    rng: StdRng,
-}
-
-impl Sampler {
-    pub(crate) fn new(latency: Latency, seed: u64) -> Self {
-        Self { latency, rng: StdRng::seed_from_u64(seed) }
-    }
-
-    pub(crate) fn sample(&mut self) -> Duration {
-        let uniform: f64 = self.rng.random();
+impl Latency {
+    /// The execution time of a request at the leaf of this seed. It depends on nothing but the
+    /// arguments, so that an experiment can compute it for each leaf.
+    pub fn draw(&self, seed: u64, shard: u32, body: &[u8]) -> Duration {
+        let key = hash(&[&seed.to_be_bytes()[..], &shard.to_be_bytes(), body].concat());
+        let mut rng = StdRng::seed_from_u64(key);
+        let uniform: f64 = rng.random();
         let tail = -(1.0 - uniform).ln();
-        let time = self.latency.mean.mul_f64(FLOOR + (1.0 - FLOOR) * tail);
-        let straggles = self.rng.random::<f64>() < self.latency.stragglers;
-        if straggles { time.mul_f64(self.latency.factor) } else { time }
+        let time = self.mean.mul_f64(FLOOR + (1.0 - FLOOR) * tail);
+        let straggles = rng.random::<f64>() < self.stragglers;
+        if straggles { time.mul_f64(self.factor) } else { time }
     }
 }
--- a/crates/wisteria-leaf/src/leaf.rs
+++ b/crates/wisteria-leaf/src/leaf.rs
@@ -13,7 +13,6 @@
 use crate::executions::{Entry, Execution, ExecutionLog, Outcome};
 use crate::faults::{ArmedFaults, Fault, Hitting, Kind, Stage};
 use crate::hits;
-use crate::latency::Sampler;
 use crate::message::{Answer, Refusal, RunRequest};
 use crate::profile::Profile;
 
@@ -43,7 +42,6 @@
     attempts: IndexMap<String, Arc<Notify>>,
     early_cancels: VecDeque<String>,
     last_answer: Option<Answer>,
-    sampler: Sampler,
 }
 
 /// One leaf.
@@ -72,7 +70,6 @@
             attempts: IndexMap::new(),
             early_cancels: VecDeque::new(),
             last_answer: None,
-            sampler: Sampler::new(profile.latency, profile.seed),
         };
         let life = watch::Sender::new(Life { alive: true, incarnation: 1 });
         let frozen = watch::Sender::new(None);
@@ -259,7 +256,7 @@
         let cold = inner.is_cold();
         inner.collapsed = cold && (inner.collapsed || running > self.profile.bearable);
         let collapsed = inner.collapsed;
-        let sample = inner.sampler.sample();
+        let sample = self.profile.latency.draw(self.profile.seed, run.shard, &run.body);
         let cancelled = Arc::new(Notify::new());
         inner.attempts.insert(run.attempt.clone(), Arc::clone(&cancelled));
         self.log.count(self.name(), |c| {
--- a/crates/wisteria-leaf/src/profile.rs
+++ b/crates/wisteria-leaf/src/profile.rs
@@ -26,6 +26,8 @@
     pub connections: u32,
     /// Delay before the first request of a new connection.
     pub setup: Duration,
+    /// One-way delay of the network between the entry hosts and this leaf.
+    pub delay: Duration,
     /// Length of a cold start.
     pub cold: Duration,
     /// Execution times.
--- a/crates/wisteria-leaf/src/server.rs
+++ b/crates/wisteria-leaf/src/server.rs
@@ -106,9 +106,20 @@
     let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
         return Ok(malformed("the body is too long or broken"));
     };
-    match RunRequest::parse(&head.headers, body.to_bytes()) {
+    travel(leaf).await;
+    let response = match RunRequest::parse(&head.headers, body.to_bytes()) {
         Ok(request) => run(leaf, request).await,
         Err(header) => Ok(malformed(header)),
+    };
+    travel(leaf).await;
+    response
+}
+
+/// Waits for one way of the network.
+async fn travel(leaf: &Leaf) {
+    let delay = leaf.profile().delay;
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
     }
 }
 
--- a/crates/wisteria-leaf/src/settings.rs
+++ b/crates/wisteria-leaf/src/settings.rs
@@ -65,6 +65,9 @@
     /// Delay before the first request of a new connection
     #[bpaf(long, env("WISTERIA_LEAF_SETUP_MS"), argument("MS"), fallback(6))]
     pub setup_ms: u64,
+    /// One-way delay of the network, added to each request and to each answer
+    #[bpaf(long, env("WISTERIA_LEAF_DELAY_US"), argument("US"), fallback(0))]
+    pub delay_us: u64,
     /// Length of a cold start
     #[bpaf(long, env("WISTERIA_LEAF_COLD_MS"), argument("MS"), fallback(0))]
     pub cold_ms: u64,
@@ -140,6 +143,7 @@
             bearable: self.bearable,
             connections: self.connections,
             setup: Duration::from_millis(self.setup_ms),
+            delay: Duration::from_micros(self.delay_us),
             cold: Duration::from_millis(self.cold_ms),
             latency: Latency {
                 mean: Duration::from_micros(self.mean_us),
--- a/crates/wisteria-leaf/tests/leaf.rs
+++ b/crates/wisteria-leaf/tests/leaf.rs
@@ -41,6 +41,7 @@
         bearable: 1,
         connections: 25,
         setup: Duration::ZERO,
+        delay: Duration::ZERO,
         cold: Duration::ZERO,
         latency: Latency { mean, stragglers: 0.0, factor: 1.0 },
         seed: 7,
