--- /dev/null
+++ b/crates/wisteria-experiment/src/lab.rs
@@ -0,0 +1,164 @@
+//! A tier of processes for one run.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail};
+use wisteria_load::Settings as Load;
+use wisteria_testkit::process::built;
+use wisteria_testkit::tier::Tier;
+
+/// Builds the programs that a run starts.
+pub(crate) fn build() -> Result<()> {
+    let mut cargo = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
+    cargo.args(["build", "--workspace", "--bins", "--locked", "--quiet"]);
+    if built()?.ends_with("release") {
+        cargo.arg("--release");
+    }
+    if !cargo.status().context("could not run cargo")?.success() {
+        bail!("the programs could not be built; see the compiler's output above");
+    }
+    Ok(())
+}
+
+/// The endpoints of one process: one for each shard of a collection in one zone.
+#[derive(Clone, Debug)]
+pub(crate) struct Shape {
+    pub(crate) zone: String,
+    pub(crate) collection: String,
+    pub(crate) shards: usize,
+    pub(crate) snapshot: &'static str,
+    pub(crate) slots: u32,
+    pub(crate) connections: u32,
+    pub(crate) setup: Duration,
+    pub(crate) delay: Duration,
+    pub(crate) mean: Duration,
+    pub(crate) stragglers: f64,
+    pub(crate) bearable: u32,
+    pub(crate) cold: Duration,
+    pub(crate) seed: u64,
+}
+
+impl Shape {
+    pub(crate) fn new(zone: &str, shards: usize, seed: u64) -> Self {
+        Self {
+            zone: zone.to_owned(),
+            collection: "kits".to_owned(),
+            shards,
+            snapshot: "s1",
+            slots: 2,
+            connections: 25,
+            setup: Duration::from_millis(6),
+            delay: Duration::ZERO,
+            mean: Duration::from_millis(5),
+            stragglers: 0.0,
+            bearable: 1,
+            cold: Duration::ZERO,
+            seed,
+        }
+    }
+
+    fn flags(&self, process: usize) -> Vec<String> {
+        let Self { zone, collection, .. } = self;
+        let flags = [
+            ("--name", format!("{collection}-{zone}-{process}-{{i}}")),
+            ("--host", format!("host-{zone}-{process}-{{i}}")),
+            ("--zone", zone.clone()),
+            ("--collection", collection.clone()),
+            ("--service", collection.clone()),
+            ("--shards", self.shards.to_string()),
+            ("--snapshot", self.snapshot.to_owned()),
+            ("--slots", self.slots.to_string()),
+            ("--connections", self.connections.to_string()),
+            ("--setup-ms", self.setup.as_millis().to_string()),
+            ("--delay-us", self.delay.as_micros().to_string()),
+            ("--mean-us", self.mean.as_micros().to_string()),
+            ("--stragglers", self.stragglers.to_string()),
+            ("--bearable", self.bearable.to_string()),
+            ("--cold-ms", self.cold.as_millis().to_string()),
+            ("--seed", self.seed.to_string()),
+        ];
+        flags.into_iter().flat_map(|(flag, value)| [flag.to_owned(), value]).collect()
+    }
+}
+
+/// A tier with its operators' document.
+pub(crate) struct Lab {
+    pub(crate) tier: Tier,
+    zones: Vec<String>,
+}
+
+impl Lab {
+    /// Starts `hosts` daemons, spread over the zones in turn.
+    pub(crate) async fn start(hosts: usize, zones: &[&str]) -> Result<Self> {
+        let mut tier = Tier::new(&built()?)?;
+        for i in 0..hosts {
+            let zone = zones[i % zones.len()];
+            tier.daemon(&format!("entry-{i}"), zone, &["--log-level", "error"]).await?;
+        }
+        let zones = zones.iter().map(|&z| z.to_owned()).collect();
+        Ok(Self { tier, zones })
+    }
+
+    /// Starts the endpoints of one process; they announce to the daemons of their zone.
+    pub(crate) async fn leaves(&mut self, shape: &Shape) -> Result<()> {
+        let zones = self.zones.len();
+        let zone = self.zones.iter().position(|z| *z == shape.zone).context("unknown zone")?;
+        let to: Vec<usize> = (0..self.tier.daemons.len()).filter(|i| i % zones == zone).collect();
+        let flags = shape.flags(self.tier.leaves.len());
+        let flags: Vec<&str> = flags.iter().map(String::as_str).collect();
+        self.tier.leaves(shape.shards, &to, &flags).await?;
+        Ok(())
+    }
+
+    /// Lets all endpoints in by an edit of the inventory, and waits until all hosts know them.
+    pub(crate) async fn admit(&self) -> Result<()> {
+        self.apply("").await?;
+        let known = self.tier.leaves.iter().map(|l| l.addresses.len()).sum();
+        for daemon in 0..self.tier.daemons.len() {
+            self.tier.known(daemon, known).await?;
+        }
+        Ok(())
+    }
+
+    /// Puts an inventory of all zones in force, with more lines of rules.
+    pub(crate) async fn apply(&self, rules: &str) -> Result<()> {
+        let file = self.tier.folder().join("inventory.toml");
+        let zones: String =
+            self.zones.iter().map(|z| format!("[[zone]]\nname = \"{z}\"\n\n")).collect();
+        std::fs::write(&file, format!("{zones}[rules]\nadmit = \"any\"\n{rules}"))?;
+        let path = file.to_string_lossy().into_owned();
+        let (status, output) = self.tier.ctl(0, &["inventory", "apply", "--file", &path]).await?;
+        if status != Some(0) {
+            bail!("the inventory was not accepted: {output}");
+        }
+        Ok(())
+    }
+
+    /// Addresses for callers of all hosts.
+    pub(crate) fn callers(&self) -> Vec<SocketAddr> {
+        self.tier.daemons.iter().map(|d| d.callers).collect()
+    }
+
+    /// Control ports of all processes of endpoints.
+    pub(crate) fn controls(&self) -> Vec<SocketAddr> {
+        self.tier.leaves.iter().map(|l| l.control).collect()
+    }
+
+    /// Load on all hosts.
+    pub(crate) fn load(&self, rate: f64, seconds: f64, seed: u64) -> Load {
+        Load {
+            target: self.callers(),
+            rate,
+            seconds,
+            seed,
+            collection: "kits".to_owned(),
+            class: None,
+            timeout_ms: 1_000,
+            min_coverage: None,
+            leaf_control: self.controls(),
+            json: false,
+        }
+    }
+}
