Give wisteriactl the rest of its commands

Cause: operators could only view, and put whole documents in force. Added, each an operation with its options in src/wisteriahead/ops: `zone out|in`, `inventory edit` and `diff`, `rules`, `revision wait`, `revisions`, `voters`, `audit` (with `--follow`), `keys show`, and lifetimes and renewal of certificates. Every change takes `--id`, `--wait` and `--timeout`.

A change whose answer is lost was reported like one that failed, with exit status 1; a script could not tell them apart. The outcome "unknown" now has a status of its own (5), also for a host's refusal whose verdict is not "not run", and names the `--id` to send the same change again with. A wait that runs out has 4.

Ruled out: certificates that never expire (the library's default until now, 1975 to 4096): a lost key would be good for ever. Renewal keeps the private key, so that one file is replaced and no reader sees a key and certificate that do not fit each other.

The new calls are tried against a scripted host, since the daemon does not serve them yet; a daemon that answers 404 is named as older.

--- a/crates/wisteria-testkit/src/keys.rs
+++ b/crates/wisteria-testkit/src/keys.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 use std::path::{Path, PathBuf};
-use wisteriahead::ops::keys::{self, InitOptions, IssueOptions};
+use wisteriahead::ops::keys::{self, AUTHORITY_DAYS, HOLDER_DAYS, InitOptions, IssueOptions};
 use wisteriahead::util::tls::{Kind, TlsPaths};
 
 /// A folder of keys.
@@ -18,7 +18,7 @@
     ///
     /// Fails when the folder cannot be written.
     pub fn make(folder: &Path) -> Result<Self> {
-        keys::init(&InitOptions { folder: folder.to_owned() })?;
+        keys::init(&InitOptions { folder: folder.to_owned(), days: AUTHORITY_DAYS })?;
         Ok(Self { folder: folder.to_owned() })
     }
 
@@ -42,7 +42,14 @@
 
     fn issue(&self, kind: Kind, name: &str, zone: Option<String>) -> Result<TlsPaths> {
         let folder = self.folder.clone();
-        keys::issue(&IssueOptions { folder, kind, name: name.to_owned(), zone })?;
+        keys::issue(&IssueOptions {
+            folder,
+            kind,
+            name: name.to_owned(),
+            zone,
+            days: HOLDER_DAYS,
+            renew: false,
+        })?;
         Ok(self.paths(name))
     }
 
--- a/src/bin/wisteriactl/commands/inventory.rs
+++ b/src/bin/wisteriactl/commands/inventory.rs
@@ -1,30 +1,80 @@
 //! `wisteriactl inventory`.
 
-use super::{block_on, json};
-use crate::cli::Inventory;
+use super::{block_on, json, revision};
+use crate::cli::{Change, Inventory, Remote};
+use crate::shell;
+use std::path::PathBuf;
+use wisteriahead::core::document::Revision;
+use wisteriahead::ops::change::Applied;
+use wisteriahead::ops::diff::{DiffOptions, diff};
+use wisteriahead::ops::edit::{EditOptions, edit};
 use wisteriahead::ops::failure::Failure;
 use wisteriahead::ops::inventory::{ApplyOptions, CheckOptions, GetOptions, apply, check, get};
 
-/// Gets, checks or changes the inventory.
+/// Gets, checks, compares or changes the inventory.
 pub fn run(inventory: Inventory) -> Result<String, Failure> {
     match inventory {
-        Inventory::Get { remote } => {
-            let plain = !remote.json;
-            let inv = block_on(get(&GetOptions { server: remote.server() }))?;
-            let text = || format!("# revision {}\n{}", inv.revision, inv.text);
-            Ok(if plain { text() } else { json(&inv) })
-        }
+        Inventory::Get { remote } => show(&remote),
+        Inventory::Edit { editor, change, remote } => open(&remote, &change, editor),
         Inventory::Check { file } => {
             let doc = check(&CheckOptions { file })?;
             let (zones, hosts) = (doc.zones.len(), doc.hosts.len());
             Ok(format!("holds: {zones} availability zones, {hosts} hosts\n"))
         }
-        Inventory::Apply { file, base, id, remote } => {
-            let plain = !remote.json;
-            let opts = ApplyOptions { server: remote.server(), file, base, id };
-            let done = block_on(apply(&opts))?;
-            let text = || format!("revision {} is in force (change {})\n", done.revision, done.id);
-            Ok(if plain { text() } else { json(&done) })
+        Inventory::Diff { file, remote } => compare(&remote, file),
+        Inventory::Apply { file, base, change, remote } => put(&remote, &change, file, base),
+    }
+}
+
+fn show(remote: &Remote) -> Result<String, Failure> {
+    let inv = block_on(get(&GetOptions { server: remote.server() }))?;
+    if remote.json {
+        return Ok(json(&inv));
+    }
+    Ok(format!("# revision {}\n{}", inv.revision, inv.text))
+}
+
+fn compare(remote: &Remote, file: PathBuf) -> Result<String, Failure> {
+    let found = block_on(diff(&DiffOptions { server: remote.server(), file }))?;
+    if remote.json {
+        return Ok(json(&found));
+    }
+    let (added, removed) = (found.added, found.removed);
+    let about = format!("with revision {}: {added} lines added, {removed} removed", found.revision);
+    shell::status("Compared", &about);
+    Ok(found.text)
+}
+
+fn open(remote: &Remote, change: &Change, editor: String) -> Result<String, Failure> {
+    let (server, id) = (remote.server(), change.id.clone());
+    let folder = std::env::temp_dir();
+    match block_on(edit(&EditOptions { server, editor, folder, id }))? {
+        Some(done) => accepted(remote, change, &done),
+        None => {
+            shell::status("Unchanged", "the copy was left as it is; nothing was sent");
+            Ok(String::new())
         }
     }
 }
+
+fn put(
+    remote: &Remote,
+    change: &Change,
+    file: PathBuf,
+    base: Option<Revision>,
+) -> Result<String, Failure> {
+    if base.is_none() {
+        shell::warn(
+            "no --base is given: the revision in force now is taken for the edited one, so a \
+             change that another operator made in between is undone",
+        );
+    }
+    let opts = ApplyOptions { server: remote.server(), file, base, id: change.id.clone() };
+    accepted(remote, change, &block_on(apply(&opts))?)
+}
+
+fn accepted(remote: &Remote, change: &Change, done: &Applied) -> Result<String, Failure> {
+    shell::status("Accepted", &format!("revision {} (change {})", done.revision, done.id));
+    revision::settle(remote, change, done.revision)?;
+    Ok(if remote.json { json(done) } else { String::new() })
+}
--- a/src/bin/wisteriactl/commands/keys.rs
+++ b/src/bin/wisteriactl/commands/keys.rs
@@ -1,20 +1,43 @@
 //! `wisteriactl keys`.
 
+use super::json;
 use crate::cli::Keys;
+use crate::shell;
+use std::path::PathBuf;
 use wisteriahead::ops::failure::Failure;
-use wisteriahead::ops::keys::{InitOptions, IssueOptions, init, issue};
+use wisteriahead::ops::keys::{InitOptions, IssueOptions, ShowOptions, init, issue, show};
 
-/// Makes keys.
+/// Makes, issues and shows keys.
 pub fn run(keys: Keys) -> Result<String, Failure> {
     match keys {
-        Keys::Init { folder } => {
-            init(&InitOptions { folder: folder.clone() })?;
-            Ok(format!("made ca.pem and ca.key in {}\n", folder.display()))
+        Keys::Init { folder, days } => {
+            init(&InitOptions { folder: folder.clone(), days })?;
+            shell::status("Made", &format!("ca.pem and ca.key in {}", folder.display()));
         }
-        Keys::Issue { folder, kind, name, zone } => {
-            let text = format!("made {name}.pem and {name}.key in {}\n", folder.display());
-            issue(&IssueOptions { folder, kind, name, zone })?;
-            Ok(text)
+        Keys::Issue { folder, kind, name, zone, days, renew } => {
+            let files =
+                if renew { format!("{name}.pem") } else { format!("{name}.pem and {name}.key") };
+            let about = format!("{files} in {}", folder.display());
+            issue(&IssueOptions { folder, kind, name, zone, days, renew })?;
+            shell::status(if renew { "Renewed" } else { "Issued" }, &about);
         }
+        Keys::Show { json, file } => return describe(file, json),
     }
+    Ok(String::new())
+}
+
+fn describe(file: PathBuf, as_json: bool) -> Result<String, Failure> {
+    let shown = show(&ShowOptions { file })?;
+    if as_json {
+        return Ok(json(&shown));
+    }
+    let fields = [
+        ("kind", shown.kind.to_owned()),
+        ("name", shown.name),
+        ("zone", shown.zone.unwrap_or_else(|| "-".to_owned())),
+        ("from", shown.from),
+        ("until", shown.until),
+        ("days left", shown.days_left.to_string()),
+    ];
+    Ok(fields.iter().map(|(field, value)| format!("{field:11}{value}\n")).collect())
 }
--- a/src/bin/wisteriactl/commands/mod.rs
+++ b/src/bin/wisteriactl/commands/mod.rs
@@ -1,8 +1,12 @@
 //! Runs each command and renders its result.
 
+mod audit;
 mod inventory;
 mod keys;
+mod revision;
 mod show;
+mod voters;
+mod zone;
 
 use crate::cli::Command;
 use anyhow::Context;
@@ -18,10 +22,16 @@
 pub fn run(command: Command) -> Result<String, Failure> {
     match command {
         Command::Keys { keys } => keys::run(keys),
-        Command::Status { remote } => show::run(remote, What::Status),
-        Command::Zones { remote } => show::run(remote, What::Zones),
-        Command::Endpoints { remote } => show::run(remote, What::Endpoints),
+        Command::Status { remote } => show::run(&remote, What::Status),
+        Command::Zones { remote } => show::run(&remote, What::Zones),
+        Command::Zone { zone } => zone::run(zone),
+        Command::Endpoints { remote } => show::run(&remote, What::Endpoints),
         Command::Inventory { inventory } => inventory::run(inventory),
+        Command::Rules { remote } => show::rules(&remote),
+        Command::Revision { revision } => revision::run(revision),
+        Command::Revisions { remote } => revision::list(&remote),
+        Command::Voters { voters } => voters::run(voters),
+        Command::Audit { audit } => audit::run(&audit),
     }
 }
 
--- a/src/bin/wisteriactl/commands/show.rs
+++ b/src/bin/wisteriactl/commands/show.rs
@@ -1,29 +1,63 @@
-//! `wisteriactl status`, `zones` and `endpoints`.
+//! `wisteriactl status`, `zones`, `endpoints` and `rules`.
 
 use super::{block_on, json};
 use crate::cli::Remote;
 use crate::table::{cell, render};
+use anyhow::{Context as _, anyhow};
+use serde::Serialize;
 use serde_json::Value;
+use wisteriahead::core::document::{Document, Revision, Rules};
 use wisteriahead::ops::failure::Failure;
+use wisteriahead::ops::inventory::{GetOptions, get};
 use wisteriahead::ops::show::{ShowOptions, What, show};
 
 const STATUS: &[&str] = &["host", "zone", "revision", "others"];
 const ZONES: &[&str] = &["zone", "state", "endpoints", "hosts"];
 const ENDPOINTS: &[&str] =
     &["endpoint", "host", "zone", "service", "state", "address", "holdings", "age_ms"];
+const CLASSES: &[&str] = &["name", "priority", "concurrency", "timeout_ms", "min_coverage"];
+const CAPS: &[&str] = &["service", "slots"];
 
 /// Shows a view.
-pub fn run(remote: Remote, what: What) -> Result<String, Failure> {
-    let plain = !remote.json;
+pub fn run(remote: &Remote, what: What) -> Result<String, Failure> {
     let value = block_on(show(&ShowOptions { server: remote.server(), what }))?;
     Ok(match what {
-        _ if !plain => json(&value),
+        _ if remote.json => json(&value),
         What::Status => status(&value),
         What::Zones => render(&value, ZONES),
         What::Endpoints => render(&value, ENDPOINTS),
     })
 }
 
+/// The host's own fields first, in a fixed order, then what a later version adds.
 fn status(value: &Value) -> String {
-    STATUS.iter().map(|f| format!("{f:10}{}\n", cell(&value[*f]))).collect()
+    let known = STATUS.iter().map(|f| (*f, &value[*f]));
+    let added = value.as_object().into_iter().flatten();
+    let added = added.map(|(f, v)| (f.as_str(), v)).filter(|(f, _)| !STATUS.contains(f));
+    known.chain(added).map(|(field, v)| format!("{field:10}{}\n", cell(v))).collect()
+}
+
+#[derive(Serialize)]
+struct RulesInForce {
+    revision: Revision,
+    rules: Rules,
+}
+
+/// Shows the rules in force.
+pub fn rules(remote: &Remote) -> Result<String, Failure> {
+    let inventory = block_on(get(&GetOptions { server: remote.server() }))?;
+    let document = Document::parse(&inventory.text)
+        .map_err(|e| anyhow!("the inventory in force cannot be read by this wisteriactl: {e}"))?;
+    let shown = RulesInForce { revision: inventory.revision, rules: document.rules };
+    if remote.json {
+        return Ok(json(&shown));
+    }
+    let value = serde_json::to_value(&shown.rules).context("could not show the rules")?;
+    let mut text = format!("revision  {}\nadmit     {}\n", shown.revision, cell(&value["admit"]));
+    for (list, fields) in [("class", CLASSES), ("cap", CAPS)] {
+        if value[list].as_array().is_some_and(|l| !l.is_empty()) {
+            text += &format!("\n{}", render(&value[list], fields));
+        }
+    }
+    Ok(text)
 }
--- /dev/null
+++ b/src/bin/wisteriactl/commands/zone.rs
@@ -0,0 +1,42 @@
+//! `wisteriactl zone`.
+
+use super::{block_on, json, revision};
+use crate::cli::{Change, Remote, Zone};
+use crate::shell;
+use wisteriahead::core::document::ZoneState;
+use wisteriahead::ops::failure::Failure;
+use wisteriahead::ops::zone::{TurnOptions, turn};
+
+/// Takes an availability zone out or brings it back in.
+pub fn run(zone: Zone) -> Result<String, Failure> {
+    match zone {
+        Zone::Out { change, remote, name } => set(&remote, &change, name, ZoneState::Out),
+        Zone::In { change, remote, name } => set(&remote, &change, name, ZoneState::In),
+    }
+}
+
+fn set(
+    remote: &Remote,
+    change: &Change,
+    zone: String,
+    state: ZoneState,
+) -> Result<String, Failure> {
+    let what = match state {
+        ZoneState::In => format!("availability zone {zone} in"),
+        ZoneState::Out => format!("availability zone {zone} out"),
+    };
+    let opts = TurnOptions { server: remote.server(), zone, state, id: change.id.clone() };
+    let done = block_on(turn(&opts))?;
+    match done.revision {
+        Some(revision) => {
+            let about = format!("{what} by revision {revision} (change {})", done.id);
+            shell::status("Accepted", &about);
+            revision::settle(remote, change, revision)?;
+        }
+        None => {
+            shell::status("Marked", &format!("{what} at {} alone", remote.server));
+            shell::warn("no quorum was reached; repeat this at each host of the availability zone");
+        }
+    }
+    Ok(if remote.json { json(&done) } else { String::new() })
+}
--- a/src/bin/wisteriactl/main.rs
+++ b/src/bin/wisteriactl/main.rs
@@ -1,9 +1,13 @@
 //! `wisteriactl`: the operators' tool.
 //!
-//! Exit status: 0 done, 1 failed, 2 wrong usage or settings, 3 refused by the host.
+//! Results go to standard output, status lines to standard error. Exit status: 0 done,
+//! 1 failed with nothing changed, 2 wrong usage or settings, 3 refused by the host with
+//! nothing changed, 4 not in force at every host in the time allowed, 5 unknown whether
+//! the change was accepted.
 
 mod cli;
 mod commands;
+mod shell;
 mod table;
 
 use std::io::Write;
@@ -13,6 +17,8 @@
 const FAILED: u8 = 1;
 const USAGE: u8 = 2;
 const REFUSED: u8 = 3;
+const LATE: u8 = 4;
+const UNKNOWN: u8 = 5;
 /// Columns that help texts are wrapped at.
 const HELP_COLUMNS: usize = 100;
 
@@ -31,7 +37,7 @@
             ExitCode::SUCCESS
         }
         Err(failure) => {
-            let _ = writeln!(std::io::stderr(), "wisteriactl: {failure}");
+            let _ = writeln!(std::io::stderr(), "error: {failure}");
             status(&failure).into()
         }
     }
@@ -42,5 +48,7 @@
         Failure::Settings(_) => USAGE,
         Failure::Refused(_) => REFUSED,
         Failure::Failed(_) => FAILED,
+        Failure::Late(_) => LATE,
+        Failure::Unknown(_) => UNKNOWN,
     }
 }
--- a/src/wisteriahead/ops/client.rs
+++ b/src/wisteriahead/ops/client.rs
@@ -66,18 +66,31 @@
     ///
     /// # Errors
     ///
-    /// Fails when the host cannot be reached or refuses.
+    /// Fails when the host cannot be reached or refuses, and with [`Failure::Unknown`] when
+    /// its answer is lost.
     pub async fn put(&self, path: &str, body: &impl Serialize) -> Result<Value, Failure> {
         let body = serde_json::to_vec(body).context("could not encode the request")?;
         self.request(Method::PUT, path, body).await
     }
 
+    /// Asks for a change at a path.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host cannot be reached or refuses, and with [`Failure::Unknown`] when
+    /// its answer is lost.
+    pub async fn post(&self, path: &str, body: &impl Serialize) -> Result<Value, Failure> {
+        let body = serde_json::to_vec(body).context("could not encode the request")?;
+        self.request(Method::POST, path, body).await
+    }
+
     async fn request(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Value, Failure> {
         let address = self.address;
         let mut sender = timeout(CONNECT_TIMEOUT.to_std(), self.connect())
             .await
             .with_context(|| format!("{address} did not answer in {CONNECT_TIMEOUT}"))?
             .with_context(|| format!("could not connect to {address}; check --server"))?;
+        let read_only = method == Method::GET;
         let req = Request::builder()
             .method(method)
             .uri(path)
@@ -85,11 +98,14 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .context("malformed request")?;
-        let (status, bytes) = timeout(ANSWER_TIMEOUT.to_std(), exchange(&mut sender, req))
+        let answered = timeout(ANSWER_TIMEOUT.to_std(), exchange(&mut sender, req))
             .await
-            .with_context(|| format!("{address} did not answer in {ANSWER_TIMEOUT}"))?
-            .with_context(|| format!("{address} broke off; it may not let this operator in"))?;
-        decode(status, &bytes)
+            .with_context(|| format!("{address} did not answer in {ANSWER_TIMEOUT}"))
+            .and_then(|a| {
+                a.with_context(|| format!("{address} broke off; it may not let this operator in"))
+            });
+        let answer = answered.map_err(Failure::from).and_then(|(s, bytes)| decode(s, &bytes));
+        answer.map_err(|e| if read_only { e } else { in_doubt(e) })
     }
 
     async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
@@ -114,10 +130,28 @@
 }
 
 fn decode(status: StatusCode, bytes: &[u8]) -> Result<Value, Failure> {
-    if status != StatusCode::OK {
-        let refusal: Refusal = serde_json::from_slice(bytes)
-            .with_context(|| format!("the host answered {status} without a cause"))?;
-        return Err(refusal.into());
+    if status == StatusCode::OK {
+        return Ok(serde_json::from_slice(bytes).context("the host's answer is not JSON")?);
+    }
+    let refusal: Option<Refusal> = serde_json::from_slice(bytes).ok();
+    match (status, refusal) {
+        (StatusCode::NOT_FOUND, refusal) => Err(Failure::Refused(not_found(refusal))),
+        (_, Some(refusal)) => Err(refusal.into()),
+        (_, None) => Err(anyhow!("the host answered {status} without a cause").into()),
+    }
+}
+
+/// A host of an earlier version may lack a call.
+fn not_found(refusal: Option<Refusal>) -> Refusal {
+    let cause = refusal.map_or_else(|| "it gave no cause".to_owned(), |r| r.detail);
+    let detail = format!("the host does not know this: {cause}; its version may be older");
+    Refusal::not_run(Reason::BadRequest, detail)
+}
+
+/// What failed after the request was sent may have been carried out.
+fn in_doubt(failure: Failure) -> Failure {
+    match failure {
+        Failure::Failed(e) => Failure::Unknown(e),
+        other => other,
     }
-    Ok(serde_json::from_slice(bytes).context("the host's answer is not JSON")?)
 }
--- a/src/wisteriahead/ops/inventory.rs
+++ b/src/wisteriahead/ops/inventory.rs
@@ -1,5 +1,6 @@
 //! Gets, checks and changes the inventory.
 
+use super::change::{Applied, Reply, identifier, read as decode, reply, resend};
 use super::client::{Client, Server};
 use super::failure::Failure;
 use crate::core::document::{Document, Revision};
@@ -48,20 +49,6 @@
     pub id: Option<String>,
 }
 
-/// An accepted change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct Applied {
-    /// Identifier of the change.
-    pub id: String,
-    /// Its revision.
-    pub revision: Revision,
-}
-
-#[derive(Deserialize)]
-struct Reply {
-    revision: Revision,
-}
-
 /// Gets the inventory in force at a host.
 ///
 /// # Errors
@@ -95,24 +82,18 @@
         Some(base) => base,
         None => fetch(&client).await?.revision,
     };
-    let id = opts.id.clone().unwrap_or_else(|| hex::encode(rand::random::<[u8; 16]>()));
+    let id = identifier(opts.id.as_deref());
     let edit = Edit { id, base, text };
-    let reply = client.put(PATH, &edit).await.map_err(|e| resend(e, &edit))?;
-    let reply: Reply = serde_json::from_value(reply).context("the host's answer is malformed")?;
-    Ok(Applied { id: edit.id, revision: reply.revision })
-}
-
-fn resend(failure: Failure, edit: &Edit) -> Failure {
-    let Failure::Failed(e) = failure else { return failure };
-    let (id, base) = (&edit.id, edit.base);
-    Failure::Failed(e.context(format!(
-        "the change may be in force or not; send it again with --id {id} --base {base}"
-    )))
+    let sent = client.put(PATH, &edit).await;
+    let Reply { revision } = sent.and_then(reply).map_err(|e| {
+        let flags = format!("--id {} --base {base}", edit.id);
+        resend(e, &flags)
+    })?;
+    Ok(Applied { id: edit.id, revision })
 }
 
 async fn fetch(client: &Client) -> Result<Inventory, Failure> {
-    let value = client.get(PATH).await?;
-    Ok(serde_json::from_value(value).context("the host's answer is malformed")?)
+    decode(client.get(PATH).await?)
 }
 
 fn read(file: &Path) -> Result<String, Failure> {
--- a/src/wisteriahead/ops/keys.rs
+++ b/src/wisteriahead/ops/keys.rs
@@ -1,20 +1,25 @@
 //! Keys: the certificate authority and the certificates of hosts and operators.
 //!
 //! All files stand in one folder: `ca.pem`, `ca.key`, and `NAME.pem`, `NAME.key` for
-//! each holder. Existing files are never overwritten.
+//! each holder. Existing private keys are never overwritten, and certificates only when
+//! they are renewed.
 
 use crate::core::endpoint::check_name;
 use crate::prelude::*;
-use crate::util::tls::{Kind, SCHEME, SERVER_NAME};
-use anyhow::anyhow;
+use crate::util::certificate::Certificate;
+use crate::util::tls::{Identity, Kind, SCHEME, SERVER_NAME};
+use anyhow::{anyhow, bail};
 use rcgen::{
     BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
     KeyUsagePurpose, SanType,
 };
+use serde::Serialize;
 use std::fs::{self, OpenOptions};
 use std::io::Write;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
+use time::format_description::well_known::Rfc3339;
+use time::{Duration, OffsetDateTime};
 
 /// File name of the authority, without extension.
 const CA: &str = "ca";
@@ -22,12 +27,22 @@
 const KEY_MODE: u32 = 0o600;
 /// Mode of a certificate file.
 const CERT_MODE: u32 = 0o644;
+/// Days that the authority's certificate holds, if no other number is given.
+pub const AUTHORITY_DAYS: u32 = 3_650;
+/// Days that the certificate of a host or operator holds, if no other number is given.
+pub const HOLDER_DAYS: u32 = 365;
+/// Most days that a certificate may hold.
+pub const DAYS_MAX: u32 = 36_500;
+/// Time before its issue from which a certificate holds, for hosts whose clocks are behind.
+const BACKDATE: Duration = Duration::hours(1);
 
 /// Options of [`init`].
 #[derive(Clone, Debug)]
 pub struct InitOptions {
     /// Folder to write to; made when missing.
     pub folder: PathBuf,
+    /// Days that its certificate holds.
+    pub days: u32,
 }
 
 /// Options of [`issue`].
@@ -41,6 +56,10 @@
     pub name: String,
     /// Availability zone of the holder.
     pub zone: Option<String>,
+    /// Days that the certificate holds.
+    pub days: u32,
+    /// Whether to issue a new certificate for the private key that the holder has.
+    pub renew: bool,
 }
 
 /// Makes the certificate authority.
@@ -52,7 +71,7 @@
     fs::create_dir_all(&opts.folder)
         .with_context(|| format!("could not make folder {}", opts.folder.display()))?;
     let key = KeyPair::generate().context("could not generate a key")?;
-    let mut params = CertificateParams::default();
+    let mut params = lasting(opts.days)?;
     params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
     params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
     params.distinguished_name.push(DnType::CommonName, "wisteriahead authority");
@@ -64,17 +83,42 @@
 ///
 /// # Errors
 ///
-/// Fails for a malformed name, a missing authority, or a name issued before.
+/// Fails for a malformed name, a missing authority, a name issued before, or a renewal
+/// without a private key.
 pub fn issue(opts: &IssueOptions) -> Result<()> {
     let issuer = load(&opts.folder)?;
+    let params = params(opts)?;
+    let sign =
+        |key: &KeyPair| params.signed_by(key, &issuer).context("could not sign the certificate");
+    if opts.renew {
+        let key = known(&opts.folder, &opts.name)?;
+        return replace(&opts.folder.join(format!("{}.pem", opts.name)), &sign(&key)?.pem());
+    }
     let key = KeyPair::generate().context("could not generate a key")?;
-    let cert = params(opts)?.signed_by(&key, &issuer).context("could not sign the certificate")?;
-    store(&opts.folder, &opts.name, &cert.pem(), &key)
+    store(&opts.folder, &opts.name, &sign(&key)?.pem(), &key)
+}
+
+fn known(folder: &Path, name: &str) -> Result<KeyPair> {
+    let path = folder.join(format!("{name}.key"));
+    let text = fs::read_to_string(&path)
+        .with_context(|| format!("could not read {}; issue without --renew", path.display()))?;
+    KeyPair::from_pem(&text).with_context(|| format!("{} is not a private key", path.display()))
+}
+
+fn lasting(days: u32) -> Result<CertificateParams> {
+    if !(1..=DAYS_MAX).contains(&days) {
+        bail!("a certificate cannot hold for {days} days; 1 to {DAYS_MAX} is allowed");
+    }
+    let now = OffsetDateTime::now_utc();
+    let mut params = CertificateParams::default();
+    params.not_before = now - BACKDATE;
+    params.not_after = now + Duration::days(days.into());
+    Ok(params)
 }
 
 fn params(opts: &IssueOptions) -> Result<CertificateParams> {
     check_name("name", &opts.name).map_err(|e| anyhow!(e))?;
-    let mut params = CertificateParams::default();
+    let mut params = lasting(opts.days)?;
     params.distinguished_name.push(DnType::CommonName, opts.name.as_str());
     params.subject_alt_names.push(uri(opts.kind.name(), &opts.name)?);
     if let Some(zone) = &opts.zone {
@@ -111,6 +155,13 @@
     write(&folder.join(format!("{name}.pem")), CERT_MODE, cert)
 }
 
+/// Replaces a certificate at once, so that a reader sees the old one or the new one.
+fn replace(path: &Path, text: &str) -> Result<()> {
+    let fresh = path.with_extension("pem.new");
+    write(&fresh, CERT_MODE, text)?;
+    fs::rename(&fresh, path).with_context(|| format!("could not replace {}", path.display()))
+}
+
 fn write(path: &Path, mode: u32, text: &str) -> Result<()> {
     let mut file =
         OpenOptions::new().write(true).create_new(true).mode(mode).open(path).with_context(
@@ -120,3 +171,48 @@
         .and_then(|()| file.sync_all())
         .with_context(|| format!("could not write {}", path.display()))
 }
+
+/// Options of [`show`].
+#[derive(Clone, Debug)]
+pub struct ShowOptions {
+    /// Certificate to show.
+    pub file: PathBuf,
+}
+
+/// Who holds a certificate, and how long.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Shown {
+    /// Kind of the holder: `authority`, `host` or `operator`.
+    pub kind: &'static str,
+    /// Name of the holder.
+    pub name: String,
+    /// Availability zone of the holder.
+    pub zone: Option<String>,
+    /// Time from which it holds.
+    pub from: String,
+    /// Time until which it holds.
+    pub until: String,
+    /// Whole days that are left; negative when it has expired.
+    pub days_left: i64,
+}
+
+/// Shows who holds a certificate and when it expires.
+///
+/// # Errors
+///
+/// Fails when the file is no certificate or names no holder.
+pub fn show(opts: &ShowOptions) -> Result<Shown> {
+    let cert = Certificate::load(&opts.file)?;
+    let days_left = cert.days_left(OffsetDateTime::now_utc());
+    let (from, until) = (rfc3339(cert.from)?, rfc3339(cert.until)?);
+    Ok(match cert.holder {
+        None => Shown { kind: "authority", name: cert.subject, zone: None, from, until, days_left },
+        Some(Identity { kind, name, zone }) => {
+            Shown { kind: kind.name(), name, zone, from, until, days_left }
+        }
+    })
+}
+
+fn rfc3339(time: OffsetDateTime) -> Result<String> {
+    time.format(&Rfc3339).context("the time cannot be shown")
+}
--- a/src/wisteriahead/util/mod.rs
+++ b/src/wisteriahead/util/mod.rs
@@ -1,5 +1,6 @@
 //! Plumbing that knows nothing of queries.
 
+pub mod certificate;
 pub mod http;
 pub mod logging;
 pub mod metrics;
--- a/src/wisteriahead/util/tls.rs
+++ b/src/wisteriahead/util/tls.rs
@@ -150,12 +150,12 @@
     /// Names the file that cannot be read or used.
     pub fn load(paths: &TlsPaths) -> Result<Self> {
         let mut roots = RootCertStore::empty();
-        for cert in certificates(&paths.ca)? {
+        for cert in read_certificates(&paths.ca)? {
             roots.add(cert).with_context(|| format!("could not use {}", paths.ca.display()))?;
         }
         let key = PrivateKeyDer::from_pem_file(&paths.key)
             .map_err(|e| anyhow!("could not read private key {}: {e}", paths.key.display()))?;
-        Ok(Self { roots: Arc::new(roots), chain: certificates(&paths.cert)?, key })
+        Ok(Self { roots: Arc::new(roots), chain: read_certificates(&paths.cert)?, key })
     }
 
     /// The holder of the own certificate, which must be of the given kind.
@@ -204,7 +204,7 @@
     }
 }
 
-fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>> {
+pub(super) fn read_certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>> {
     let certs: Vec<_> = CertificateDer::pem_file_iter(path)
         .and_then(Iterator::collect)
         .map_err(|e| anyhow!("could not read certificate {}: {e}", path.display()))?;
--- a/tests/testsuite/keys.rs
+++ b/tests/testsuite/keys.rs
@@ -1,6 +1,8 @@
 use crate::support::{Authority, ZONE};
 use std::os::unix::fs::PermissionsExt;
-use wisteriahead::ops::keys::{InitOptions, IssueOptions, init, issue};
+use wisteriahead::ops::keys::{
+    AUTHORITY_DAYS, HOLDER_DAYS, InitOptions, IssueOptions, init, issue,
+};
 use wisteriahead::util::tls::{Credentials, Kind};
 use yare::parameterized;
 
@@ -29,8 +31,15 @@
     let paths = ca.issue(Kind::Host, "a");
     let before = std::fs::read(&paths.key).unwrap();
     let folder = ca.folder().to_owned();
-    assert!(init(&InitOptions { folder: folder.clone() }).is_err());
-    let again = IssueOptions { folder, kind: Kind::Operator, name: "a".to_owned(), zone: None };
+    assert!(init(&InitOptions { folder: folder.clone(), days: AUTHORITY_DAYS }).is_err());
+    let again = IssueOptions {
+        folder,
+        kind: Kind::Operator,
+        name: "a".to_owned(),
+        zone: None,
+        days: HOLDER_DAYS,
+        renew: false,
+    };
     let e = format!("{:#}", issue(&again).unwrap_err());
     assert!(e.contains("a.key"), "{e}");
     assert_eq!(std::fs::read(&paths.key).unwrap(), before);
@@ -40,7 +49,14 @@
 fn unusable_name_is_refused(name: &str) {
     let ca = Authority::new();
     let folder = ca.folder().to_owned();
-    let opts = IssueOptions { folder, kind: Kind::Host, name: name.to_owned(), zone: None };
+    let opts = IssueOptions {
+        folder,
+        kind: Kind::Host,
+        name: name.to_owned(),
+        zone: None,
+        days: HOLDER_DAYS,
+        renew: false,
+    };
     assert!(issue(&opts).is_err());
 }
 
@@ -48,7 +64,14 @@
 fn missing_authority_is_named() {
     let dir = tempfile::TempDir::new().unwrap();
     let folder = dir.path().to_owned();
-    let opts = IssueOptions { folder, kind: Kind::Host, name: "a".to_owned(), zone: None };
+    let opts = IssueOptions {
+        folder,
+        kind: Kind::Host,
+        name: "a".to_owned(),
+        zone: None,
+        days: HOLDER_DAYS,
+        renew: false,
+    };
     let e = format!("{:#}", issue(&opts).unwrap_err());
     assert!(e.contains("keys init"), "{e}");
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,8 +2,11 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod ctl;
+mod ctl_changes;
+mod ctl_views;
 mod keys;
 mod operator;
 mod peers;
+mod scripted;
 mod support;
 mod whole;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -8,7 +8,9 @@
 use wisteriahead::core::time::Span;
 use wisteriahead::kernel::Kernel;
 use wisteriahead::ops::client::Server;
-use wisteriahead::ops::keys::{InitOptions, IssueOptions, init, issue};
+use wisteriahead::ops::keys::{
+    AUTHORITY_DAYS, HOLDER_DAYS, InitOptions, IssueOptions, init, issue,
+};
 use wisteriahead::services::control::ControlService;
 use wisteriahead::services::operator::{OperatorService, OperatorSettings};
 use wisteriahead::services::peers::{PeerSettings, PeersService};
@@ -27,7 +29,7 @@
 impl Authority {
     pub fn new() -> Self {
         let dir = TempDir::new().unwrap();
-        init(&InitOptions { folder: dir.path().to_owned() }).unwrap();
+        init(&InitOptions { folder: dir.path().to_owned(), days: AUTHORITY_DAYS }).unwrap();
         Self { dir }
     }
 
@@ -37,8 +39,14 @@
 
     pub fn issue(&self, kind: Kind, name: &str) -> TlsPaths {
         let zone = (kind == Kind::Host).then(|| ZONE.to_owned());
-        let opts =
-            IssueOptions { folder: self.folder().to_owned(), kind, name: name.to_owned(), zone };
+        let opts = IssueOptions {
+            folder: self.folder().to_owned(),
+            kind,
+            name: name.to_owned(),
+            zone,
+            days: HOLDER_DAYS,
+            renew: false,
+        };
         issue(&opts).unwrap();
         self.paths(name)
     }
