Use renewed certificates without a restart

`Credentials` now hands rustls a resolver that looks at both files at handshakes, at most twice a second. Files that cannot be used, do not fit each other, or name another holder leave the old certificate in use and log the cause once.

Ruled out: a file watcher (another dependency and a thread, for what a stat at a handshake shows); SIGHUP alone (a renewal that nobody signals would end with the old certificate's expiry at night). The authority's certificate is still read at the start alone.

Sessions are no longer resumed: a resumed session repeats the identity of the first one and would let a certificate in that has expired since.

Checked by hand, each failed its test and was put back: a certificate of another holder taken over, files never looked at again, the fault logged below the default level.

The testkit keeps each daemon's log in a file and prints it when a test fails.

--- a/crates/wisteria-testkit/src/process.rs
+++ b/crates/wisteria-testkit/src/process.rs
@@ -21,11 +21,25 @@
     pub fn start<S: AsRef<std::ffi::OsStr>>(
         program: &Path,
         args: impl IntoIterator<Item = S>,
+    ) -> Result<Self> {
+        Self::start_logged(program, args, Stdio::inherit())
+    }
+
+    /// Starts a program whose standard error goes to `log`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub fn start_logged<S: AsRef<std::ffi::OsStr>>(
+        program: &Path,
+        args: impl IntoIterator<Item = S>,
+        log: Stdio,
     ) -> Result<Self> {
         let mut child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
+            .stderr(log)
             .kill_on_drop(true)
             .spawn()
             .with_context(|| format!("could not start {}", name(program)))?;
--- a/crates/wisteria-testkit/src/tier.rs
+++ b/crates/wisteria-testkit/src/tier.rs
@@ -5,6 +5,7 @@
 use crate::process::Process;
 use anyhow::{Context as _, Result, bail};
 use serde_json::{Value, json};
+use std::fs::{self, OpenOptions};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -98,8 +99,13 @@
             args.extend(["--peer".to_owned(), d.peers.to_string()]);
         }
         args.extend(more.iter().map(|&a| a.to_owned()));
-        let mut process = Process::start(&self.programs.join("wisteriahead"), &args)?;
-        let line = process.line().await?;
+        let log = self.log_file(host);
+        let to = OpenOptions::new().create(true).append(true).open(&log);
+        let to = to.context("could not make the daemon's log")?;
+        let program = self.programs.join("wisteriahead");
+        let mut process = Process::start_logged(&program, &args, to.into())?;
+        let line = process.line().await;
+        let line = line.with_context(|| fs::read_to_string(&log).unwrap_or_default())?;
         let daemon = Daemon {
             host: host.to_owned(),
             process,
@@ -112,6 +118,20 @@
         self.daemons.last_mut().context("no daemon was started")
     }
 
+    /// All that a daemon has logged, by its earlier processes too.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log cannot be read.
+    pub fn log(&self, daemon: usize) -> Result<String> {
+        let file = self.log_file(&self.daemons[daemon].host);
+        fs::read_to_string(file).context("could not read the daemon's log")
+    }
+
+    fn log_file(&self, host: &str) -> PathBuf {
+        self.folder.path().join(format!("{host}.log"))
+    }
+
     /// Starts `n` stand-in endpoints that announce themselves to the given daemons.
     ///
     /// # Errors
@@ -200,6 +220,19 @@
     }
 }
 
+/// Shows the daemons' logs when a test fails.
+impl Drop for Tier {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for daemon in &self.daemons {
+            let log = fs::read_to_string(self.log_file(&daemon.host)).unwrap_or_default();
+            eprintln!("log of {}:\n{log}", daemon.host);
+        }
+    }
+}
+
 fn field(line: &str, name: &str) -> Result<SocketAddr> {
     let prefix = format!("{name}=");
     let value = line.split_whitespace().find_map(|w| w.strip_prefix(&prefix));
--- a/src/wisteriahead/util/mod.rs
+++ b/src/wisteriahead/util/mod.rs
@@ -4,4 +4,5 @@
 pub mod http;
 pub mod logging;
 pub mod metrics;
+pub mod renewal;
 pub mod tls;
--- a/src/wisteriahead/util/tls.rs
+++ b/src/wisteriahead/util/tls.rs
@@ -5,9 +5,11 @@
 //! no part in verification: every host's certificate also holds one common DNS name,
 //! [`SERVER_NAME`], so a client learns the host's name from the certificate itself.
 
+use super::renewal::Renewal;
 use crate::prelude::*;
 use anyhow::{anyhow, bail};
-use rustls::server::WebPkiClientVerifier;
+use rustls::client::Resumption;
+use rustls::server::{NoServerSessionStorage, WebPkiClientVerifier};
 use rustls::{ClientConfig, RootCertStore, ServerConfig};
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, PrivateKeyDer};
@@ -116,11 +118,18 @@
     /// Fails when there is no certificate or its holder is of another kind.
     pub fn expect(chain: Option<&[CertificateDer<'_>]>, kind: Kind) -> Result<Self> {
         let cert = chain.and_then(<[_]>::first).context("the other side has no certificate")?;
-        let id = Self::read(cert)?;
-        if id.kind != kind {
-            bail!("`{}` holds a certificate of kind {}; {kind} is needed here", id.name, id.kind);
+        Self::read(cert)?.of_kind(kind)
+    }
+
+    fn of_kind(self, kind: Kind) -> Result<Self> {
+        if self.kind != kind {
+            bail!(
+                "`{}` holds a certificate of kind {}; {kind} is needed here",
+                self.name,
+                self.kind
+            );
         }
-        Ok(id)
+        Ok(self)
     }
 }
 
@@ -135,11 +144,10 @@
     pub key: PathBuf,
 }
 
-/// Loaded certificates and private key.
+/// Loaded certificates and private key, which are read anew when their files change.
 pub struct Credentials {
     roots: Arc<RootCertStore>,
-    chain: Vec<CertificateDer<'static>>,
-    key: PrivateKeyDer<'static>,
+    own: Arc<Renewal>,
 }
 
 impl Credentials {
@@ -153,9 +161,7 @@
         for cert in read_certificates(&paths.ca)? {
             roots.add(cert).with_context(|| format!("could not use {}", paths.ca.display()))?;
         }
-        let key = PrivateKeyDer::from_pem_file(&paths.key)
-            .map_err(|e| anyhow!("could not read private key {}: {e}", paths.key.display()))?;
-        Ok(Self { roots: Arc::new(roots), chain: read_certificates(&paths.cert)?, key })
+        Ok(Self { roots: Arc::new(roots), own: Arc::new(Renewal::load(paths)?) })
     }
 
     /// The holder of the own certificate, which must be of the given kind.
@@ -164,14 +170,15 @@
     ///
     /// Fails when the certificate names no holder or one of another kind.
     pub fn identity(&self, kind: Kind) -> Result<Identity> {
-        Identity::expect(Some(&self.chain), kind)
+        self.own.identity()?.of_kind(kind)
     }
 
-    /// Configuration of a server that demands a certificate of every client.
+    /// Configuration of a server that demands a certificate of every client. Sessions are
+    /// not resumed, so that each connection proves anew that its certificate still holds.
     ///
     /// # Errors
     ///
-    /// Fails when key and certificate do not fit each other.
+    /// Fails when the certificate authority cannot be used.
     pub fn server(&self, alpn: &[u8]) -> Result<ServerConfig> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let verifier =
@@ -181,29 +188,37 @@
         let mut config = ServerConfig::builder_with_provider(provider)
             .with_protocol_versions(&[&rustls::version::TLS13])?
             .with_client_cert_verifier(verifier)
-            .with_single_cert(self.chain.clone(), self.key.clone_key())
-            .context("key and certificate do not fit each other")?;
+            .with_cert_resolver(self.own.clone());
+        config.session_storage = Arc::new(NoServerSessionStorage {});
+        config.send_tls13_tickets = 0;
         config.alpn_protocols = vec![alpn.to_vec()];
         Ok(config)
     }
 
-    /// Configuration of a client that shows its certificate.
+    /// Configuration of a client that shows its certificate at each connection.
     ///
     /// # Errors
     ///
-    /// Fails when key and certificate do not fit each other.
+    /// Fails when the protocol version is not supported.
     pub fn client(&self, alpn: &[u8]) -> Result<ClientConfig> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let mut config = ClientConfig::builder_with_provider(provider)
             .with_protocol_versions(&[&rustls::version::TLS13])?
             .with_root_certificates(self.roots.clone())
-            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
-            .context("key and certificate do not fit each other")?;
+            .with_client_cert_resolver(self.own.clone());
+        config.resumption = Resumption::disabled();
         config.alpn_protocols = vec![alpn.to_vec()];
         Ok(config)
     }
 }
 
+/// Reads a private key file.
+pub(super) fn read_key(path: &Path) -> Result<PrivateKeyDer<'static>> {
+    PrivateKeyDer::from_pem_file(path)
+        .map_err(|e| anyhow!("could not read private key {}: {e}", path.display()))
+}
+
+/// Reads a file of at least one certificate.
 pub(super) fn read_certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>> {
     let certs: Vec<_> = CertificateDer::pem_file_iter(path)
         .and_then(Iterator::collect)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod keys;
 mod operator;
 mod peers;
+mod renewal;
 mod scripted;
 mod support;
 mod whole;
