Name every fault of the settings, and log changes of state with fields

Cause: the daemon ended with 1 instead of 2 for wrong usage, named only the first missing setting, took an unreadable key file for a good one until a service failed on it, and let two listeners share an address. Its log had no line for its own changes of state. A text line held whatever others had sent, line breaks too, so that one message could look like two. Printing "ready" to a closed standard output ended the daemon.

All faults are named at once now with flag, value and what is allowed; log records carry fields (log's `kv`), beside the message in JSON and after it in text; a certificate with less than 30 days left is warned of at the start and hourly and sent as the gauge `certificate.days_left`.

Broken by hand, each failed its test and was put back: port 0 counted as shared, usage ending with 1, the warning's limit. The first test of text lines did not fail when control characters were let through; it is replaced by one on a record that holds them, which does.

--- a/src/bin/wisteriahead/cli.rs
+++ b/src/bin/wisteriahead/cli.rs
@@ -21,10 +21,22 @@
     long(flag).env(env).help(help).argument::<String>(meta)
 }
 
+/// A setting without a default. Its absence is a fault of the settings like any other, so
+/// that all faults are named at once.
+fn needed(
+    flag: &'static str,
+    env: &'static str,
+    meta: &'static str,
+    help: &'static str,
+) -> impl Parser<String> {
+    text(flag, env, meta, help).fallback(String::new())
+}
+
 /// The command line.
 pub fn options() -> OptionParser<Args> {
-    let host = text("host", "WISTERIAHEAD_HOST", "NAME", "Name of this host");
-    let zone = text("zone", "WISTERIAHEAD_ZONE", "NAME", "Availability zone of this host");
+    let host = needed("host", "WISTERIAHEAD_HOST", "NAME", "Name of this host; needed");
+    let zone =
+        needed("zone", "WISTERIAHEAD_ZONE", "NAME", "Availability zone of this host; needed");
     let caller_listen =
         text("caller-listen", "WISTERIAHEAD_CALLER_LISTEN", "IP:PORT", "Address for callers")
             .fallback("127.0.0.1:7100".into())
@@ -49,8 +61,8 @@
     let ca = text("ca", "WISTERIAHEAD_CA", "FILE", "Certificate authority")
         .fallback("keys/ca.pem".into())
         .display_fallback();
-    let cert = text("cert", "WISTERIAHEAD_CERT", "FILE", "Certificate of this host");
-    let key = text("key", "WISTERIAHEAD_KEY", "FILE", "Private key of this host");
+    let cert = needed("cert", "WISTERIAHEAD_CERT", "FILE", "Certificate of this host; needed");
+    let key = needed("key", "WISTERIAHEAD_KEY", "FILE", "Private key of this host; needed");
     let data =
         text("data", "WISTERIAHEAD_DATA", "FOLDER", "Data folder; without one, no vote").optional();
     let voters = list("voter", "WISTERIAHEAD_VOTERS", "NAME", "Host of the first quorum");
--- a/src/wisteriahead/ops/serve/mod.rs
+++ b/src/wisteriahead/ops/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the daemon: starts its services, waits for a signal, stops them in order.
 
+mod expiry;
 pub mod settings;
 
 use self::settings::Settings;
@@ -15,6 +16,7 @@
 use crate::util::logging;
 use crate::util::metrics::Metrics;
 use crate::util::tls::TlsPaths;
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::time::SystemTime;
 use tokio::signal::unix::{SignalKind, signal};
@@ -41,11 +43,12 @@
     if let Ok(addresses) = &started {
         announce_ready(settings, addresses);
         tokio::select! {
-            _ = term.recv() => log::info!("SIGTERM: stopping"),
-            _ = int.recv() => log::info!("SIGINT: stopping"),
+            _ = term.recv() => log::info!(state = "stopping", signal = "SIGTERM"; "stopping"),
+            _ = int.recv() => log::info!(state = "stopping", signal = "SIGINT"; "stopping"),
         }
     }
     kernel.stop(settings.drain_timeout).await;
+    log::info!(state = "stopped"; "stopped");
     started.map(drop)
 }
 
@@ -59,8 +62,11 @@
 
 /// Says on standard output that the host serves, and where.
 fn announce_ready(settings: &Settings, a: &Addresses) {
+    log::info!(state = "ready", zone = settings.zone; "host {} is ready", settings.host);
     let show = |x: Option<SocketAddr>| x.map(|x| x.to_string()).unwrap_or_default();
-    println!(
+    // A daemon whose standard output is closed serves all the same.
+    let _ = writeln!(
+        std::io::stdout(),
         "ready host={} callers={} endpoints={} operators={} peers={}",
         settings.host,
         show(a.callers),
@@ -72,6 +78,7 @@
 
 async fn start(kernel: &mut Kernel, s: &Settings) -> Result<Addresses> {
     let metrics = Metrics::new(s.metrics)?;
+    tokio::spawn(expiry::watch(s.cert.clone(), metrics.clone()));
     let tls = TlsPaths { ca: s.ca.clone(), cert: s.cert.clone(), key: s.key.clone() };
     let peers = Arc::new(PeersService::new(PeerSettings {
         host: s.host.clone(),
--- a/src/wisteriahead/ops/serve/settings.rs
+++ b/src/wisteriahead/ops/serve/settings.rs
@@ -5,6 +5,7 @@
 use crate::util::logging::Format;
 use log::LevelFilter;
 use std::fmt;
+use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -126,10 +127,24 @@
         })
     }
 
+    /// Checks that no two listeners share a TCP address; port 0 stands for any free one.
+    fn distinct(&mut self, listeners: &[(&'static str, SocketAddr)]) {
+        for (i, (flag, address)) in listeners.iter().enumerate() {
+            let earlier = listeners[..i].iter().find(|(_, a)| a == address && a.port() != 0);
+            if let Some((other, _)) = earlier {
+                let allowed = format!("an address of its own is allowed; {other} has this one");
+                self.fault(flag, &address.to_string(), allowed);
+            }
+        }
+    }
+
     fn file(&mut self, flag: &'static str, value: &str) -> PathBuf {
         let path = PathBuf::from(value);
-        if !path.is_file() {
-            self.fault(flag, value, "a file that exists is allowed; `wisteriactl keys` makes them");
+        if let Err(e) = File::open(&path) {
+            let allowed = "a file that can be read is allowed; `wisteriactl keys` makes them";
+            self.fault(flag, value, format!("{allowed} ({e})"));
+        } else if !path.is_file() {
+            self.fault(flag, value, "a file is allowed; this is none");
         }
         path
     }
@@ -162,6 +177,11 @@
     pub fn check(&self) -> Result<Settings, Vec<Fault>> {
         let mut c = Checker::default();
         let settings = self.read(&mut c);
+        c.distinct(&[
+            ("--caller-listen", settings.caller_listen),
+            ("--endpoint-listen", settings.endpoint_listen),
+            ("--operator-listen", settings.operator_listen),
+        ]);
         if settings.data.is_none() && settings.voters.contains(&settings.host) {
             c.fault("--voter", &settings.host, "a voter needs a data folder; set --data");
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,5 +9,6 @@
 mod peers;
 mod renewal;
 mod scripted;
+mod settings;
 mod support;
 mod whole;
--- /dev/null
+++ b/tests/testsuite/settings.rs
@@ -0,0 +1,193 @@
+//! The daemon's settings: flags, environment, faults, and what it logs and measures.
+
+use crate::support::Authority;
+use serde_json::Value;
+use std::net::UdpSocket;
+use std::process::{Command, Output};
+use std::time::Duration;
+use wisteria_testkit::process::built;
+use wisteria_testkit::tier::Tier;
+use wisteriahead::util::logging;
+use wisteriahead::util::tls::{Kind, TlsPaths};
+use yare::parameterized;
+
+const DONE: i32 = 0;
+const SETTINGS: i32 = 2;
+
+/// A daemon's command that only checks, with settings that hold.
+fn checking(tls: &TlsPaths) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_wisteriahead"));
+    command
+        .env_clear()
+        .env("WISTERIAHEAD_HOST", "a")
+        .env("WISTERIAHEAD_ZONE", "north")
+        .env("WISTERIAHEAD_CA", &tls.ca)
+        .env("WISTERIAHEAD_CERT", &tls.cert)
+        .env("WISTERIAHEAD_KEY", &tls.key)
+        .arg("--check");
+    command
+}
+
+fn said(out: &Output) -> String {
+    String::from_utf8_lossy(&out.stderr).into_owned()
+}
+
+#[test]
+fn settings_that_hold_pass_the_check() {
+    let ca = Authority::new();
+    let tls = ca.issue(Kind::Host, "a");
+    let out = checking(&tls).output().unwrap();
+    assert_eq!(out.status.code(), Some(DONE), "{out:?}");
+    assert_eq!(out.stdout, b"settings hold\n");
+}
+
+#[parameterized(
+    host = {"--host", "a/b", "letters, digits"},
+    long_name = {"--zone", "0123456789012345678901234567890123456789012345678901234567890123456789",
+        "1 to 64"},
+    address = {"--caller-listen", "localhost:80", "IP number and a port"},
+    port = {"--endpoint-listen", "127.0.0.1:65536", "IP number and a port"},
+    operators = {"--operator-listen", "", "IP number and a port"},
+    between_hosts = {"--peer-listen", "1.2.3.4", "IP number and a port"},
+    peer = {"--peer", "b:7103", "IP number and a port"},
+    ca = {"--ca", "/nowhere/ca.pem", "a file that can be read"},
+    cert = {"--cert", "/", "a file is allowed"},
+    key = {"--key", "/nowhere/a.key", "a file that can be read"},
+    data = {"--data", "/dev/null", "a folder"},
+    voter = {"--voter", "b c", "letters, digits"},
+    voter_without_disk = {"--voter", "a", "set --data"},
+    metrics = {"--metrics", "x", "IP number and a port"},
+    level = {"--log-level", "loud", "off, error, warn, info, debug or trace"},
+    format = {"--log-format", "xml", "`text` or `json`"},
+    drain = {"--drain-timeout", "soon", "a time up to 10m"},
+    long_drain = {"--drain-timeout", "11m", "a time up to 10m"},
+    shared = {"--operator-listen", "127.0.0.1:7100", "--caller-listen has this one"},
+)]
+fn fault_names_flag_value_and_what_is_allowed(flag: &str, value: &str, allowed: &str) {
+    let ca = Authority::new();
+    let tls = ca.issue(Kind::Host, "a");
+    let out = checking(&tls).arg(format!("{flag}={value}")).output().unwrap();
+    assert_eq!(out.status.code(), Some(SETTINGS), "{out:?}");
+    let said = said(&out);
+    assert!(said.starts_with(&format!("error: {flag} is `{value}`: ")), "{said}");
+    assert!(said.contains(allowed), "{said}");
+    assert_eq!(said.lines().count(), 1, "{said}");
+}
+
+#[test]
+fn all_faults_are_named_at_once() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_wisteriahead"));
+    let out = command.env_clear().args(["--log-level", "loud", "--peer", "x"]).output().unwrap();
+    assert_eq!(out.status.code(), Some(SETTINGS), "{out:?}");
+    let said = said(&out);
+    for flag in ["--host", "--zone", "--ca", "--cert", "--key", "--log-level", "--peer"] {
+        assert!(said.contains(&format!("error: {flag} is `")), "{flag} is not in:\n{said}");
+    }
+}
+
+#[test]
+fn unknown_flag_is_wrong_usage() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_wisteriahead"));
+    let out = command.env_clear().arg("--colour").output().unwrap();
+    assert_eq!(out.status.code(), Some(SETTINGS), "{out:?}");
+}
+
+#[test]
+fn flag_goes_before_environment_and_lists_are_split() {
+    let ca = Authority::new();
+    let tls = ca.issue(Kind::Host, "a");
+    let mut command = checking(&tls);
+    command.env("WISTERIAHEAD_LOG_LEVEL", "loud").env("WISTERIAHEAD_PEERS", "127.0.0.1:1,x,y");
+    let out = command.args(["--log-level", "warn"]).output().unwrap();
+    let said = said(&out);
+    assert_eq!(out.status.code(), Some(SETTINGS), "{out:?}");
+    assert!(said.contains("--peer is `x`") && said.contains("--peer is `y`"), "{said}");
+    assert!(!said.contains("--log-level") && !said.contains("`127.0.0.1:1`"), "{said}");
+}
+
+#[tokio::test]
+async fn json_logs_are_one_object_a_line_with_changes_of_state() {
+    let mut tier = Tier::new(&built().unwrap()).unwrap();
+    tier.daemon("entry-1", "north", &["--log-format", "json", "--log-level", "debug"])
+        .await
+        .unwrap();
+    let process = &mut tier.daemons[0].process;
+    process.terminate().await.unwrap();
+    assert!(process.wait().await.unwrap());
+    let log = tier.log(0).unwrap();
+    let lines: Vec<Value> = log.lines().map(|l| serde_json::from_str(l).unwrap()).collect();
+    for line in &lines {
+        for field in ["time", "level", "module", "message"] {
+            assert!(line[field].is_string(), "{line}");
+        }
+        assert_eq!(line["host"], "entry-1");
+    }
+    let states: Vec<_> = lines.iter().filter_map(|l| l["state"].as_str()).collect();
+    assert_eq!(states, ["ready", "stopping", "stopped"]);
+}
+
+#[test]
+fn record_with_line_breaks_is_one_line() {
+    let args = format_args!("a\r\nb\u{1b}[2J");
+    let record = log::Record::builder().args(args).target("t").build();
+    let text = logging::text(&record);
+    assert!(text.ends_with("t: a  b [2J") && !text.contains(char::is_control), "{text}");
+    let json = logging::json(&record, "h").to_string();
+    assert!(!json.contains(char::is_control), "{json}");
+    assert_eq!(serde_json::from_str::<Value>(&json).unwrap()["message"], "a\r\nb\u{1b}[2J");
+}
+
+#[tokio::test]
+async fn text_logs_keep_to_their_line() {
+    let mut tier = Tier::new(&built().unwrap()).unwrap();
+    tier.daemon("entry-1", "north", &["--log-level", "debug"]).await.unwrap();
+    let daemon = &mut tier.daemons[0];
+    daemon.process.terminate().await.unwrap();
+    daemon.process.wait().await.unwrap();
+    let log = tier.log(0).unwrap();
+    for line in log.lines() {
+        let time = line.split(' ').next().unwrap();
+        assert!(humantime::parse_rfc3339(time).is_ok(), "{line}");
+    }
+    assert!(log.contains("signal=\"SIGTERM\" state=\"stopping\""), "{log}");
+}
+
+#[tokio::test]
+async fn metrics_are_sent_as_statsd() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    // Only a daemon that sends nothing runs into this.
+    socket.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+    let to = socket.local_addr().unwrap().to_string();
+    let mut tier = Tier::new(&built().unwrap()).unwrap();
+    tier.daemon("entry-1", "north", &["--metrics", &to]).await.unwrap();
+    let mut bytes = [0; 2_048];
+    let len = socket.recv(&mut bytes).unwrap();
+    let text = String::from_utf8_lossy(&bytes[..len]).into_owned();
+    assert_eq!(text.trim(), "wisteriahead.certificate.days_left:364|g");
+}
+
+#[tokio::test]
+async fn certificate_that_expires_soon_is_warned_of() {
+    let mut tier = Tier::new(&built().unwrap()).unwrap();
+    let folder = tier.folder().join("keys");
+    let name = "entry-1".to_owned();
+    let zone = Some("north".to_owned());
+    let opts = wisteriahead::ops::keys::IssueOptions {
+        folder,
+        kind: Kind::Host,
+        name,
+        zone,
+        days: 29,
+        renew: false,
+    };
+    wisteriahead::ops::keys::issue(&opts).unwrap();
+    tier.daemon("entry-1", "north", &[]).await.unwrap();
+    tier.daemon("entry-2", "north", &[]).await.unwrap();
+    for daemon in &mut tier.daemons {
+        daemon.process.terminate().await.unwrap();
+        daemon.process.wait().await.unwrap();
+    }
+    assert!(tier.log(0).unwrap().contains("expires soon"));
+    assert!(tier.log(0).unwrap().contains("days_left=28"));
+    assert!(!tier.log(1).unwrap().contains("expires soon"));
+}
