--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,9 +2,14 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod ctl;
+mod ctl_changes;
+mod ctl_views;
 mod keys;
 mod operator;
 mod peers;
 mod storage;
+mod renewal;
+mod scripted;
+mod settings;
 mod support;
 mod whole;
