--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -3,9 +3,12 @@
 //! State machines here have the shape `step(&mut self, now, event) -> actions`.
 //! The services feed them, so a property test can replay any sequence of events.
 
+pub mod choice;
 pub mod document;
 pub mod endpoint;
+pub mod hedge;
 pub mod hits;
+pub mod latency;
 pub mod message;
 pub mod query;
 pub mod registry;
--- a/src/wisteriahead/core/query.rs
+++ b/src/wisteriahead/core/query.rs
@@ -1,27 +1,37 @@
 //! One query over all shards of one snapshot, from plan to answer.
 //!
-//! [`Gather`] sends one attempt to each shard, sends another to a different
-//! replica when an attempt fails, and finishes when every shard has answered or
-//! nothing more can come before the deadline. It counts coverage from the number
-//! of shards in the snapshot, never from the endpoints that are known.
+//! [`Gather`] sends one attempt to each shard, hedges those that stay open long,
+//! and sends another to a different replica when an attempt fails. It finishes when
+//! every shard has answered or nothing more can come before the deadline. When a
+//! shard can no longer be had, it starts again whole on another snapshot: the hits
+//! of two snapshots never meet. Coverage counts from the number of shards in the
+//! snapshot, never from the endpoints that are known.
 
 use super::endpoint::EndpointKey;
 use super::hits::Hits;
 use super::routes::{Snapshot, Target};
 use super::time::{Span, Time};
-use super::verdict::{Reason, Refusal};
+use super::verdict::{Reason, Refusal, Verdict};
 use std::sync::Arc;
 
-/// Wait before a shard without a free replica is tried again.
+/// First wait before a shard without a free replica is tried again; it doubles each time.
 const BUSY_WAIT: Span = Span::millis(2);
-/// Most attempts for one shard of one query.
-const ATTEMPTS_MAX: usize = 4;
+/// Most doublings of [`BUSY_WAIT`].
+const DOUBLINGS_MAX: u32 = 5;
+/// Wait before a hedge without a free replica or budget is tried again.
+const HEDGE_WAIT: Span = Span::millis(5);
+/// Wait before another snapshot is asked for again.
+const PLAN_WAIT: Span = Span::millis(20);
+/// Most attempts for one shard on one snapshot, those refused as busy not counted.
+const ATTEMPTS_MAX: u32 = 4;
+/// Most snapshots that one query starts on.
+const PLANS_MAX: usize = 3;
 
 /// Number of an attempt within its query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId(pub u32);
 
-/// Chooses replicas and grants the right to send to them.
+/// What a query asks of the rest of its host.
 pub trait Fleet {
     /// The right to have one request in flight at an endpoint; dropping it gives it back.
     type Permit;
@@ -33,6 +43,15 @@
         replicas: &[Target],
         tried: &[EndpointKey],
     ) -> Option<(Target, Self::Permit)>;
+
+    /// Takes one extra attempt at one of `replicas` from the budget.
+    fn extra(&mut self, replicas: &[Target]) -> bool;
+
+    /// Time after which an attempt at one of `replicas` is hedged.
+    fn hedge_delay(&self, replicas: &[Target]) -> Option<Span>;
+
+    /// The best snapshot of the collection now, without those named in `lost`.
+    fn plan(&self, lost: &[Arc<str>]) -> Option<Arc<Snapshot>>;
 }
 
 /// What happens to a query.
@@ -42,7 +61,7 @@
     Start,
     /// An attempt ended.
     Done(AttemptId, Result<Hits, Refusal>),
-    /// The time asked for by [`Action::Wake`] has come.
+    /// The time asked for by [`Action::Wake`] has come, or an endpoint has room again.
     Wake,
 }
 
@@ -53,6 +72,8 @@
     Send {
         /// The attempt.
         attempt: AttemptId,
+        /// Snapshot to run on.
+        snapshot: Arc<str>,
         /// Shard to run on.
         shard: u32,
         /// Endpoint to send to.
@@ -68,12 +89,70 @@
     Finish,
 }
 
-#[derive(Debug, Default)]
+/// What a query waits for at one shard besides its open attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wait {
+    Nothing,
+    /// Room at a replica.
+    Room {
+        until: Time,
+    },
+    /// The time at which an endpoint that was busy is tried again.
+    Later {
+        until: Time,
+    },
+    /// The time at which the budget is asked again.
+    Extra {
+        until: Time,
+    },
+    /// The time of its hedge.
+    Hedge {
+        until: Time,
+    },
+}
+
+#[derive(Debug)]
 struct Shard {
     hits: Option<Hits>,
     tried: Vec<EndpointKey>,
-    open: u32,
-    waiting: bool,
+    sent: u32,
+    busy: u32,
+    open: Vec<AttemptId>,
+    wait: Wait,
+    /// Whether an endpoint said that it no longer holds the snapshot.
+    moved: bool,
+}
+
+impl Default for Shard {
+    fn default() -> Self {
+        Self {
+            hits: None,
+            tried: Vec::new(),
+            sent: 0,
+            busy: 0,
+            open: Vec::new(),
+            wait: Wait::Nothing,
+            moved: false,
+        }
+    }
+}
+
+impl Shard {
+    /// Whether nothing more can come from the shard.
+    fn exhausted(&self) -> bool {
+        self.hits.is_none() && self.open.is_empty() && self.wait == Wait::Nothing
+    }
+
+    /// Whether a replica is left that may be sent another attempt.
+    fn may_send(&self, replicas: &[Target]) -> bool {
+        self.sent < ATTEMPTS_MAX && replicas.iter().any(|r| !self.tried.contains(&r.key))
+    }
+
+    fn retry_wait(&mut self) -> Span {
+        let wait = Span(BUSY_WAIT.0 << self.busy.min(DOUBLINGS_MAX));
+        self.busy += 1;
+        wait
+    }
 }
 
 /// Shards that an answer covers.
@@ -94,21 +173,49 @@
     }
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    shard: u32,
+    key: EndpointKey,
+}
+
 /// A query in progress.
 #[derive(Debug)]
 pub struct Gather {
     snapshot: Arc<Snapshot>,
+    lost: Vec<Arc<str>>,
     deadline: Time,
+    least: f64,
     shards: Vec<Shard>,
-    attempts: Vec<Option<(u32, EndpointKey)>>,
+    attempts: Vec<Option<Open>>,
+    /// Shards without hits.
+    missing: usize,
+    /// Shards from which nothing more can come.
+    exhausted: usize,
+    /// Attempts that ended with the proof that they did not run.
+    proven: usize,
+    replan: Option<Time>,
     finished: bool,
 }
 
 impl Gather {
-    /// A query over `snapshot` that must answer by `deadline`.
-    pub fn new(snapshot: Arc<Snapshot>, deadline: Time) -> Self {
-        let shards = snapshot.shards.iter().map(|_| Shard::default()).collect();
-        Self { snapshot, deadline, shards, attempts: Vec::new(), finished: false }
+    /// A query over `snapshot` that must answer by `deadline`; below the share `least` of the
+    /// shards its answer is of no use.
+    pub fn new(snapshot: Arc<Snapshot>, deadline: Time, least: f64) -> Self {
+        let shards: Vec<_> = snapshot.shards.iter().map(|_| Shard::default()).collect();
+        Self {
+            snapshot,
+            lost: Vec::new(),
+            deadline,
+            least,
+            missing: shards.len(),
+            shards,
+            attempts: Vec::new(),
+            exhausted: 0,
+            proven: 0,
+            replan: None,
+            finished: false,
+        }
     }
 
     /// Takes one event and says what to do.
@@ -123,19 +230,28 @@
             return out;
         }
         match event {
-            Event::Start => {
-                for shard in 0..self.shards.len() {
-                    self.send(now, shard, fleet, &mut out);
-                }
-                out.push(Action::Wake(self.deadline));
-            }
+            Event::Start => self.start(now, fleet, &mut out),
             Event::Done(id, result) => self.done(now, id, result, fleet, &mut out),
             Event::Wake => self.wake(now, fleet, &mut out),
         }
-        self.close_if_over(now, &mut out);
+        self.close_if_over(now, fleet, &mut out);
         out
     }
 
+    fn start<F: Fleet>(&mut self, now: Time, fleet: &mut F, out: &mut Vec<Action<F::Permit>>) {
+        for shard in 0..self.shards.len() {
+            self.send(now, shard, fleet, out);
+        }
+        self.count_exhausted();
+        out.push(Action::Wake(self.next_wake()));
+    }
+
+    /// An answer never exhausts a shard, so that this is needed after failures only.
+    fn count_exhausted(&mut self) {
+        self.exhausted = self.shards.iter().filter(|s| s.exhausted()).count();
+    }
+
+    /// Sends an attempt for a shard, or has it wait for room.
     fn send<F: Fleet>(
         &mut self,
         now: Time,
@@ -145,20 +261,37 @@
     ) {
         let s = &mut self.shards[shard];
         let replicas = &self.snapshot.shards[shard];
-        s.waiting = false;
-        if s.tried.len() >= ATTEMPTS_MAX || replicas.iter().all(|r| s.tried.contains(&r.key)) {
+        s.wait = Wait::Nothing;
+        if !s.may_send(replicas) {
             return;
         }
-        let Some((target, permit)) = fleet.acquire(now, replicas, &s.tried) else {
-            s.waiting = true;
-            out.push(Action::Wake(now + BUSY_WAIT));
-            return;
-        };
+        match fleet.acquire(now, replicas, &s.tried) {
+            Some((target, permit)) => {
+                if s.tried.len() + 1 < replicas.len()
+                    && let Some(delay) = fleet.hedge_delay(replicas)
+                {
+                    s.wait = Wait::Hedge { until: now + delay };
+                }
+                self.begin(shard, target, permit, out);
+            }
+            None => {
+                let until = now + s.retry_wait();
+                s.wait = Wait::Room { until };
+                out.push(Action::Wake(until.min(self.deadline)));
+            }
+        }
+    }
+
+    /// Notes an attempt as open and has it sent.
+    fn begin<P>(&mut self, shard: usize, target: Target, permit: P, out: &mut Vec<Action<P>>) {
         let attempt = AttemptId(self.attempts.len() as u32);
+        let s = &mut self.shards[shard];
         s.tried.push(target.key);
-        s.open += 1;
-        self.attempts.push(Some((shard as u32, target.key)));
-        out.push(Action::Send { attempt, shard: shard as u32, target, permit });
+        s.sent += 1;
+        s.open.push(attempt);
+        self.attempts.push(Some(Open { shard: shard as u32, key: target.key }));
+        let snapshot = Arc::clone(&self.snapshot.name);
+        out.push(Action::Send { attempt, snapshot, shard: shard as u32, target, permit });
     }
 
     fn done<F: Fleet>(
@@ -169,39 +302,141 @@
         fleet: &mut F,
         out: &mut Vec<Action<F::Permit>>,
     ) {
-        let Some((shard, key)) = self.attempts.get_mut(id.0 as usize).and_then(Option::take) else {
+        let Some(open) = self.attempts.get_mut(id.0 as usize).and_then(Option::take) else {
             return;
         };
-        let s = &mut self.shards[shard as usize];
-        s.open -= 1;
+        let shard = open.shard as usize;
+        self.shards[shard].open.retain(|a| *a != id);
         match result {
-            Ok(hits) if s.hits.is_none() => s.hits = Some(hits),
-            Ok(_) => {}
-            Err(refusal) if s.hits.is_none() => {
-                // A busy endpoint may have room later; any other fault rules it out.
-                if refusal.reason == Reason::Busy {
-                    s.tried.retain(|k| *k != key);
-                    s.waiting = true;
-                    out.push(Action::Wake(now + BUSY_WAIT));
-                } else if s.open == 0 {
-                    self.send(now, shard as usize, fleet, out);
-                }
+            Ok(hits) => self.answered(shard, hits, out),
+            Err(refusal) => {
+                self.failed(now, open, &refusal, fleet, out);
+                self.count_exhausted();
+            }
+        }
+    }
+
+    fn answered<P>(&mut self, shard: usize, hits: Hits, out: &mut Vec<Action<P>>) {
+        let s = &mut self.shards[shard];
+        s.hits = Some(hits);
+        s.wait = Wait::Nothing;
+        self.missing -= 1;
+        for loser in s.open.drain(..) {
+            self.attempts[loser.0 as usize] = None;
+            out.push(Action::Cancel(loser));
+        }
+    }
+
+    fn failed<F: Fleet>(
+        &mut self,
+        now: Time,
+        open: Open,
+        refusal: &Refusal,
+        fleet: &mut F,
+        out: &mut Vec<Action<F::Permit>>,
+    ) {
+        let shard = open.shard as usize;
+        let not_run = refusal.verdict == Verdict::NotRun;
+        self.proven += usize::from(not_run);
+        let s = &mut self.shards[shard];
+        s.moved |= refusal.reason == Reason::WrongSnapshot;
+        if refusal.reason == Reason::Busy && not_run {
+            // A busy endpoint may have room later; any other fault rules it out.
+            s.tried.retain(|k| *k != open.key);
+            s.sent -= 1;
+            if s.open.is_empty() {
+                let until = now + s.retry_wait();
+                s.wait = Wait::Later { until };
+                out.push(Action::Wake(until.min(self.deadline)));
             }
-            Err(_) => {}
+        } else if s.open.is_empty() {
+            self.retry(now, shard, not_run, fleet, out);
         }
     }
 
+    /// Sends again after a failure; after one that may have run, within the budget.
+    fn retry<F: Fleet>(
+        &mut self,
+        now: Time,
+        shard: usize,
+        free: bool,
+        fleet: &mut F,
+        out: &mut Vec<Action<F::Permit>>,
+    ) {
+        let s = &mut self.shards[shard];
+        let replicas = &self.snapshot.shards[shard];
+        s.wait = Wait::Nothing;
+        if free || !s.may_send(replicas) || fleet.extra(replicas) {
+            self.send(now, shard, fleet, out);
+            return;
+        }
+        let until = now + s.retry_wait();
+        s.wait = Wait::Extra { until };
+        out.push(Action::Wake(until.min(self.deadline)));
+    }
+
     fn wake<F: Fleet>(&mut self, now: Time, fleet: &mut F, out: &mut Vec<Action<F::Permit>>) {
+        if now >= self.deadline {
+            return;
+        }
         for shard in 0..self.shards.len() {
-            if now < self.deadline && self.shards[shard].waiting {
-                self.send(now, shard, fleet, out);
+            match self.shards[shard].wait {
+                // Room may come before the wait is over.
+                Wait::Room { .. } => self.send(now, shard, fleet, out),
+                Wait::Later { until } if until <= now => self.send(now, shard, fleet, out),
+                Wait::Extra { until } if until <= now => self.retry(now, shard, false, fleet, out),
+                Wait::Hedge { until } if until <= now => self.hedge(now, shard, fleet, out),
+                _ => {}
             }
         }
+        self.count_exhausted();
+        out.push(Action::Wake(self.next_wake()));
     }
 
-    fn close_if_over<P>(&mut self, now: Time, out: &mut Vec<Action<P>>) {
-        let idle = |s: &Shard| s.hits.is_some() || (s.open == 0 && !s.waiting);
-        if now < self.deadline && !self.shards.iter().all(idle) {
+    fn hedge<F: Fleet>(
+        &mut self,
+        now: Time,
+        shard: usize,
+        fleet: &mut F,
+        out: &mut Vec<Action<F::Permit>>,
+    ) {
+        let s = &mut self.shards[shard];
+        let replicas = &self.snapshot.shards[shard];
+        s.wait = Wait::Nothing;
+        if !s.may_send(replicas) {
+            return;
+        }
+        // The right comes first: a hedge that finds no room costs no budget.
+        match fleet.acquire(now, replicas, &s.tried) {
+            Some((target, permit)) if fleet.extra(replicas) => {
+                self.begin(shard, target, permit, out);
+            }
+            _ => s.wait = Wait::Hedge { until: now + HEDGE_WAIT },
+        }
+    }
+
+    fn next_wake(&self) -> Time {
+        let waits = self.shards.iter().filter_map(|s| match s.wait {
+            Wait::Nothing => None,
+            Wait::Room { until }
+            | Wait::Later { until }
+            | Wait::Extra { until }
+            | Wait::Hedge { until } => Some(until),
+        });
+        waits.chain(self.replan).fold(self.deadline, Time::min)
+    }
+
+    fn close_if_over<F: Fleet>(
+        &mut self,
+        now: Time,
+        fleet: &mut F,
+        out: &mut Vec<Action<F::Permit>>,
+    ) {
+        if self.missing > 0 && now < self.deadline && self.restart(now, fleet, out) {
+            return;
+        }
+        let over = self.replan.is_none() && self.missing == self.exhausted;
+        if self.missing > 0 && now < self.deadline && !over {
             return;
         }
         self.finished = true;
@@ -210,6 +445,63 @@
         out.push(Action::Finish);
     }
 
+    /// Starts again on another snapshot when this one is losing shards; says whether it did.
+    fn restart<F: Fleet>(
+        &mut self,
+        now: Time,
+        fleet: &mut F,
+        out: &mut Vec<Action<F::Permit>>,
+    ) -> bool {
+        if self.exhausted == 0 || self.replan.is_some_and(|at| now < at) {
+            return false;
+        }
+        self.replan = None;
+        let moved = self.shards.iter().any(|s| s.moved && s.exhausted());
+        let reachable = self.shards.len() - self.exhausted;
+        let short = (reachable as f64) < self.shards.len() as f64 * self.least;
+        if !(moved || short) || self.lost.len() + 1 >= PLANS_MAX {
+            return false;
+        }
+        let mut lost = self.lost.clone();
+        lost.push(Arc::clone(&self.snapshot.name));
+        let better = |s: &Snapshot| s.held() * self.shards.len() > reachable * s.shards.len();
+        if let Some(next) = fleet.plan(&lost).filter(|s| better(s)) {
+            self.lost = lost;
+            self.begin_on(next, out);
+            self.start(now, fleet, out);
+            return true;
+        }
+        if short {
+            let until = now + PLAN_WAIT;
+            self.replan = Some(until);
+            out.push(Action::Wake(until.min(self.deadline)));
+        }
+        false
+    }
+
+    fn begin_on<P>(&mut self, snapshot: Arc<Snapshot>, out: &mut Vec<Action<P>>) {
+        for (i, a) in self.attempts.iter_mut().enumerate() {
+            if a.take().is_some() {
+                out.push(Action::Cancel(AttemptId(i as u32)));
+            }
+        }
+        self.shards = snapshot.shards.iter().map(|_| Shard::default()).collect();
+        self.missing = self.shards.len();
+        self.exhausted = 0;
+        self.snapshot = snapshot;
+    }
+
+    /// The snapshot that the answer is drawn from.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.snapshot
+    }
+
+    /// Replicas of the shards that wait for room.
+    pub fn waiting(&self) -> impl Iterator<Item = &Target> {
+        let shards = self.shards.iter().zip(&self.snapshot.shards);
+        shards.filter(|(s, _)| matches!(s.wait, Wait::Room { .. })).flat_map(|(_, r)| r)
+    }
+
     /// The coverage so far.
     pub fn coverage(&self) -> Coverage {
         let missing: Vec<u32> =
@@ -218,9 +510,9 @@
         Coverage { shards, answered: shards - missing.len() as u32, missing }
     }
 
-    /// Whether any attempt was ever sent.
-    pub fn sent(&self) -> bool {
-        !self.attempts.is_empty()
+    /// The verdict of a refusal: "not run" when every attempt sent is proven not to have run.
+    pub fn verdict(&self) -> Verdict {
+        if self.proven == self.attempts.len() { Verdict::NotRun } else { Verdict::MayHaveRun }
     }
 
     /// Takes the hits of all shards that answered, each marked with its shard.
--- a/src/wisteriahead/core/routes.rs
+++ b/src/wisteriahead/core/routes.rs
@@ -57,9 +57,15 @@
 impl Collection {
     /// The newest snapshot whose shards are all held, else the one with the largest share held.
     pub fn best(&self) -> Option<Arc<Snapshot>> {
-        let full = self.snapshots.iter().find(|s| s.held() == s.shards.len());
+        self.best_without(&[])
+    }
+
+    /// As [`Collection::best`], without the snapshots named in `lost`.
+    pub fn best_without(&self, lost: &[Arc<str>]) -> Option<Arc<Snapshot>> {
+        let left = || self.snapshots.iter().filter(|s| !lost.contains(&s.name));
+        let full = left().find(|s| s.held() == s.shards.len());
         let share = |s: &Snapshot| s.held() * 1_000_000 / s.shards.len().max(1);
-        full.or_else(|| self.snapshots.iter().rev().max_by_key(|s| share(s))).cloned()
+        full.or_else(|| left().rev().max_by_key(|s| share(s))).cloned()
     }
 
     /// The snapshot with the given name.
--- /dev/null
+++ b/src/wisteriahead/services/entry/learned.rs
@@ -0,0 +1,98 @@
+//! What this host has learnt from its attempts: latencies by service and endpoint,
+//! and the budget of extra attempts of each service.
+
+use crate::core::choice::{Here, Latencies};
+use crate::core::hedge::{self, Extras};
+use crate::core::latency::Sketch;
+use crate::core::routes::Target;
+use crate::prelude::*;
+use crate::services::{Allowance, Permit};
+use parking_lot::Mutex;
+
+#[derive(Default)]
+struct Service {
+    times: Sketch,
+    extras: Extras,
+}
+
+#[derive(Default)]
+struct State {
+    services: IndexMap<Arc<str>, Service>,
+    latencies: Latencies,
+    serial: u64,
+}
+
+/// What one host has learnt.
+pub struct Learned {
+    zone: Arc<str>,
+    state: Mutex<State>,
+}
+
+impl Learned {
+    /// A host in `zone` that has seen nothing yet.
+    pub fn new(zone: &str) -> Self {
+        Self { zone: zone.into(), state: Mutex::default() }
+    }
+
+    /// Chooses a replica that is not in `tried` and has room.
+    pub fn acquire(
+        &self,
+        now: Time,
+        replicas: &[Target],
+        tried: &[EndpointKey],
+        allowance: &dyn Allowance,
+    ) -> Option<(Target, Permit)> {
+        let order = {
+            let mut s = self.state.lock();
+            s.serial += 1;
+            let in_flight = |key| allowance.in_flight(key);
+            let here = Here { zone: &self.zone, in_flight: &in_flight, seed: s.serial };
+            s.latencies.order(now, replicas, tried, &here)
+        };
+        let (target, permit) = order.into_iter().find_map(|t| Some((t, allowance.acquire(t)?)))?;
+        if tried.is_empty() {
+            self.with(&target.service, |s| s.extras.earn(1));
+        }
+        Some((target.clone(), permit))
+    }
+
+    /// Takes one extra attempt from the budget of the replicas' service.
+    pub fn extra(&self, replicas: &[Target]) -> bool {
+        replicas.first().is_some_and(|t| self.with(&t.service, |s| s.extras.spend()))
+    }
+
+    /// Time after which an attempt at the replicas' service is hedged.
+    pub fn hedge_delay(&self, replicas: &[Target]) -> Option<Span> {
+        self.with(&replicas.first()?.service, |s| hedge::delay(&s.times))
+    }
+
+    /// Takes note of an answer.
+    pub fn answered(&self, now: Time, from: &Target, time: Span) {
+        self.with(&from.service, |s| s.times.record(time));
+        self.state.lock().latencies.answered(now, from.key, time);
+    }
+
+    /// Takes note of a cancelled attempt: its time is at least `time`.
+    pub fn cancelled(&self, now: Time, from: &Target, time: Span) {
+        self.answered(now, from, time);
+    }
+
+    /// Takes note of an attempt that ended without an answer.
+    pub fn failed(&self, now: Time, from: &Target, refusal: &Refusal) {
+        match refusal.reason {
+            Reason::Busy => self.with(&from.service, |s| s.extras.refused()),
+            Reason::Connection | Reason::Deadline | Reason::Mismatch => {
+                self.state.lock().latencies.failed(now, from.key);
+            }
+            _ => {}
+        }
+    }
+
+    fn with<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut Service) -> T) -> T {
+        let mut state = self.state.lock();
+        match state.services.get_mut(service) {
+            Some(found) => f(found),
+            None => f(state.services.entry(Arc::clone(service)).or_default()),
+        }
+    }
+}
--- a/src/wisteriahead/services/entry/mod.rs
+++ b/src/wisteriahead/services/entry/mod.rs
@@ -1,10 +1,14 @@
 //! Serves callers: reads a request, plans it, gathers the answer and labels it.
 
+mod learned;
 mod request;
+mod room;
 mod search;
 
+use self::learned::Learned;
 use self::request::{Asked, SearchBody};
-use super::{Allowance, Endpoints, Transport};
+use self::room::Room;
+use super::{Allowance, Endpoints, Peers, Transport};
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
 use crate::util::http::{self, Answer, Server};
@@ -26,13 +30,20 @@
     endpoints: Arc<dyn Endpoints>,
     allowance: Arc<dyn Allowance>,
     transport: Arc<dyn Transport>,
+    learned: Learned,
+    room: Arc<Room>,
     metrics: Metrics,
 }
 
 impl Entry {
+    /// A number that rises with each call.
+    fn serial(&self) -> u64 {
+        self.serial.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// A name for an attempt that no other host or process start gives.
     fn attempt_id(&self) -> Arc<str> {
-        let n = self.serial.fetch_add(1, Ordering::Relaxed);
+        let n = self.serial();
         format!("{}-{:x}-{n:x}", self.host, self.boot).into()
     }
 
@@ -126,6 +137,7 @@
 
     fn start<'a>(&'a self, ctx: &'a Context) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
+            let peers = ctx.find::<dyn Peers>(<dyn Peers>::NAME).ok();
             let entry = Entry {
                 ctx: ctx.clone(),
                 host: self.host.as_str().into(),
@@ -134,6 +146,8 @@
                 endpoints: ctx.find::<dyn Endpoints>(<dyn Endpoints>::NAME)?,
                 allowance: ctx.find::<dyn Allowance>(<dyn Allowance>::NAME)?,
                 transport: ctx.find::<dyn Transport>(<dyn Transport>::NAME)?,
+                learned: Learned::new(peers.as_ref().map_or("", |p| p.zone())),
+                room: Arc::default(),
                 metrics: self.metrics.clone(),
             };
             let listener = http::bind(self.listen).await?;
--- a/src/wisteriahead/services/entry/request.rs
+++ b/src/wisteriahead/services/entry/request.rs
@@ -15,6 +15,8 @@
 const BODY_MAX_BYTES: usize = 256 << 10;
 /// Time allowed when the caller names none.
 const TIMEOUT_DEFAULT: Span = Span::secs(1);
+/// Priority of callers without a class.
+const PRIORITY_DEFAULT: u8 = 100;
 /// Longest time that a caller may name.
 const TIMEOUT_MAX: Span = Span::secs(60);
 /// Hits in an answer when the caller names no limit.
@@ -27,6 +29,8 @@
 pub struct Asked {
     /// Time allowed for the whole answer.
     pub timeout: Span,
+    /// Order of service: a lower number goes first.
+    pub priority: u8,
 }
 
 #[derive(Deserialize)]
@@ -58,7 +62,7 @@
     /// Refuses what is malformed or out of bounds, naming what is allowed.
     pub async fn read(request: Request<Incoming>) -> Result<(Self, SearchBody), Refusal> {
         let (head, body) = request.into_parts();
-        let asked = Self { timeout: timeout(&head.headers)? };
+        let asked = Self { timeout: timeout(&head.headers)?, priority: PRIORITY_DEFAULT };
         let bytes = read_body(body, BODY_MAX_BYTES).await?;
         Ok((asked, SearchBody::parse(&bytes)?))
     }
--- a/src/wisteriahead/services/entry/search.rs
+++ b/src/wisteriahead/services/entry/search.rs
@@ -1,12 +1,13 @@
-//! Drives one search: feeds the state machine with answers and timers.
+//! Drives one search: feeds the state machine with answers, timers and room.
 
 use super::Entry;
 use super::request::{Asked, SearchBody};
+use super::room::{Urgency, Waiter};
 use crate::core::hits::{self, Hit, Hits};
 use crate::core::query::{Action, AttemptId, Coverage, Event, Fleet, Gather};
-use crate::core::routes::Target;
+use crate::core::routes::{Snapshot, Target};
 use crate::prelude::*;
-use crate::services::{Allowance, Attempt, Permit};
+use crate::services::{Attempt, Permit};
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt as _};
 use serde::Serialize;
@@ -20,36 +21,58 @@
     hits: Vec<Hit>,
 }
 
-/// Chooses the replica with the fewest requests in flight from this host.
-struct Nearest<'a> {
-    allowance: &'a dyn Allowance,
+/// The endpoints of one collection, as a query sees them.
+struct Replicas<'a> {
+    entry: &'a Entry,
+    collection: &'a str,
 }
 
-impl Fleet for Nearest<'_> {
+impl Fleet for Replicas<'_> {
     type Permit = Permit;
 
     fn acquire(
         &mut self,
-        _now: Time,
+        now: Time,
         replicas: &[Target],
         tried: &[EndpointKey],
     ) -> Option<(Target, Permit)> {
-        let mut free: Vec<&Target> = replicas.iter().filter(|t| !tried.contains(&t.key)).collect();
-        free.sort_by_key(|t| self.allowance.in_flight(t.key));
-        free.into_iter().find_map(|t| Some((t.clone(), self.allowance.acquire(t)?)))
+        self.entry.learned.acquire(now, replicas, tried, &*self.entry.allowance)
+    }
+
+    fn extra(&mut self, replicas: &[Target]) -> bool {
+        self.entry.learned.extra(replicas)
+    }
+
+    fn hedge_delay(&self, replicas: &[Target]) -> Option<Span> {
+        self.entry.learned.hedge_delay(replicas)
+    }
+
+    fn plan(&self, lost: &[Arc<str>]) -> Option<Arc<Snapshot>> {
+        self.entry.endpoints.routes().collections.get(self.collection)?.best_without(lost)
     }
 }
 
-type Ended = (AttemptId, Result<Hits, Refusal>);
+struct Ended {
+    id: AttemptId,
+    result: Result<Hits, Refusal>,
+}
+
+struct Sent {
+    target: Target,
+    name: Arc<str>,
+    at: Time,
+}
 
 struct Drive<'a> {
     entry: &'a Entry,
     body: &'a SearchBody,
-    snapshot: Arc<str>,
     deadline: Time,
-    sent: IndexMap<AttemptId, (Target, Arc<str>)>,
+    sent: IndexMap<AttemptId, Sent>,
     open: FuturesUnordered<BoxFuture<'a, Ended>>,
     wake: Time,
+    urgency: Urgency,
+    waiter: Arc<Waiter>,
+    waits: IndexSet<EndpointKey>,
 }
 
 /// Runs one search to its answer.
@@ -72,29 +95,30 @@
         return Err(Refusal::not_run(Reason::NoSnapshot, "no snapshot is held"));
     };
     let deadline = begun + asked.timeout;
-    let gather = Gather::new(Arc::clone(&snapshot), deadline);
+    let gather = Gather::new(snapshot, deadline, body.least);
     let drive = Drive {
         entry,
         body: &body,
-        snapshot: Arc::clone(&snapshot.name),
         deadline,
         sent: IndexMap::new(),
         open: FuturesUnordered::new(),
         wake: deadline,
+        urgency: (asked.priority, deadline, entry.serial()),
+        waiter: Arc::default(),
+        waits: IndexSet::new(),
     };
-    let gather = drive.run(gather).await;
-    label(gather, snapshot.name.clone(), &body)
+    label(drive.run(gather).await, &body)
 }
 
-fn label(gather: Gather, snapshot: Arc<str>, body: &SearchBody) -> Result<Answer, Refusal> {
+fn label(gather: Gather, body: &SearchBody) -> Result<Answer, Refusal> {
     let coverage = gather.coverage();
+    let snapshot = Arc::clone(&gather.snapshot().name);
     if coverage.answered == 0 || !coverage.reaches(body.least) {
         let detail = format!(
-            "{} of {} shards answered; missing {:?}",
+            "{} of {} shards of `{snapshot}` answered; missing {:?}",
             coverage.answered, coverage.shards, coverage.missing
         );
-        let verdict = if gather.sent() { Verdict::MayHaveRun } else { Verdict::NotRun };
-        return Err(Refusal { verdict, reason: Reason::Coverage, detail });
+        return Err(Refusal { verdict: gather.verdict(), reason: Reason::Coverage, detail });
     }
     let hits = hits::merge(gather.finish(), body.limit);
     Ok(Answer { verdict: Verdict::Ran, snapshot, coverage, hits })
@@ -104,11 +128,13 @@
     async fn run(mut self, mut gather: Gather) -> Gather {
         let mut event = Event::Start;
         loop {
-            let mut fleet = Nearest { allowance: &*self.entry.allowance };
-            let actions = gather.step(self.entry.ctx.now(), event, &mut fleet);
+            let (entry, collection) = (self.entry, &*self.body.collection);
+            let mut fleet = Replicas { entry, collection };
+            let actions = gather.step(entry.ctx.now(), event, &mut fleet);
             if self.carry_out(actions) {
                 return gather;
             }
+            self.wait_for_room(&gather);
             event = self.next().await;
         }
     }
@@ -118,8 +144,9 @@
         let mut finished = false;
         for action in actions {
             match action {
-                Action::Send { attempt, shard, target, permit } => {
-                    self.send(attempt, shard, target, permit);
+                Action::Send { attempt, snapshot, shard, target, permit } => {
+                    self.waits.swap_remove(&target.key);
+                    self.send(attempt, snapshot, shard, target, permit);
                 }
                 Action::Cancel(id) => self.cancel(id),
                 Action::Wake(at) => self.wake = self.wake.min(at),
@@ -129,38 +156,86 @@
         finished
     }
 
-    fn send(&mut self, id: AttemptId, shard: u32, target: Target, permit: Permit) {
-        let entry = self.entry;
+    fn send(
+        &mut self,
+        id: AttemptId,
+        snapshot: Arc<str>,
+        shard: u32,
+        target: Target,
+        permit: Permit,
+    ) {
+        let (entry, now) = (self.entry, self.entry.ctx.now());
         let attempt = Attempt {
             id: entry.attempt_id(),
             idempotent: true,
+            key: None,
             collection: Arc::clone(&self.body.collection),
-            snapshot: Arc::clone(&self.snapshot),
+            snapshot,
             shard,
-            timeout: self.deadline.since(entry.ctx.now()),
+            timeout: self.deadline.since(now),
             body: self.body.query.clone(),
         };
-        self.sent.insert(id, (target.clone(), Arc::clone(&attempt.id)));
+        let (key, room) = (target.key, Arc::clone(&entry.room));
+        let permit = Permit::new(move || {
+            drop(permit);
+            room.freed(key);
+        });
+        let name = Arc::clone(&attempt.id);
+        self.sent.insert(id, Sent { target: target.clone(), name, at: now });
         self.open.push(Box::pin(async move {
             let result = entry.transport.run(&target, attempt, permit).await;
-            (id, result.and_then(|bytes| read(&bytes)))
+            Ended { id, result: result.and_then(|bytes| read(&bytes)) }
         }));
     }
 
     fn cancel(&mut self, id: AttemptId) {
-        if let Some((target, name)) = self.sent.swap_remove(&id) {
-            self.entry.transport.cancel(&target, name);
+        if let Some(sent) = self.sent.swap_remove(&id) {
+            let now = self.entry.ctx.now();
+            self.entry.learned.cancelled(now, &sent.target, now.since(sent.at));
+            self.entry.transport.cancel(&sent.target, sent.name);
+        }
+    }
+
+    /// Learns from the end of an attempt that was not cancelled.
+    fn learn(&mut self, ended: &Ended) {
+        let Some(sent) = self.sent.swap_remove(&ended.id) else { return };
+        let now = self.entry.ctx.now();
+        match &ended.result {
+            Ok(_) => self.entry.learned.answered(now, &sent.target, now.since(sent.at)),
+            Err(refusal) => self.entry.learned.failed(now, &sent.target, refusal),
+        }
+    }
+
+    /// Waits at all replicas of the shards without room, and passes on room not used.
+    fn wait_for_room(&mut self, gather: &Gather) {
+        let freed = self.waiter.freed();
+        let now: IndexSet<EndpointKey> = gather.waiting().map(|t| t.key).collect();
+        for &key in now.difference(&self.waits) {
+            self.entry.room.wait(key, self.urgency, &self.waiter);
+        }
+        for &key in self.waits.difference(&now) {
+            self.entry.room.forget(key, self.urgency);
+        }
+        for key in freed {
+            if now.contains(&key) {
+                self.entry.room.wait(key, self.urgency, &self.waiter);
+            } else {
+                self.entry.room.freed(key);
+            }
         }
+        self.waits = now;
     }
 
     async fn next(&mut self) -> Event {
         let now = self.entry.ctx.now();
         let wait = self.wake.since(now).to_std();
+        let waiter = Arc::clone(&self.waiter);
         tokio::select! {
-            Some((id, result)) = self.open.next() => {
-                self.sent.swap_remove(&id);
-                Event::Done(id, result)
+            Some(ended) = self.open.next() => {
+                self.learn(&ended);
+                Event::Done(ended.id, ended.result)
             }
+            () = waiter.woken() => Event::Wake,
             () = tokio::time::sleep(wait) => {
                 self.wake = self.deadline;
                 Event::Wake
@@ -169,6 +244,21 @@
     }
 }
 
+impl Drop for Drive<'_> {
+    fn drop(&mut self) {
+        for &key in &self.waits {
+            self.entry.room.forget(key, self.urgency);
+        }
+        for key in self.waiter.freed() {
+            self.entry.room.freed(key);
+        }
+        // A caller that went away leaves attempts behind: they are cancelled.
+        while let Some((_, sent)) = self.sent.pop() {
+            self.entry.transport.cancel(&sent.target, sent.name);
+        }
+    }
+}
+
 fn read(bytes: &[u8]) -> Result<Hits, Refusal> {
     serde_json::from_slice(bytes).map_err(|e| {
         Refusal::may_have_run(Reason::Mismatch, format!("the response is not a list of hits: {e}"))
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -141,6 +141,8 @@
     pub id: Arc<str>,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Key of a request that may not.
+    pub key: Option<Arc<str>>,
     /// Collection to run on.
     pub collection: Arc<str>,
     /// Snapshot to run on.
--- a/src/wisteriahead/services/transport/exchange.rs
+++ b/src/wisteriahead/services/transport/exchange.rs
@@ -10,12 +10,14 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap, HeaderName};
+use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 
 /// Most bytes of an endpoint's response.
 const RESPONSE_MAX_BYTES: usize = 4 << 20;
 
 const ATTEMPT: HeaderName = HeaderName::from_static("wisteria-attempt");
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const KIND: HeaderName = HeaderName::from_static("wisteria-kind");
 const COLLECTION: HeaderName = HeaderName::from_static("wisteria-collection");
 const SNAPSHOT: HeaderName = HeaderName::from_static("wisteria-snapshot");
@@ -25,40 +27,54 @@
 const VERDICT: HeaderName = HeaderName::from_static("wisteria-verdict");
 const REASON: HeaderName = HeaderName::from_static("wisteria-reason");
 
-/// What a response is checked against besides its request.
-#[derive(Clone, Copy, Debug)]
-pub struct Verify {
-    /// Process start of the endpoint that the request was planned for.
-    pub incarnation: u64,
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// The body, or why there is none.
+    pub result: Result<Bytes, Refusal>,
+    /// Process start of the endpoint, from a response that matched its request.
+    pub incarnation: Option<u64>,
+}
+
+impl From<Refusal> for Ended {
+    fn from(refusal: Refusal) -> Self {
+        Self { result: Err(refusal), incarnation: None }
+    }
 }
 
 /// Sends one attempt and reads its whole answer.
-///
-/// # Errors
-///
-/// Returns a refusal whose verdict says whether the attempt may have run.
-pub async fn run(mut lease: Lease, attempt: &Attempt, verify: Verify) -> Result<Bytes, Refusal> {
+pub async fn run(lease: Lease, attempt: &Attempt) -> Ended {
+    match answer(lease, attempt).await {
+        Ok((parts, body)) => {
+            let incarnation = text(&parts.headers, &INCARNATION).parse().ok();
+            let ok = parts.status == StatusCode::OK;
+            let result = if ok { Ok(body) } else { Err(refusal(parts.status, &parts.headers)) };
+            Ended { result, incarnation }
+        }
+        Err(refusal) => refusal.into(),
+    }
+}
+
+/// The response to this very attempt, read whole.
+async fn answer(mut lease: Lease, attempt: &Attempt) -> Result<(Parts, Bytes), Refusal> {
     let request = request(attempt)?;
-    let response = send(&mut lease, request).await?;
-    let matched = check(response.headers(), attempt);
-    let status = response.status();
-    let headers = response.headers().clone();
-    let body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES).collect().await;
-    let body = body.map_err(|e| {
+    let (parts, body) = send(&mut lease, request).await?.into_parts();
+    let matched = check(&parts.headers, attempt);
+    let body = Limited::new(body, RESPONSE_MAX_BYTES).collect().await.map_err(|e| {
         Refusal::may_have_run(Reason::Connection, format!("the response broke off: {e}"))
     })?;
     // A response to another request means that the connection is out of step: it is closed.
     matched?;
     lease.give_back().await;
-    note_incarnation(&headers, verify);
-    if status == StatusCode::OK {
-        return Ok(body.to_bytes());
-    }
-    Err(refusal(status, &headers))
+    Ok((parts, body.to_bytes()))
 }
 
 fn request(a: &Attempt) -> Result<Request<Full<Bytes>>, Refusal> {
-    Request::builder()
+    let mut builder = Request::builder();
+    if let Some(key) = &a.key {
+        builder = builder.header(KEY, &**key);
+    }
+    builder
         .method(Method::POST)
         .uri("/v1/run")
         .header(HOST, "endpoint")
@@ -106,14 +122,6 @@
     Err(Refusal::may_have_run(Reason::Mismatch, "the response is to another request"))
 }
 
-fn note_incarnation(headers: &HeaderMap, verify: Verify) {
-    if let Ok(seen) = text(headers, &INCARNATION).parse::<u64>()
-        && seen != verify.incarnation
-    {
-        log::debug!("an endpoint has incarnation {seen}, not {}", verify.incarnation);
-    }
-}
-
 fn refusal(status: StatusCode, headers: &HeaderMap) -> Refusal {
     let verdict = Verdict::parse(text(headers, &VERDICT)).unwrap_or(Verdict::MayHaveRun);
     let reason = match text(headers, &REASON) {
--- a/src/wisteriahead/services/transport/mod.rs
+++ b/src/wisteriahead/services/transport/mod.rs
@@ -8,9 +8,9 @@
 mod exchange;
 mod pool;
 
-use self::exchange::Verify;
+use self::exchange::Ended;
 use self::pool::{Lease, Pool};
-use super::{Attempt, Permit, Transport};
+use super::{Allowance, Attempt, Observation, Permit, Transport};
 use crate::core::routes::Target;
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
@@ -18,8 +18,7 @@
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
 use std::net::SocketAddr;
-use std::time::Duration;
-use tokio::sync::oneshot;
+use std::time::{Duration, Instant};
 
 /// Time in which a connection must be set up.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -32,9 +31,15 @@
 #[derive(Default)]
 pub struct Connections {
     pools: Mutex<IndexMap<SocketAddr, Arc<Pool>>>,
+    allowance: Option<Arc<dyn Allowance>>,
 }
 
 impl Connections {
+    /// Pools that tell `allowance` how each attempt ended.
+    pub fn new(allowance: Option<Arc<dyn Allowance>>) -> Self {
+        Self { pools: Mutex::default(), allowance }
+    }
+
     fn pool(&self, to: &Target) -> Arc<Pool> {
         let mut pools = self.pools.lock();
         let pool = pools.entry(to.address).or_insert_with(|| Arc::new(Pool::new(to.address)));
@@ -47,6 +52,41 @@
     }
 }
 
+/// What an attempt showed of its endpoint, the restart first.
+fn observations(to: &Target, ended: &Ended, time: Span) -> impl Iterator<Item = Observation> {
+    let restarted = ended.incarnation.filter(|i| *i != to.incarnation).map(Observation::Restarted);
+    let seen = match &ended.result {
+        Ok(_) => Observation::Answered(time),
+        Err(refusal) if ended.incarnation.is_some() => Observation::Refused(refusal.reason),
+        Err(_) => Observation::Failed,
+    };
+    restarted.into_iter().chain([seen])
+}
+
+/// Sends one attempt to its end and reports it; the permit is held until then.
+async fn exchange(
+    lease: Lease,
+    to: Target,
+    attempt: Attempt,
+    permit: Permit,
+    allowance: Option<Arc<dyn Allowance>>,
+) -> Result<Bytes, Refusal> {
+    let begun = Instant::now();
+    let bound = Span(attempt.timeout.0.saturating_add(GRACE.0)).to_std();
+    let sent = exchange::run(lease, &attempt);
+    let ended = tokio::time::timeout(bound, sent).await.unwrap_or_else(|_| no_answer().into());
+    if let Some(allowance) = allowance {
+        let time = Span::from(begun.elapsed());
+        observations(&to, &ended, time).for_each(|seen| allowance.observe(&to, seen));
+    }
+    drop(permit);
+    ended.result
+}
+
+fn no_answer() -> Refusal {
+    Refusal::may_have_run(Reason::Deadline, "the endpoint did not answer")
+}
+
 impl Transport for Connections {
     fn run<'a>(
         &'a self,
@@ -55,27 +95,25 @@
         permit: Permit,
     ) -> BoxFuture<'a, Result<Bytes, Refusal>> {
         let pool = self.pool(to);
-        let verify = Verify { incarnation: to.incarnation };
         Box::pin(async move {
             let timeout = attempt.timeout;
-            let lease = connect(pool, timeout).await?;
-            let (tx, rx) = oneshot::channel();
+            let lease = match connect(pool, timeout).await {
+                Ok(lease) => lease,
+                Err(refusal) => {
+                    let failed = refusal.reason == Reason::Connection;
+                    if let Some(allowance) = self.allowance.as_ref().filter(|_| failed) {
+                        allowance.observe(to, Observation::Failed);
+                    }
+                    return Err(refusal);
+                }
+            };
             // The exchange outlives its caller, so that a late answer still frees the connection.
-            tokio::spawn(async move {
-                let bound = Span(timeout.0.saturating_add(GRACE.0)).to_std();
-                let sent = exchange::run(lease, &attempt, verify);
-                let result = tokio::time::timeout(bound, sent).await.unwrap_or_else(|_| {
-                    Err(Refusal::may_have_run(Reason::Deadline, "the endpoint did not answer"))
-                });
-                drop(permit);
-                let _ = tx.send(result);
-            });
-            match tokio::time::timeout(timeout.to_std(), rx).await {
+            let allowance = self.allowance.clone();
+            let task = tokio::spawn(exchange(lease, to.clone(), attempt, permit, allowance));
+            match tokio::time::timeout(timeout.to_std(), task).await {
                 Ok(Ok(result)) => result,
                 Ok(Err(_)) => Err(Refusal::may_have_run(Reason::Internal, "the exchange stopped")),
-                Err(_) => {
-                    Err(Refusal::may_have_run(Reason::Deadline, "the endpoint did not answer"))
-                }
+                Err(_) => Err(no_answer()),
             }
         })
     }
@@ -108,7 +146,8 @@
 
     fn start<'a>(&'a self, ctx: &'a Context) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
-            let connections = Arc::new(Connections::default());
+            let allowance = ctx.find::<dyn Allowance>(<dyn Allowance>::NAME).ok();
+            let connections = Arc::new(Connections::new(allowance));
             ctx.publish::<dyn Transport>(<dyn Transport>::NAME, connections.clone());
             let stopped = ctx.stopped();
             tokio::spawn(async move {
--- /dev/null
+++ b/tests/testsuite/fleet.rs
@@ -0,0 +1,261 @@
+//! A fleet in virtual time: queries over shards whose replicas take drawn times.
+//!
+//! The draws depend on the seed, the query, the shard and the replica alone, so that
+//! all policies and the bound of a perfect choice meet the same ones.
+
+use crate::props::Endpoints;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashSet};
+use std::sync::Arc;
+use wisteriahead::core::choice::{Here, Latencies};
+use wisteriahead::core::hedge::{self, Extras};
+use wisteriahead::core::hits::Hits;
+use wisteriahead::core::latency::Sketch;
+use wisteriahead::core::query::{Action, AttemptId, Event, Fleet, Gather};
+use wisteriahead::core::routes::{Snapshot, Target};
+use wisteriahead::prelude::*;
+
+/// Mean time of an execution that does not straggle.
+pub const MEAN: Span = Span::millis(5);
+const STRAGGLERS: f64 = 0.01;
+const FACTOR: f64 = 10.0;
+const TIMEOUT: Span = Span::secs(1);
+/// Time between two queries.
+const GAP: Span = Span::millis(20);
+
+/// How replicas are chosen and attempts hedged.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Policy {
+    /// One replica by lot, no hedge.
+    Random,
+    /// One replica by lot, hedged after a fixed time without a budget.
+    Fixed(Span),
+    /// What the daemon does.
+    Learnt,
+}
+
+/// What a run showed.
+#[derive(Debug, Default)]
+pub struct Figures {
+    pub times: Vec<u64>,
+    pub executions: usize,
+    pub answered: usize,
+    pub wanted: usize,
+}
+
+impl Figures {
+    /// Executions over the least that could answer.
+    pub fn load(&self) -> f64 {
+        self.executions as f64 / self.wanted as f64
+    }
+
+    pub fn coverage(&self) -> f64 {
+        self.answered as f64 / self.wanted as f64
+    }
+
+    pub fn p99(&self) -> f64 {
+        let mut times = self.times.clone();
+        times.sort_unstable();
+        times[times.len() * 99 / 100] as f64
+    }
+}
+
+pub struct Sim {
+    seed: u64,
+    policy: Policy,
+    snapshot: Arc<Snapshot>,
+    /// Endpoints that answer nothing.
+    pub frozen: HashSet<EndpointKey>,
+    latencies: Latencies,
+    times: Sketch,
+    extras: Extras,
+    serial: u64,
+    in_flight: slotmap::SecondaryMap<EndpointKey, u32>,
+}
+
+impl Fleet for Sim {
+    type Permit = ();
+
+    fn acquire(
+        &mut self,
+        now: Time,
+        replicas: &[Target],
+        tried: &[EndpointKey],
+    ) -> Option<(Target, ())> {
+        self.serial += 1;
+        if self.policy != Policy::Learnt {
+            let free: Vec<_> = replicas.iter().filter(|t| !tried.contains(&t.key)).collect();
+            let lot = mix(self.seed ^ 0xfeed, self.serial) as usize;
+            return free.get(lot % free.len().max(1)).map(|t| ((*t).clone(), ()));
+        }
+        let in_flight = |key| self.in_flight.get(key).copied().unwrap_or(0);
+        let here = Here { zone: "north", in_flight: &in_flight, seed: self.serial };
+        let best = self.latencies.order(now, replicas, tried, &here).first().copied().cloned();
+        if tried.is_empty() {
+            self.extras.earn(1);
+        }
+        best.map(|t| (t, ()))
+    }
+
+    fn extra(&mut self, _: &[Target]) -> bool {
+        self.policy != Policy::Learnt || self.extras.spend()
+    }
+
+    fn hedge_delay(&self, _: &[Target]) -> Option<Span> {
+        match self.policy {
+            Policy::Random => None,
+            Policy::Fixed(delay) => Some(delay),
+            Policy::Learnt => hedge::delay(&self.times),
+        }
+    }
+
+    fn plan(&self, _: &[Arc<str>]) -> Option<Arc<Snapshot>> {
+        None
+    }
+}
+
+type Queue = BinaryHeap<Reverse<(Time, u64, usize, Option<AttemptId>)>>;
+
+struct Query {
+    gather: Gather,
+    begun: Time,
+    sent: Vec<Option<(Target, Time)>>,
+    over: bool,
+}
+
+impl Sim {
+    pub fn new(seed: u64, policy: Policy, shards: usize) -> Self {
+        let snapshot = Endpoints::default().snapshot("s1", &vec![2; shards]);
+        Self {
+            seed,
+            policy,
+            snapshot,
+            frozen: HashSet::new(),
+            latencies: Latencies::default(),
+            times: Sketch::default(),
+            extras: Extras::default(),
+            serial: 0,
+            in_flight: slotmap::SecondaryMap::new(),
+        }
+    }
+
+    /// Freezes one replica of each shard.
+    pub fn freeze_one_of_each(&mut self) {
+        let lots = self.snapshot.shards.iter().enumerate();
+        self.frozen = lots.map(|(i, r)| r[mix(self.seed, i as u64) as usize % 2].key).collect();
+    }
+
+    /// The time of an execution, or none when it never ends.
+    fn draw(&self, query: usize, shard: u32, key: EndpointKey) -> Option<Span> {
+        if self.frozen.contains(&key) {
+            return None;
+        }
+        let replica = self.snapshot.shards[shard as usize].iter().position(|t| t.key == key);
+        let at = (query as u64) << 32 | u64::from(shard) << 8 | replica.unwrap() as u64;
+        let uniform = |salt: u64| mix(self.seed ^ salt, at) as f64 / u64::MAX as f64;
+        let tail = -(1.0 - uniform(1)).max(1e-12).ln();
+        let time = MEAN.0 as f64 * 0.5 * (1.0 + tail);
+        let straggles = uniform(2) < STRAGGLERS;
+        Some(Span((time * if straggles { FACTOR } else { 1.0 }) as u64))
+    }
+
+    /// The time of each query with a perfect choice of replicas.
+    pub fn bound(&self, queries: usize) -> Figures {
+        let best = |q, s: usize| {
+            let replicas = self.snapshot.shards[s].iter();
+            replicas.filter_map(|t| self.draw(q, s as u32, t.key)).min().unwrap().0
+        };
+        let shards = self.snapshot.shards.len();
+        let times = (0..queries).map(|q| (0..shards).map(|s| best(q, s)).max().unwrap()).collect();
+        Figures { times, ..Figures::default() }
+    }
+
+    /// Runs queries at fixed gaps; the first tenth only warms up.
+    pub fn run(&mut self, queries: usize) -> Figures {
+        let mut figures = Figures::default();
+        let mut events = Queue::new();
+        let mut open: Vec<Query> = Vec::new();
+        for q in 0..queries {
+            let begun = Time(q as u64 * GAP.0);
+            let gather = Gather::new(Arc::clone(&self.snapshot), begun + TIMEOUT, 0.0);
+            open.push(Query { gather, begun, sent: Vec::new(), over: false });
+            events.push(Reverse((begun, self.count(), q, None)));
+        }
+        while let Some(Reverse((now, _, q, id))) = events.pop() {
+            let query = &mut open[q];
+            if query.over {
+                continue;
+            }
+            let event = match id {
+                Some(id) => {
+                    let Some(sent) = query.sent[id.0 as usize].take() else { continue };
+                    self.ended(now, &sent);
+                    Event::Done(id, Ok(Hits::default()))
+                }
+                None if query.sent.is_empty() => Event::Start,
+                None => Event::Wake,
+            };
+            let counted = q >= queries / 10;
+            let actions = query.gather.step(now, event, self);
+            for action in actions {
+                self.carry_out(now, q, query, action, &mut events, &mut figures, counted);
+            }
+            if query.over && counted {
+                figures.times.push(now.since(query.begun).0);
+                figures.answered += query.gather.coverage().answered as usize;
+                figures.wanted += self.snapshot.shards.len();
+            }
+        }
+        figures
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn carry_out(
+        &mut self,
+        now: Time,
+        q: usize,
+        query: &mut Query,
+        action: Action<()>,
+        events: &mut Queue,
+        figures: &mut Figures,
+        counted: bool,
+    ) {
+        match action {
+            Action::Send { attempt, shard, target, .. } => {
+                figures.executions += usize::from(counted);
+                *self.in_flight.entry(target.key).unwrap().or_default() += 1;
+                if let Some(time) = self.draw(q, shard, target.key) {
+                    events.push(Reverse((now + time, self.count(), q, Some(attempt))));
+                }
+                query.sent.push(Some((target, now)));
+            }
+            Action::Cancel(id) => {
+                if let Some(sent) = query.sent[id.0 as usize].take() {
+                    self.ended(now, &sent);
+                }
+            }
+            Action::Wake(at) => events.push(Reverse((at, self.count(), q, None))),
+            Action::Finish => query.over = true,
+        }
+    }
+
+    fn ended(&mut self, now: Time, (target, at): &(Target, Time)) {
+        self.in_flight[target.key] -= 1;
+        self.times.record(now.since(*at));
+        self.latencies.answered(now, target.key, now.since(*at));
+    }
+
+    fn count(&mut self) -> u64 {
+        self.serial += 1;
+        self.serial
+    }
+}
+
+fn mix(seed: u64, at: u64) -> u64 {
+    let mut x = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ at.wrapping_mul(0xd6e8_feb8_6659_fd93);
+    for _ in 0..3 {
+        x ^= x >> 32;
+        x = x.wrapping_mul(0xd6e8_feb8_6659_fd93);
+    }
+    x ^ (x >> 32)
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,8 +2,13 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod ctl;
+mod fleet;
+mod hedge;
 mod keys;
 mod operator;
 mod peers;
+mod props;
+mod query;
 mod support;
+mod transport;
 mod whole;
