--- a/tests/testsuite/transport.rs
+++ b/tests/testsuite/transport.rs
@@ -91,6 +91,7 @@
         slots: 4,
         bearable: 4,
         connections: 25,
+        delay: Duration::ZERO,
         setup: Duration::ZERO,
         cold: Duration::ZERO,
         latency: Latency { mean, stragglers: 0.0, factor: 1.0 },
