Edit the inventory without starting an editor

Cause: `inventory edit` started $EDITOR, and a program of the tier may start no other process. What was ruled out: dropping the command; a base revision kept beside the copy is what saves an operator from undoing another's change. Before: the editor's exit said that the copy was ready. After: the command writes the copy, names it and waits for Enter; the operator edits with any program.

--- a/src/bin/wisteriactl/cli.rs
+++ b/src/bin/wisteriactl/cli.rs
@@ -181,12 +181,9 @@
         #[bpaf(external)]
         remote: Remote,
     },
-    /// Edit a copy of the inventory in force and put it in force
+    /// Write a copy of the inventory in force, wait until it is edited, and put it in force
     #[bpaf(command)]
     Edit {
-        /// Program to edit with
-        #[bpaf(long, env("EDITOR"), argument("PROGRAM"), fallback("vi".to_owned()))]
-        editor: String,
         #[bpaf(external)]
         change: Change,
         #[bpaf(external)]
--- a/src/bin/wisteriactl/commands/inventory.rs
+++ b/src/bin/wisteriactl/commands/inventory.rs
@@ -3,7 +3,8 @@
 use super::{block_on, json, revision};
 use crate::cli::{Change, Inventory, Remote};
 use crate::shell;
-use std::path::PathBuf;
+use anyhow::{Context as _, Result, bail};
+use std::path::{Path, PathBuf};
 use wisteriahead::core::document::Revision;
 use wisteriahead::ops::change::Applied;
 use wisteriahead::ops::diff::{DiffOptions, diff};
@@ -15,7 +16,7 @@
 pub fn run(inventory: Inventory) -> Result<String, Failure> {
     match inventory {
         Inventory::Get { remote } => show(&remote),
-        Inventory::Edit { editor, change, remote } => open(&remote, &change, editor),
+        Inventory::Edit { change, remote } => open(&remote, &change),
         Inventory::Check { file } => {
             let doc = check(&CheckOptions { file })?;
             let (zones, hosts) = (doc.zones.len(), doc.hosts.len());
@@ -45,10 +46,10 @@
     Ok(found.text)
 }
 
-fn open(remote: &Remote, change: &Change, editor: String) -> Result<String, Failure> {
+fn open(remote: &Remote, change: &Change) -> Result<String, Failure> {
     let (server, id) = (remote.server(), change.id.clone());
     let folder = std::env::temp_dir();
-    match block_on(edit(&EditOptions { server, editor, folder, id }))? {
+    match block_on(edit(&EditOptions { server, folder, id }, edited))? {
         Some(done) => accepted(remote, change, &done),
         None => {
             shell::status("Unchanged", "the copy was left as it is; nothing was sent");
@@ -57,6 +58,16 @@
     }
 }
 
+/// Waits for the operator's word that the copy is edited.
+fn edited(copy: &Path) -> Result<()> {
+    shell::status("Waiting", &format!("edit {}, then press Enter here", copy.display()));
+    let read = std::io::stdin().read_line(&mut String::new());
+    if read.context("could not read from the terminal")? == 0 {
+        bail!("the input ended before Enter was pressed");
+    }
+    Ok(())
+}
+
 fn put(
     remote: &Remote,
     change: &Change,
