Cut off clients that never read, and test bad input at every port and parser

Cause, found by the new tests: a client that asks and never reads its answers kept its connection for ever (60 s seen, no end), so a few thousand of them would have closed the callers' port. A write without progress now fails after 10 s at the callers' and endpoints' ports and 30 s at the operators' (util/stall.rs).

Ruled out: a limit on the whole connection's time, which would cut off a good caller that keeps its connection; a limit on the answer's time alone, which a pipelining client evades.

Settings of property tests stand in wisteria_testkit::prop: PROPTEST_RNG_SEED and PROPTEST_CASES set others.

--- a/crates/wisteria-testkit/src/lib.rs
+++ b/crates/wisteria-testkit/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod keys;
 pub mod matrix;
 pub mod process;
+pub mod prop;
 pub mod tier;
--- a/src/wisteriahead/services/operator/mod.rs
+++ b/src/wisteriahead/services/operator/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
+use crate::util::stall::Stall;
 use crate::util::tls::{ALPN_HTTP, Credentials, Identity, Kind, TlsPaths};
 use anyhow::bail;
 use api::Api;
@@ -27,6 +28,8 @@
 const HANDSHAKE_TIMEOUT: Span = Span::secs(3);
 /// Time allowed to send the head of a request, idle time between two included.
 const HEAD_TIMEOUT: Span = Span::secs(30);
+/// Time in which an operator must read some of the answer.
+const READ_TIMEOUT: Span = Span::secs(30);
 /// Most bytes in the head of a request.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 /// Wait after a failed accept, such as for want of file descriptors.
@@ -155,7 +158,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT.to_std())
             .max_buf_size(HEAD_MAX_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(Stall::new(stream, READ_TIMEOUT)), service);
         let mut connection = std::pin::pin!(connection);
         tokio::select! {
             done = connection.as_mut() => return Ok(done?),
--- a/src/wisteriahead/util/http.rs
+++ b/src/wisteriahead/util/http.rs
@@ -3,6 +3,7 @@
 
 use crate::core::time::Span;
 use crate::core::verdict::{Reason, Refusal};
+use crate::util::stall::Stall;
 use anyhow::{Context as _, Result, anyhow};
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -24,6 +25,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time in which a client must send a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time in which a client must read some of its answer.
+const READ_TIMEOUT: Span = Span::secs(10);
 /// Most bytes of a request's head.
 const HEAD_MAX_BYTES: usize = 32 << 10;
 /// Most headers of a request.
@@ -200,7 +203,7 @@
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(HEAD_MAX_BYTES)
         .max_headers(HEADERS_MAX)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Stall::new(stream, READ_TIMEOUT)), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
--- a/src/wisteriahead/util/mod.rs
+++ b/src/wisteriahead/util/mod.rs
@@ -6,4 +6,5 @@
 pub mod logging;
 pub mod metrics;
 pub mod renewal;
+pub mod stall;
 pub mod tls;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the library through its public interface.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod bad_clients;
+mod bad_input;
 mod ctl;
 mod ctl_changes;
 mod ctl_views;
