--- /dev/null
+++ b/crates/wisteria-experiment/src/experiments/capacity.rs
@@ -0,0 +1,199 @@
+//! What a host spends on control, by the number of hosts and of endpoints.
+//!
+//! Idle daemons and announcing endpoints; processor time and memory from `/proc`, bytes from the
+//! counter of the loopback network. That counter is used only where nothing else is on it.
+
+use std::time::Duration;
+
+use anyhow::Result;
+use tokio::time::{Instant, sleep};
+
+use super::{Output, Plan};
+use crate::lab::{Lab, Shape};
+use crate::page::{Findings, Table};
+use crate::plot::{Plot, Series};
+use crate::proc;
+use crate::stats::{Spread, line};
+
+const ZONES: [&str; 4] = ["north", "south", "west", "east"];
+/// Sweep over hosts at this number of endpoints.
+const HOSTS: [usize; 5] = [3, 7, 15, 30, 60];
+const ENDPOINTS_FIXED: usize = 100;
+/// Sweep over endpoints at this number of hosts.
+const ENDPOINTS: [usize; 4] = [0, 100, 400, 1_000];
+const HOSTS_FIXED: usize = 7;
+/// Length of a measurement.
+const SECONDS: f64 = 10.0;
+/// Time for the hosts to find each other before it.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Time in which an own network is quiet.
+const QUIET: Duration = Duration::from_secs(1);
+/// The size to design for.
+const DESIGN_HOSTS: f64 = 430.0;
+const DESIGN_ENDPOINTS: f64 = 2_000.0;
+const BYTES_PER_KB: f64 = 1_000.0;
+const BYTES_PER_MB: f64 = 1e6;
+
+/// What one host spends, the mean over all hosts of a run.
+#[derive(Clone, Copy, Debug)]
+struct Spent {
+    /// Processor time, in per cent of a core.
+    cpu: f64,
+    /// Greatest resident memory of a host, in MB.
+    memory: f64,
+    /// Sent on the network by all processes over the hosts, in KB a second.
+    sent: Option<f64>,
+}
+
+/// One kind of figure.
+struct Figure {
+    name: &'static str,
+    limit: f64,
+    of: fn(&Spent) -> Option<f64>,
+}
+
+const FIGURES: [Figure; 3] = [
+    Figure { name: "per cent of a core", limit: 1.4, of: |s| Some(s.cpu) },
+    Figure { name: "MB", limit: 32.0, of: |s| Some(s.memory) },
+    Figure { name: "KB sent a second", limit: 27.0, of: |s| s.sent },
+];
+
+/// Runs both sweeps once for each seed.
+pub(crate) async fn run(plan: Plan) -> Result<Output> {
+    let seconds = plan.seconds(SECONDS);
+    let own = own_network().await?;
+    let hosts = sweep(plan, HOSTS.map(|n| (n, ENDPOINTS_FIXED)), seconds, own).await?;
+    let endpoints = sweep(plan, ENDPOINTS.map(|n| (HOSTS_FIXED, n)), seconds, own).await?;
+    let by_hosts = points(&hosts, |(hosts, _)| hosts);
+    let by_endpoints = points(&endpoints, |(_, endpoints)| endpoints);
+    let findings = Findings {
+        title: "Control at rest, by hosts and endpoints",
+        about: "Idle daemons in four zones and announcing endpoints, no queries. Means over the \
+                hosts of a run; memory is the greatest of any host. Sent bytes are those of all \
+                processes on the loopback network over the number of hosts, the endpoints' \
+                announcements and the answers to them included.",
+        setup: format!(
+            "{seconds} s a measurement. Bytes are {}.",
+            if own {
+                "counted: the network was the experiment's own"
+            } else {
+                "not counted: other processes use the network; run it in a network of its own \
+                 with `unshare -rn sh -c 'ip link set lo up && COMMAND'`"
+            }
+        ),
+        tables: vec![measured(&hosts), measured(&endpoints), slopes(&by_hosts, &by_endpoints)],
+        verdict: "The lines are straight-line fits far beyond the measured sizes: they rank the \
+                  costs and show misses; they prove no fit."
+            .to_owned(),
+    };
+    let plot = Plot {
+        title: "Processor time of a host at rest".to_owned(),
+        across: "hosts (at 100 endpoints)",
+        up: "per cent of a core",
+        series: vec![Series::new("median over runs", by_hosts[0].clone())],
+    };
+    Ok(Output { findings, plot })
+}
+
+type Size = (usize, usize);
+type Sweep = Vec<(Size, Vec<Spent>)>;
+
+async fn own_network() -> Result<bool> {
+    let before = proc::loopback()?;
+    sleep(QUIET).await;
+    Ok(proc::loopback()? == before)
+}
+
+async fn sweep(
+    plan: Plan,
+    sizes: impl IntoIterator<Item = Size>,
+    seconds: f64,
+    own: bool,
+) -> Result<Sweep> {
+    let mut all = Vec::new();
+    for size in sizes {
+        let mut spent = Vec::new();
+        for seed in plan.seeds() {
+            spent.push(once(size, seconds, seed, own).await?);
+        }
+        all.push((size, spent));
+    }
+    Ok(all)
+}
+
+async fn once((hosts, endpoints): Size, seconds: f64, seed: u64, own: bool) -> Result<Spent> {
+    let mut lab = Lab::start(hosts, &ZONES[..hosts.min(ZONES.len())]).await?;
+    let zones = hosts.min(ZONES.len());
+    for (i, zone) in ZONES.iter().enumerate().take(zones) {
+        let n = endpoints / zones + usize::from(i < endpoints % zones);
+        if n > 0 {
+            lab.leaves(&Shape::new(zone, n, seed)).await?;
+        }
+    }
+    lab.admit().await?;
+    sleep(SETTLE).await;
+    let (begun, bytes, cpu) = (Instant::now(), proc::loopback()?, cpu(&lab)?);
+    sleep(Duration::from_secs_f64(seconds)).await;
+    let elapsed = begun.elapsed().as_secs_f64();
+    let sent = (proc::loopback()? - bytes) as f64 / BYTES_PER_KB / elapsed / hosts as f64;
+    let cpu = (self::cpu(&lab)? - cpu).as_secs_f64() / elapsed / hosts as f64;
+    let memory = lab.tier.daemons.iter().map(|d| proc::memory(&d.process));
+    let memory = memory.collect::<Result<Vec<u64>>>()?.into_iter().max().unwrap_or(0);
+    Ok(Spent { cpu: 100.0 * cpu, memory: memory as f64 / BYTES_PER_MB, sent: own.then_some(sent) })
+}
+
+/// Processor time of all hosts together.
+fn cpu(lab: &Lab) -> Result<Duration> {
+    lab.tier.daemons.iter().map(|d| proc::cpu(&d.process)).sum()
+}
+
+fn measured(sweep: &Sweep) -> Table {
+    let mut head = vec!["hosts", "endpoints"];
+    head.extend(FIGURES.iter().map(|f| f.name));
+    let mut table = Table::new(&head);
+    for ((hosts, endpoints), spent) in sweep {
+        let mut row = vec![hosts.to_string(), endpoints.to_string()];
+        row.extend(FIGURES.iter().map(|f| Spread::new(spent.iter().filter_map(f.of)).show(2)));
+        table.row(row);
+    }
+    table
+}
+
+/// For each figure, its median against the size.
+fn points(sweep: &Sweep, size: fn(Size) -> usize) -> Vec<Vec<(f64, f64)>> {
+    let of = |figure: &Figure| {
+        let median = |spent: &[Spent]| Spread::new(spent.iter().filter_map(figure.of)).median();
+        sweep.iter().map(|(at, spent)| (size(*at) as f64, median(spent))).collect()
+    };
+    FIGURES.iter().map(of).collect()
+}
+
+fn slopes(by_hosts: &[Vec<(f64, f64)>], by_endpoints: &[Vec<(f64, f64)>]) -> Table {
+    let mut table = Table::new(&[
+        "figure",
+        "per host",
+        "per endpoint",
+        "at rest with neither",
+        "at 430 hosts and 2,000 endpoints",
+        "limit",
+        "held",
+    ]);
+    for (i, figure) in FIGURES.iter().enumerate() {
+        if by_hosts[i].iter().all(|(_, value)| *value == 0.0) {
+            continue;
+        }
+        let ((host, at_hosts), (endpoint, _)) = (line(&by_hosts[i]), line(&by_endpoints[i]));
+        let base = at_hosts - endpoint * ENDPOINTS_FIXED as f64;
+        let design = base + host * DESIGN_HOSTS + endpoint * DESIGN_ENDPOINTS;
+        table.row([
+            figure.name.to_owned(),
+            format!("{host:.4}"),
+            format!("{endpoint:.5}"),
+            format!("{base:.2}"),
+            format!("{design:.1}"),
+            format!("{}", figure.limit),
+            if design <= figure.limit { "yes" } else { "no" }.to_owned(),
+        ]);
+    }
+    table
+}
--- a/crates/wisteria-experiment/src/experiments/mod.rs
+++ b/crates/wisteria-experiment/src/experiments/mod.rs
@@ -1,13 +1,21 @@
 //! The experiments by name.
 
 mod baseline;
+mod capacity;
+mod changes;
+mod cold;
 mod cost;
+mod hosts;
 mod overload;
+mod sites;
+mod snapshots;
 mod stragglers;
+mod zone;
 
 use anyhow::{Result, bail};
 use futures::future::BoxFuture;
 
+use self::hosts::Loss;
 use crate::Settings;
 use crate::page::{Findings, Origin, version};
 use crate::plot::Plot;
@@ -41,10 +49,19 @@
 type Run = fn(Plan) -> BoxFuture<'static, Result<Output>>;
 
 const ALL: &[(&str, Run)] = &[
+    ("agency", |plan| Box::pin(sites::run(plan, sites::AGENCY))),
     ("baseline", |plan| Box::pin(baseline::run(plan))),
+    ("capacity", |plan| Box::pin(capacity::run(plan))),
+    ("changes", |plan| Box::pin(changes::run(plan))),
+    ("cold", |plan| Box::pin(cold::run(plan))),
     ("cost", |plan| Box::pin(cost::run(plan))),
+    ("frozen", |plan| Box::pin(hosts::run(plan, Loss::Frozen))),
+    ("killed", |plan| Box::pin(hosts::run(plan, Loss::Killed))),
     ("overload", |plan| Box::pin(overload::run(plan))),
+    ("shirakaba", |plan| Box::pin(sites::run(plan, sites::SHIRAKABA))),
+    ("snapshots", |plan| Box::pin(snapshots::run(plan))),
     ("stragglers", |plan| Box::pin(stragglers::run(plan))),
+    ("zone", |plan| Box::pin(zone::run(plan))),
 ];
 
 /// Runs the experiment that the settings name and writes its page.
--- a/crates/wisteria-experiment/src/lab.rs
+++ b/crates/wisteria-experiment/src/lab.rs
@@ -4,10 +4,15 @@
 use std::process::Command;
 use std::time::Duration;
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result, anyhow, bail, ensure};
+use serde_json::json;
+use wisteria_leaf::{Executions, Fault};
 use wisteria_load::Settings as Load;
+use wisteria_testkit::client;
 use wisteria_testkit::process::built;
-use wisteria_testkit::tier::Tier;
+use wisteria_testkit::tier::{Leaves, Tier};
+use wisteriahead::ops::client::Client;
+use wisteriahead::ops::failure::Failure;
 
 /// Builds the programs that a run starts.
 pub(crate) fn build() -> Result<()> {
@@ -28,6 +33,9 @@
     pub(crate) zone: String,
     pub(crate) collection: String,
     pub(crate) shards: usize,
+    /// Endpoints of the process; endpoint i holds shard `first + i`, modulo the shards.
+    pub(crate) endpoints: usize,
+    pub(crate) first: usize,
     pub(crate) snapshot: &'static str,
     pub(crate) slots: u32,
     pub(crate) connections: u32,
@@ -46,6 +54,8 @@
             zone: zone.to_owned(),
             collection: "kits".to_owned(),
             shards,
+            endpoints: shards,
+            first: 0,
             snapshot: "s1",
             slots: 2,
             connections: 25,
@@ -68,6 +78,7 @@
             ("--collection", collection.clone()),
             ("--service", collection.clone()),
             ("--shards", self.shards.to_string()),
+            ("--first", self.first.to_string()),
             ("--snapshot", self.snapshot.to_owned()),
             ("--slots", self.slots.to_string()),
             ("--connections", self.connections.to_string()),
@@ -108,7 +119,7 @@
         let to: Vec<usize> = (0..self.tier.daemons.len()).filter(|i| i % zones == zone).collect();
         let flags = shape.flags(self.tier.leaves.len());
         let flags: Vec<&str> = flags.iter().map(String::as_str).collect();
-        self.tier.leaves(shape.shards, &to, &flags).await?;
+        self.tier.leaves(shape.endpoints, &to, &flags).await?;
         Ok(())
     }
 
@@ -122,12 +133,10 @@
         Ok(())
     }
 
-    /// Puts an inventory of all zones in force, with more lines of rules.
-    pub(crate) async fn apply(&self, rules: &str) -> Result<()> {
+    /// Puts an inventory of all zones in force, the named one taken out.
+    pub(crate) async fn apply(&self, out: &str) -> Result<()> {
         let file = self.tier.folder().join("inventory.toml");
-        let zones: String =
-            self.zones.iter().map(|z| format!("[[zone]]\nname = \"{z}\"\n\n")).collect();
-        std::fs::write(&file, format!("{zones}[rules]\nadmit = \"any\"\n{rules}"))?;
+        std::fs::write(&file, self.inventory(out))?;
         let path = file.to_string_lossy().into_owned();
         let (status, output) = self.tier.ctl(0, &["inventory", "apply", "--file", &path]).await?;
         if status != Some(0) {
@@ -136,6 +145,15 @@
         Ok(())
     }
 
+    /// The inventory of all zones, the named one taken out.
+    pub(crate) fn inventory(&self, out: &str) -> String {
+        let zones = self.zones.iter().map(|zone| {
+            let state = if zone == out { "out" } else { "in" };
+            format!("[[zone]]\nname = \"{zone}\"\nstate = \"{state}\"\n\n")
+        });
+        zones.chain(["[rules]\nadmit = \"any\"\n".to_owned()]).collect()
+    }
+
     /// Addresses for callers of all hosts.
     pub(crate) fn callers(&self) -> Vec<SocketAddr> {
         self.tier.daemons.iter().map(|d| d.callers).collect()
@@ -162,3 +180,33 @@
         }
     }
 }
+
+/// The counters of a process of endpoints.
+pub(crate) async fn counters(leaves: &Leaves) -> Result<Executions> {
+    let answer = client::get(leaves.control, "/executions/counters").await?;
+    serde_json::from_value(answer.body).context("the counters can't be read")
+}
+
+/// Brings a fault about in a process of endpoints.
+pub(crate) async fn inject(control: SocketAddr, fault: &Fault) -> Result<()> {
+    let answer = client::post(control, "/fault", &serde_json::to_value(fault)?).await?;
+    ensure!(answer.status.is_success(), "the fault was refused: {}", answer.status);
+    Ok(())
+}
+
+/// The revision in force at a host.
+pub(crate) async fn revision(host: &Client) -> Result<u64> {
+    let status = host.get("/v1/status").await.map_err(failed)?;
+    status["revision"].as_u64().context("the status has no revision")
+}
+
+/// Sends an edit of the inventory and returns its revision.
+pub(crate) async fn edit(host: &Client, id: &str, base: u64, text: String) -> Result<u64> {
+    let body = json!({"id": id, "base": base, "text": text});
+    let answer = host.put("/v1/inventory", &body).await.map_err(failed)?;
+    answer["revision"].as_u64().context("the answer has no revision")
+}
+
+fn failed(failure: Failure) -> anyhow::Error {
+    anyhow!("the host did not do it: {failure:?}")
+}
--- a/crates/wisteria-experiment/src/main.rs
+++ b/crates/wisteria-experiment/src/main.rs
@@ -9,6 +9,7 @@
 mod plot;
 mod proc;
 mod stats;
+mod timeline;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/wisteria-experiment/src/proc.rs
+++ b/crates/wisteria-experiment/src/proc.rs
@@ -8,9 +8,13 @@
 
 /// Clock ticks per second of `/proc`, fixed by the kernel's interface.
 const TICKS_PER_SECOND: f64 = 100.0;
+/// Place of the sent bytes among the counters of a network interface.
+const SENT_BYTES: usize = 8;
 /// Place of the user time among the fields after the program's name.
 const USER_TIME: usize = 11;
 
+const BYTES_PER_KIB: u64 = 1024;
+
 /// Processor time that the process has used.
 pub(crate) fn cpu(process: &Process) -> Result<Duration> {
     let id = process.id().context("the process has ended")?;
@@ -22,8 +26,25 @@
     Ok(Duration::from_secs_f64(ticks / TICKS_PER_SECOND))
 }
 
+/// Resident memory in bytes.
+pub(crate) fn memory(process: &Process) -> Result<u64> {
+    let id = process.id().context("the process has ended")?;
+    let status = read_to_string(format!("/proc/{id}/status"))?;
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).context("no VmRSS")?;
+    let kib: u64 = line.split_whitespace().next().context("no size")?.parse()?;
+    Ok(kib * BYTES_PER_KIB)
+}
+
 /// Load of the machine: processes that ran or waited, averaged over a minute.
 pub(crate) fn machine_load() -> String {
     let all = read_to_string("/proc/loadavg").unwrap_or_default();
     all.split_whitespace().next().unwrap_or("unknown").to_owned()
 }
+
+/// Bytes sent over the loopback network since it came up, by all processes on it.
+pub(crate) fn loopback() -> Result<u64> {
+    let all = read_to_string("/proc/self/net/dev")?;
+    let line = all.lines().find_map(|l| l.trim_start().strip_prefix("lo:"));
+    let sent = line.context("no loopback")?.split_whitespace().nth(SENT_BYTES);
+    Ok(sent.context("no counter of sent bytes")?.parse()?)
+}
--- a/crates/wisteria-experiment/src/stats.rs
+++ b/crates/wisteria-experiment/src/stats.rs
@@ -49,3 +49,14 @@
         }
     }
 }
+
+/// Slope and intercept of the least-squares line.
+pub(crate) fn line(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let mean = |f: fn(&(f64, f64)) -> f64| points.iter().map(f).sum::<f64>() / n;
+    let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+    let over = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum::<f64>();
+    let under = points.iter().map(|p| (p.0 - x).powi(2)).sum::<f64>();
+    let slope = if under > 0.0 { over / under } else { 0.0 };
+    (slope, y - slope * x)
+}
--- a/crates/wisteria-leaf/src/lib.rs
+++ b/crates/wisteria-leaf/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use crate::announce::{Announcement, Holding, State};
 pub use crate::executions::{Counters, Execution, Executions, Outcome};
-pub use crate::faults::{Fault, Kind};
+pub use crate::faults::{Fault, Kind, Target};
 pub use crate::group::Group;
 pub use crate::hits::{HITS_PER_SHARD, Hit, shard_hits};
 pub use crate::latency::Latency;
--- a/crates/wisteria-leaf/src/settings.rs
+++ b/crates/wisteria-leaf/src/settings.rs
@@ -44,7 +44,7 @@
     /// Snapshot held, repeatable; the environment takes one
     #[bpaf(long, env("WISTERIA_LEAF_SNAPSHOT"), argument("NAME"))]
     pub snapshot: Vec<String>,
-    /// Shards of each snapshot; leaf i holds shard i modulo this
+    /// Shards of each snapshot; leaf i holds shard `first` + i modulo this
     #[bpaf(
         long,
         env("WISTERIA_LEAF_SHARDS"),
@@ -53,6 +53,9 @@
         guard(is_positive, "must be at least 1")
     )]
     pub shards: u32,
+    /// Shard of the first leaf, the others hold the next ones
+    #[bpaf(long, env("WISTERIA_LEAF_FIRST"), argument("N"), fallback(0))]
+    pub first: u32,
     /// Requests run at once
     #[bpaf(long, env("WISTERIA_LEAF_SLOTS"), argument("N"), fallback(2))]
     pub slots: u32,
@@ -129,7 +132,7 @@
     }
 
     fn profile(&self, index: u16) -> Profile {
-        let shard = u32::from(index) % self.shards;
+        let shard = (u32::from(index) + self.first % self.shards) % self.shards;
         let fill = |pattern: &str| {
             pattern.replace("{i}", &index.to_string()).replace("{shard}", &shard.to_string())
         };
