--- a/src/wisteriahead/util/mod.rs
+++ b/src/wisteriahead/util/mod.rs
@@ -1,6 +1,9 @@
 //! Plumbing that knows nothing of queries.
 
+pub mod certificate;
+pub mod disk;
 pub mod http;
 pub mod logging;
 pub mod metrics;
+pub mod renewal;
 pub mod tls;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,8 +2,19 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod ctl;
+mod ctl_changes;
+mod ctl_views;
+mod fleet;
+mod hedge;
 mod keys;
 mod operator;
 mod peers;
+mod props;
+mod query;
+mod renewal;
+mod scripted;
+mod settings;
+mod storage;
 mod support;
+mod transport;
 mod whole;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -8,7 +8,9 @@
 use wisteriahead::core::time::Span;
 use wisteriahead::kernel::Kernel;
 use wisteriahead::ops::client::Server;
-use wisteriahead::ops::keys::{InitOptions, IssueOptions, init, issue};
+use wisteriahead::ops::keys::{
+    AUTHORITY_DAYS, HOLDER_DAYS, InitOptions, IssueOptions, init, issue,
+};
 use wisteriahead::services::control::ControlService;
 use wisteriahead::services::operator::{OperatorService, OperatorSettings};
 use wisteriahead::services::peers::{PeerSettings, PeersService};
@@ -27,7 +29,7 @@
 impl Authority {
     pub fn new() -> Self {
         let dir = TempDir::new().unwrap();
-        init(&InitOptions { folder: dir.path().to_owned() }).unwrap();
+        init(&InitOptions { folder: dir.path().to_owned(), days: AUTHORITY_DAYS }).unwrap();
         Self { dir }
     }
 
@@ -37,8 +39,14 @@
 
     pub fn issue(&self, kind: Kind, name: &str) -> TlsPaths {
         let zone = (kind == Kind::Host).then(|| ZONE.to_owned());
-        let opts =
-            IssueOptions { folder: self.folder().to_owned(), kind, name: name.to_owned(), zone };
+        let opts = IssueOptions {
+            folder: self.folder().to_owned(),
+            kind,
+            name: name.to_owned(),
+            zone,
+            days: HOLDER_DAYS,
+            renew: false,
+        };
         issue(&opts).unwrap();
         self.paths(name)
     }
@@ -105,3 +113,19 @@
     };
     tokio::time::timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("never came: {what}"));
 }
+
+/// Seed of the property tests, so that each run is the same; `PROPTEST_RNG_SEED` sets another.
+const SEED: u64 = 7;
+
+/// Settings of a property test with this many cases; `PROPTEST_CASES` sets another number.
+pub fn config(cases: u32) -> proptest::test_runner::Config {
+    use proptest::test_runner::{Config, RngSeed};
+    let mut config = Config { failure_persistence: None, ..Config::default() };
+    if std::env::var_os("PROPTEST_CASES").is_none() {
+        config.cases = cases;
+    }
+    if std::env::var_os("PROPTEST_RNG_SEED").is_none() {
+        config.rng_seed = RngSeed::Fixed(SEED);
+    }
+    config
+}
