--- /dev/null
+++ b/crates/wisteria-leaf/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the stand-in leaf.
+
+mod faults;
+mod leaf;
+mod support;
