Admit queries by class within a window that the endpoints' room sets

Cause: every request was begun at once.

A pure state machine now lets in a window of queries, grown while they find room and shrunk when they wait for it, queues the rest by priority and deadline for at most half of their time, and refuses what cannot start in time as "not run". Queries that wait for room at an endpoint are woken when a permit comes back, in order of urgency. Lack of room drains the hedge budget.

Ruled out: query time as the signal (one silent shard closes the window), a fixed limit, all slots or none.

--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -3,6 +3,7 @@
 //! State machines here have the shape `step(&mut self, now, event) -> actions`.
 //! The services feed them, so a property test can replay any sequence of events.
 
+pub mod admission;
 pub mod choice;
 pub mod document;
 pub mod endpoint;
@@ -12,6 +13,7 @@
 pub mod message;
 pub mod query;
 pub mod registry;
+pub mod room;
 pub mod routes;
 pub mod time;
 pub mod verdict;
--- a/src/wisteriahead/core/query.rs
+++ b/src/wisteriahead/core/query.rs
@@ -192,6 +192,8 @@
     missing: usize,
     /// Shards from which nothing more can come.
     exhausted: usize,
+    /// When a shard last waited for room.
+    crowded: Option<Time>,
     /// Attempts that ended with the proof that they did not run.
     proven: usize,
     replan: Option<Time>,
@@ -212,6 +214,7 @@
             shards,
             attempts: Vec::new(),
             exhausted: 0,
+            crowded: None,
             proven: 0,
             replan: None,
             finished: false,
@@ -261,6 +264,9 @@
     ) {
         let s = &mut self.shards[shard];
         let replicas = &self.snapshot.shards[shard];
+        if matches!(s.wait, Wait::Room { .. } | Wait::Later { .. }) {
+            self.crowded = Some(now);
+        }
         s.wait = Wait::Nothing;
         if !s.may_send(replicas) {
             return;
@@ -510,6 +516,11 @@
         Coverage { shards, answered: shards - missing.len() as u32, missing }
     }
 
+    /// When a shard last waited for room at an endpoint.
+    pub fn crowded(&self) -> Option<Time> {
+        self.crowded
+    }
+
     /// The verdict of a refusal: "not run" when every attempt sent is proven not to have run.
     pub fn verdict(&self) -> Verdict {
         if self.proven == self.attempts.len() { Verdict::NotRun } else { Verdict::MayHaveRun }
--- a/src/wisteriahead/services/entry/learned.rs
+++ b/src/wisteriahead/services/entry/learned.rs
@@ -49,11 +49,14 @@
             let here = Here { zone: &self.zone, in_flight: &in_flight, seed: s.serial };
             s.latencies.order(now, replicas, tried, &here)
         };
-        let (target, permit) = order.into_iter().find_map(|t| Some((t, allowance.acquire(t)?)))?;
-        if tried.is_empty() {
-            self.with(&target.service, |s| s.extras.earn(1));
-        }
-        Some((target.clone(), permit))
+        let first = order.first().copied()?;
+        let found = order.into_iter().find_map(|t| Some((t.clone(), allowance.acquire(t)?)));
+        self.with(&first.service, |s| match &found {
+            Some(_) if tried.is_empty() => s.extras.earn(1),
+            Some(_) => {}
+            None => s.extras.refused(),
+        });
+        found
     }
 
     /// Takes one extra attempt from the budget of the replicas' service.
--- a/src/wisteriahead/services/entry/mod.rs
+++ b/src/wisteriahead/services/entry/mod.rs
@@ -4,22 +4,28 @@
 mod request;
 mod room;
 mod search;
+mod turns;
 
 use self::learned::Learned;
 use self::request::{Asked, SearchBody};
 use self::room::Room;
-use super::{Allowance, Endpoints, Peers, Transport};
+use self::turns::Turns;
+use super::{Accepted, Allowance, Control, Endpoints, Peers, Transport};
+use crate::core::admission::Denial;
+use crate::core::document::Rules;
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
 use crate::util::http::{self, Answer, Server};
 use crate::util::metrics::Metrics;
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
+use hyper::header::HeaderMap;
 use hyper::{Method, Request, StatusCode};
 use parking_lot::Mutex;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::watch;
 
 /// What the entry needs from the rest of the daemon.
 pub struct Entry {
@@ -32,6 +38,8 @@
     transport: Arc<dyn Transport>,
     learned: Learned,
     room: Arc<Room>,
+    turns: Arc<Turns>,
+    accepted: Option<watch::Receiver<Accepted>>,
     metrics: Metrics,
 }
 
@@ -73,33 +81,64 @@
 
     async fn search(&self, request: Request<Incoming>) -> Answer {
         let begun = self.ctx.now();
-        let result = match Asked::read(request).await {
-            Ok((asked, body)) => self.run_search(begun, &asked, body).await,
-            Err(refusal) => Err(refusal),
-        };
+        let result = self.run_search(begun, request).await;
         self.metrics.time("search.time", self.ctx.now().since(begun).to_std());
+        self.metrics.incr(if result.is_ok() { "search.answered" } else { "search.refused" });
         match result {
-            Ok(answer) => {
-                self.metrics.incr("search.answered");
-                http::json(StatusCode::OK, &answer)
-            }
-            Err(refusal) => {
-                self.metrics.incr("search.refused");
-                http::refuse(&refusal)
-            }
+            Ok(answer) => http::json(StatusCode::OK, &answer),
+            Err(refused) => refused.answer(),
         }
     }
 
     async fn run_search(
         &self,
         begun: Time,
-        asked: &Asked,
-        body: SearchBody,
-    ) -> Result<search::Answer, Refusal> {
+        request: Request<Incoming>,
+    ) -> Result<search::Answer, Refused> {
         if self.ctx.is_stopping() {
-            return Err(Refusal::not_run(Reason::Draining, "this host is stopping; ask another"));
+            let refusal = Refusal::not_run(Reason::Draining, "this host is stopping; ask another");
+            return Err(refusal.into());
+        }
+        let (head, body) = request.into_parts();
+        let asked = self.asked(&head.headers)?;
+        let body = SearchBody::read(body, asked.least).await?;
+        let ask = asked.ask(begun, self.serial());
+        let mut turn = self.turns.take(ask).await.map_err(Refused::Denied)?;
+        Ok(search::run(self, &mut turn, body).await?)
+    }
+
+    fn asked(&self, headers: &HeaderMap) -> Result<Asked, Refusal> {
+        match &self.accepted {
+            Some(accepted) => Asked::read(headers, &accepted.borrow().document.rules),
+            None => Asked::read(headers, &Rules::default()),
+        }
+    }
+}
+
+/// Why a caller gets no answer.
+enum Refused {
+    Denied(Denial),
+    Refusal(Refusal),
+}
+
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refusal(refusal)
+    }
+}
+
+impl Refused {
+    fn answer(&self) -> Answer {
+        match self {
+            Self::Refusal(refusal) => http::refuse(refusal),
+            Self::Denied(denial) => {
+                let mut answer = http::refuse(&denial.refusal());
+                if *denial == Denial::Caller {
+                    *answer.status_mut() = StatusCode::TOO_MANY_REQUESTS;
+                }
+                answer
+            }
         }
-        search::run(self, begun, asked, body).await
     }
 }
 
@@ -138,6 +177,7 @@
     fn start<'a>(&'a self, ctx: &'a Context) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
             let peers = ctx.find::<dyn Peers>(<dyn Peers>::NAME).ok();
+            let control = ctx.find::<dyn Control>(<dyn Control>::NAME).ok();
             let entry = Entry {
                 ctx: ctx.clone(),
                 host: self.host.as_str().into(),
@@ -148,6 +188,8 @@
                 transport: ctx.find::<dyn Transport>(<dyn Transport>::NAME)?,
                 learned: Learned::new(peers.as_ref().map_or("", |p| p.zone())),
                 room: Arc::default(),
+                turns: Turns::new(ctx.clone()),
+                accepted: control.map(|c| c.watch()),
                 metrics: self.metrics.clone(),
             };
             let listener = http::bind(self.listen).await?;
--- a/src/wisteriahead/services/entry/request.rs
+++ b/src/wisteriahead/services/entry/request.rs
@@ -1,10 +1,12 @@
 //! What a caller asks: headers and body, checked.
 
+use crate::core::admission::Ask;
+use crate::core::document::Rules;
 use crate::core::endpoint::check_name;
+use crate::core::room::Urgency;
 use crate::prelude::*;
 use crate::util::http::read_body;
 use bytes::Bytes;
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use serde::Deserialize;
@@ -24,13 +26,21 @@
 /// Most hits that a caller may ask for.
 const LIMIT_MAX: usize = 1_000;
 
-/// What the headers of a request say.
+/// What the headers of a request say, with the defaults of its class.
 #[derive(Clone, Debug)]
 pub struct Asked {
     /// Time allowed for the whole answer.
     pub timeout: Span,
+    /// Class of the caller; empty for one without a known class.
+    pub class: Arc<str>,
     /// Order of service: a lower number goes first.
     pub priority: u8,
+    /// Requests of the class that may run at once.
+    pub limit: Option<u32>,
+    /// Least share of shards that the class takes.
+    pub least: f64,
+    /// Name of the caller.
+    pub caller: Option<Arc<str>>,
 }
 
 #[derive(Deserialize)]
@@ -55,26 +65,50 @@
 }
 
 impl Asked {
-    /// Reads and checks a search.
+    /// Reads and checks the headers.
     ///
     /// # Errors
     ///
     /// Refuses what is malformed or out of bounds, naming what is allowed.
-    pub async fn read(request: Request<Incoming>) -> Result<(Self, SearchBody), Refusal> {
-        let (head, body) = request.into_parts();
-        let asked = Self { timeout: timeout(&head.headers)?, priority: PRIORITY_DEFAULT };
-        let bytes = read_body(body, BODY_MAX_BYTES).await?;
-        Ok((asked, SearchBody::parse(&bytes)?))
+    pub fn read(headers: &HeaderMap, rules: &Rules) -> Result<Self, Refusal> {
+        let class = name(headers, "wisteria-class")?;
+        // A class that no rule names yet must not make a caller fail: it gets the defaults.
+        let class = class.and_then(|c| rules.classes.iter().find(|r| r.name == c));
+        let usual = class.and_then(|c| c.timeout_ms).map_or(TIMEOUT_DEFAULT, Span::millis);
+        Ok(Self {
+            timeout: timeout(headers)?.unwrap_or(usual.min(TIMEOUT_MAX)),
+            class: class.map_or("", |c| &c.name).into(),
+            priority: class.map_or(PRIORITY_DEFAULT, |c| c.priority),
+            limit: class.and_then(|c| c.concurrency),
+            least: class.and_then(|c| c.min_coverage).unwrap_or(0.0),
+            caller: name(headers, "wisteria-caller")?.map(Into::into),
+        })
+    }
+
+    /// What to ask of admission for the request `serial` that came at `begun`.
+    pub fn ask(&self, begun: Time, serial: u64) -> Ask {
+        let deadline = begun + self.timeout;
+        Ask {
+            urgency: Urgency { priority: self.priority, deadline, serial },
+            timeout: self.timeout,
+            class: Arc::clone(&self.class),
+            limit: self.limit,
+            caller: self.caller.clone(),
+        }
     }
 }
 
 impl SearchBody {
-    /// Reads and checks the body of a search.
+    /// Reads and checks the body of a search; it covers `least` when it names no share itself.
     ///
     /// # Errors
     ///
     /// Refuses what is malformed or out of bounds, naming what is allowed.
-    pub fn parse(bytes: &[u8]) -> Result<Self, Refusal> {
+    pub async fn read(body: Incoming, least: f64) -> Result<Self, Refusal> {
+        Self::parse(&read_body(body, BODY_MAX_BYTES).await?, least)
+    }
+
+    fn parse(bytes: &[u8], least: f64) -> Result<Self, Refusal> {
         let f: SearchFields = serde_json::from_slice(bytes)
             .map_err(|e| bad(format!("the body is no search: {e}")))?;
         check_name("collection", &f.collection).map_err(bad)?;
@@ -82,7 +116,7 @@
         if limit > LIMIT_MAX {
             return Err(bad(format!("`limit` is {limit}; at most {LIMIT_MAX} is allowed")));
         }
-        let least = f.min_coverage.unwrap_or(0.0);
+        let least = f.min_coverage.unwrap_or(least);
         if !(0.0..=1.0).contains(&least) {
             return Err(bad(format!("`min_coverage` is {least}; 0 to 1 is allowed")));
         }
@@ -95,15 +129,20 @@
     Refusal::not_run(Reason::BadRequest, detail)
 }
 
-fn timeout(headers: &HeaderMap) -> Result<Span, Refusal> {
-    let Some(ms) = number::<u64>(headers, "wisteria-timeout-ms")? else {
-        return Ok(TIMEOUT_DEFAULT);
-    };
+fn timeout(headers: &HeaderMap) -> Result<Option<Span>, Refusal> {
+    let Some(ms) = number::<u64>(headers, "wisteria-timeout-ms")? else { return Ok(None) };
     let max = TIMEOUT_MAX.as_millis();
     if ms == 0 || ms > max {
         return Err(bad(format!("`wisteria-timeout-ms` is {ms}; 1 to {max} is allowed")));
     }
-    Ok(Span::millis(ms))
+    Ok(Some(Span::millis(ms)))
+}
+
+fn name<'a>(headers: &'a HeaderMap, header: &str) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = headers.get(header) else { return Ok(None) };
+    let value = value.to_str().map_err(|_| bad(format!("`{header}` is not plain text")))?;
+    check_name(header, value).map_err(bad)?;
+    Ok(Some(value))
 }
 
 fn number<T: FromStr>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Refusal> {
--- a/src/wisteriahead/services/entry/room.rs
+++ b/src/wisteriahead/services/entry/room.rs
@@ -1,14 +1,11 @@
 //! Wakes the queries that wait for room at an endpoint, the most urgent first.
 
+use crate::core::room::{Room as Order, Urgency};
 use crate::prelude::*;
 use parking_lot::Mutex;
-use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::sync::Notify;
 
-/// Order in which queries are woken: priority, deadline, then arrival.
-pub type Urgency = (u8, Time, u64);
-
 /// A query that can wait for room.
 #[derive(Default)]
 pub struct Waiter {
@@ -28,26 +25,38 @@
     }
 }
 
-type Queue = BTreeMap<Urgency, Arc<Waiter>>;
+#[derive(Default)]
+struct State {
+    order: Order,
+    waiters: IndexMap<u64, Arc<Waiter>>,
+}
 
 /// The queries that wait, by endpoint.
 #[derive(Default)]
 pub struct Room {
-    queues: Mutex<IndexMap<EndpointKey, Queue>>,
+    state: Mutex<State>,
     waiting: AtomicUsize,
 }
 
 impl Room {
     /// Has a query wait for an endpoint.
-    pub fn wait(&self, at: EndpointKey, urgency: Urgency, waiter: &Arc<Waiter>) {
-        let mut queues = self.queues.lock();
-        queues.entry(at).or_default().insert(urgency, Arc::clone(waiter));
-        self.waiting.store(queues.len(), Ordering::Release);
+    pub fn wait(&self, at: EndpointKey, query: Urgency, waiter: &Arc<Waiter>) {
+        let mut s = self.state.lock();
+        s.order.wait(at, query);
+        s.waiters.entry(query.serial).or_insert_with(|| Arc::clone(waiter));
+        self.waiting.store(s.order.len(), Ordering::Release);
     }
 
     /// Forgets that a query waits for an endpoint.
-    pub fn forget(&self, at: EndpointKey, urgency: Urgency) {
-        self.take(at, |queue| drop(queue.remove(&urgency)));
+    pub fn forget(&self, at: EndpointKey, query: Urgency) {
+        let mut s = self.state.lock();
+        s.order.forget(at, query);
+        self.waiting.store(s.order.len(), Ordering::Release);
+    }
+
+    /// Forgets a query that is over.
+    pub fn leave(&self, query: Urgency) {
+        self.state.lock().waiters.swap_remove(&query.serial);
     }
 
     /// Wakes the most urgent query that waits for an endpoint.
@@ -55,20 +64,14 @@
         if self.waiting.load(Ordering::Acquire) == 0 {
             return;
         }
-        if let Some((_, waiter)) = self.take(at, BTreeMap::pop_first).flatten() {
+        let mut s = self.state.lock();
+        let first = s.order.freed(at);
+        self.waiting.store(s.order.len(), Ordering::Release);
+        let waiter = first.and_then(|q| s.waiters.get(&q.serial).cloned());
+        drop(s);
+        if let Some(waiter) = waiter {
             waiter.freed.lock().push(at);
             waiter.notify.notify_one();
         }
     }
-
-    fn take<T>(&self, at: EndpointKey, f: impl FnOnce(&mut Queue) -> T) -> Option<T> {
-        let mut queues = self.queues.lock();
-        let queue = queues.get_mut(&at)?;
-        let taken = f(queue);
-        if queue.is_empty() {
-            queues.swap_remove(&at);
-        }
-        self.waiting.store(queues.len(), Ordering::Release);
-        Some(taken)
-    }
 }
--- a/src/wisteriahead/services/entry/search.rs
+++ b/src/wisteriahead/services/entry/search.rs
@@ -1,10 +1,12 @@
 //! Drives one search: feeds the state machine with answers, timers and room.
 
 use super::Entry;
-use super::request::{Asked, SearchBody};
-use super::room::{Urgency, Waiter};
+use super::request::SearchBody;
+use super::room::Waiter;
+use super::turns::Turn;
 use crate::core::hits::{self, Hit, Hits};
 use crate::core::query::{Action, AttemptId, Coverage, Event, Fleet, Gather};
+use crate::core::room::Urgency;
 use crate::core::routes::{Snapshot, Target};
 use crate::prelude::*;
 use crate::services::{Attempt, Permit};
@@ -80,12 +82,7 @@
 /// # Errors
 ///
 /// Refuses when nothing can be planned or the coverage is less than the caller asked for.
-pub async fn run(
-    entry: &Entry,
-    begun: Time,
-    asked: &Asked,
-    body: SearchBody,
-) -> Result<Answer, Refusal> {
+pub async fn run(entry: &Entry, turn: &mut Turn, body: SearchBody) -> Result<Answer, Refusal> {
     let routes = entry.endpoints.routes();
     let Some(collection) = routes.collections.get(&*body.collection) else {
         let detail = format!("no endpoint holds collection `{}`", body.collection);
@@ -94,7 +91,7 @@
     let Some(snapshot) = collection.best() else {
         return Err(Refusal::not_run(Reason::NoSnapshot, "no snapshot is held"));
     };
-    let deadline = begun + asked.timeout;
+    let deadline = turn.query().deadline;
     let gather = Gather::new(snapshot, deadline, body.least);
     let drive = Drive {
         entry,
@@ -103,11 +100,13 @@
         sent: IndexMap::new(),
         open: FuturesUnordered::new(),
         wake: deadline,
-        urgency: (asked.priority, deadline, entry.serial()),
+        urgency: turn.query(),
         waiter: Arc::default(),
         waits: IndexSet::new(),
     };
-    label(drive.run(gather).await, &body)
+    let gather = drive.run(gather).await;
+    turn.crowded(gather.crowded());
+    label(gather, &body)
 }
 
 fn label(gather: Gather, body: &SearchBody) -> Result<Answer, Refusal> {
@@ -249,6 +248,7 @@
         for &key in &self.waits {
             self.entry.room.forget(key, self.urgency);
         }
+        self.entry.room.leave(self.urgency);
         for key in self.waiter.freed() {
             self.entry.room.freed(key);
         }
--- a/src/wisteriahead/services/transport/mod.rs
+++ b/src/wisteriahead/services/transport/mod.rs
@@ -47,6 +47,11 @@
         Arc::clone(pool)
     }
 
+    /// Connections that are open to all endpoints.
+    pub fn open(&self) -> u32 {
+        self.pools.lock().values().map(|p| p.open()).sum()
+    }
+
     fn sweep(&self) {
         self.pools.lock().retain(|_, p| !p.is_idle_for(POOL_IDLE));
     }
--- a/src/wisteriahead/services/transport/pool.rs
+++ b/src/wisteriahead/services/transport/pool.rs
@@ -39,6 +39,11 @@
         *self.used.lock() = Instant::now();
     }
 
+    /// Connections that are open.
+    pub fn open(&self) -> u32 {
+        self.state.lock().open
+    }
+
     /// Whether no request used the pool for `span` and none holds a connection.
     pub fn is_idle_for(&self, span: Duration) -> bool {
         let s = self.state.lock();
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -7,11 +7,13 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
 use std::sync::Arc;
+use wisteriahead::core::admission::{Action as AdmissionAction, Admission, Ask, Event as Arrival};
 use wisteriahead::core::choice::{Here, Latencies};
 use wisteriahead::core::hedge::{self, Extras};
 use wisteriahead::core::hits::Hits;
 use wisteriahead::core::latency::Sketch;
 use wisteriahead::core::query::{Action, AttemptId, Event, Fleet, Gather};
+use wisteriahead::core::room::{Room, Urgency};
 use wisteriahead::core::routes::{Snapshot, Target};
 use wisteriahead::prelude::*;
 
@@ -71,6 +73,10 @@
     extras: Extras,
     serial: u64,
     in_flight: slotmap::SecondaryMap<EndpointKey, u32>,
+    /// Requests that an endpoint runs at once.
+    slots: u32,
+    room: Room,
+    events: Queue,
 }
 
 impl Fleet for Sim {
@@ -90,11 +96,19 @@
         }
         let in_flight = |key| self.in_flight.get(key).copied().unwrap_or(0);
         let here = Here { zone: "north", in_flight: &in_flight, seed: self.serial };
-        let best = self.latencies.order(now, replicas, tried, &here).first().copied().cloned();
-        if tried.is_empty() {
-            self.extras.earn(1);
+        let order = self.latencies.order(now, replicas, tried, &here);
+        match order.into_iter().find(|t| in_flight(t.key) < self.slots) {
+            Some(target) => {
+                if tried.is_empty() {
+                    self.extras.earn(1);
+                }
+                Some((target.clone(), ()))
+            }
+            None => {
+                self.extras.refused();
+                None
+            }
         }
-        best.map(|t| (t, ()))
     }
 
     fn extra(&mut self, _: &[Target]) -> bool {
@@ -114,13 +128,52 @@
     }
 }
 
-type Queue = BinaryHeap<Reverse<(Time, u64, usize, Option<AttemptId>)>>;
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Kind {
+    Arrive,
+    Late,
+    Turn,
+    Done(AttemptId),
+    Room,
+    Wake,
+}
+
+type Queue = BinaryHeap<Reverse<(Time, u64, usize, Kind)>>;
 
 struct Query {
     gather: Gather,
     begun: Time,
+    turn: Time,
+    deadline: Time,
     sent: Vec<Option<(Target, Time)>>,
+    wake: Time,
     over: bool,
+    ended: bool,
+}
+
+impl Query {
+    fn urgency(&self, q: usize) -> Urgency {
+        Urgency { priority: 1, deadline: self.deadline, serial: q as u64 }
+    }
+}
+
+/// What became of offered queries.
+#[derive(Debug, Default)]
+pub struct Offered {
+    /// Answered whole and in time.
+    pub good: usize,
+    /// Refused with the proof that nothing ran.
+    pub refused: usize,
+    /// Begun and not answered.
+    pub wasted: usize,
+    span: Time,
+}
+
+impl Offered {
+    /// Whole answers a second.
+    pub fn goodput(&self) -> f64 {
+        self.good as f64 * 1e6 / self.span.0 as f64
+    }
 }
 
 impl Sim {
@@ -136,9 +189,18 @@
             extras: Extras::default(),
             serial: 0,
             in_flight: slotmap::SecondaryMap::new(),
+            slots: u32::MAX,
+            room: Room::default(),
+            events: Queue::new(),
         }
     }
 
+    /// Limits each endpoint to `slots` requests at once.
+    pub fn with_slots(mut self, slots: u32) -> Self {
+        self.slots = slots;
+        self
+    }
+
     /// Freezes one replica of each shard.
     pub fn freeze_one_of_each(&mut self) {
         let lots = self.snapshot.shards.iter().enumerate();
@@ -173,59 +235,125 @@
     /// Runs queries at fixed gaps; the first tenth only warms up.
     pub fn run(&mut self, queries: usize) -> Figures {
         let mut figures = Figures::default();
-        let mut events = Queue::new();
         let mut open: Vec<Query> = Vec::new();
         for q in 0..queries {
             let begun = Time(q as u64 * GAP.0);
-            let gather = Gather::new(Arc::clone(&self.snapshot), begun + TIMEOUT, 0.0);
-            open.push(Query { gather, begun, sent: Vec::new(), over: false });
-            events.push(Reverse((begun, self.count(), q, None)));
+            open.push(self.query(begun, TIMEOUT, 0.0));
+            self.push(begun, q, Kind::Turn);
         }
-        while let Some(Reverse((now, _, q, id))) = events.pop() {
+        let counted = |q: usize| q >= queries / 10;
+        while let Some(Reverse((now, _, q, kind))) = self.events.pop() {
             let query = &mut open[q];
-            if query.over {
-                continue;
+            let sends = self.step(now, q, query, kind);
+            figures.executions += if counted(q) { sends } else { 0 };
+            if std::mem::take(&mut query.ended) && counted(q) {
+                figures.times.push(now.since(query.begun).0);
+                figures.answered += query.gather.coverage().answered as usize;
+                figures.wanted += self.snapshot.shards.len();
             }
-            let event = match id {
-                Some(id) => {
-                    let Some(sent) = query.sent[id.0 as usize].take() else { continue };
-                    self.ended(now, &sent);
-                    Event::Done(id, Ok(Hits::default()))
+        }
+        figures
+    }
+
+    /// Offers queries that need all shards at a steady rate, through admission.
+    pub fn offer(&mut self, gap: Span, queries: usize, timeout: Span, admit: bool) -> Offered {
+        let mut offered = Offered::default();
+        let mut admission = Admission::default();
+        let mut open: Vec<Query> = Vec::new();
+        for q in 0..queries {
+            let begun = Time(q as u64 * gap.0);
+            open.push(self.query(begun, timeout, 1.0));
+            self.push(begun, q, if admit { Kind::Arrive } else { Kind::Turn });
+        }
+        while let Some(Reverse((now, _, q, kind))) = self.events.pop() {
+            offered.span = now;
+            let query = &mut open[q];
+            let urgency = query.urgency(q);
+            let actions = match kind {
+                Kind::Arrive => {
+                    let ask = Ask { urgency, timeout, class: "".into(), limit: None, caller: None };
+                    admission.step(now, Arrival::Arrive(ask))
+                }
+                Kind::Late => admission.step(now, Arrival::Wake),
+                _ => {
+                    self.step(now, q, query, kind);
+                    if !std::mem::take(&mut query.ended) {
+                        continue;
+                    }
+                    match (query.gather.coverage().missing.len(), query.gather.verdict()) {
+                        (0, _) => offered.good += 1,
+                        (_, Verdict::NotRun) => offered.refused += 1,
+                        _ => offered.wasted += 1,
+                    }
+                    let crowded =
+                        query.gather.crowded().map_or(Span::ZERO, |t| t.since(query.turn));
+                    admission.step(now, Arrival::Leave { query: urgency, crowded })
                 }
-                None if query.sent.is_empty() => Event::Start,
-                None => Event::Wake,
             };
-            let counted = q >= queries / 10;
-            let actions = query.gather.step(now, event, self);
             for action in actions {
-                self.carry_out(now, q, query, action, &mut events, &mut figures, counted);
+                match action {
+                    AdmissionAction::Enter(u) => {
+                        open[u.serial as usize].turn = now;
+                        self.push(now, u.serial as usize, Kind::Turn);
+                    }
+                    AdmissionAction::Refuse(..) => offered.refused += 1,
+                    AdmissionAction::Wake(at) => self.push(at, q, Kind::Late),
+                }
             }
-            if query.over && counted {
-                figures.times.push(now.since(query.begun).0);
-                figures.answered += query.gather.coverage().answered as usize;
-                figures.wanted += self.snapshot.shards.len();
+        }
+        offered
+    }
+
+    fn query(&self, begun: Time, timeout: Span, least: f64) -> Query {
+        let deadline = begun + timeout;
+        let gather = Gather::new(Arc::clone(&self.snapshot), deadline, least);
+        Query {
+            gather,
+            begun,
+            turn: begun,
+            deadline,
+            sent: Vec::new(),
+            wake: Time(u64::MAX),
+            over: false,
+            ended: false,
+        }
+    }
+
+    /// Feeds one event to a query; returns the attempts that it sent.
+    fn step(&mut self, now: Time, q: usize, query: &mut Query, kind: Kind) -> usize {
+        if query.over || (kind == Kind::Wake && now != query.wake) {
+            return 0;
+        }
+        let event = match kind {
+            Kind::Done(id) => {
+                let Some(sent) = query.sent[id.0 as usize].take() else { return 0 };
+                self.ended(now, &sent);
+                Event::Done(id, Ok(Hits::default()))
+            }
+            Kind::Turn => Event::Start,
+            Kind::Wake => {
+                query.wake = Time(u64::MAX);
+                Event::Wake
             }
+            _ => Event::Wake,
+        };
+        let before = query.sent.len();
+        for action in query.gather.step(now, event, self) {
+            self.carry_out(now, q, query, action);
         }
-        figures
+        let keys: Vec<_> = query.gather.waiting().map(|t| t.key).collect();
+        for key in keys {
+            self.room.wait(key, query.urgency(q));
+        }
+        query.sent.len() - before
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn carry_out(
-        &mut self,
-        now: Time,
-        q: usize,
-        query: &mut Query,
-        action: Action<()>,
-        events: &mut Queue,
-        figures: &mut Figures,
-        counted: bool,
-    ) {
+    fn carry_out(&mut self, now: Time, q: usize, query: &mut Query, action: Action<()>) {
         match action {
             Action::Send { attempt, shard, target, .. } => {
-                figures.executions += usize::from(counted);
                 *self.in_flight.entry(target.key).unwrap().or_default() += 1;
                 if let Some(time) = self.draw(q, shard, target.key) {
-                    events.push(Reverse((now + time, self.count(), q, Some(attempt))));
+                    self.push(now + time, q, Kind::Done(attempt));
                 }
                 query.sent.push(Some((target, now)));
             }
@@ -234,8 +362,12 @@
                     self.ended(now, &sent);
                 }
             }
-            Action::Wake(at) => events.push(Reverse((at, self.count(), q, None))),
-            Action::Finish => query.over = true,
+            Action::Wake(at) if at < query.wake => {
+                query.wake = at;
+                self.push(at, q, Kind::Wake);
+            }
+            Action::Wake(_) => {}
+            Action::Finish => (query.over, query.ended) = (true, true),
         }
     }
 
@@ -243,6 +375,14 @@
         self.in_flight[target.key] -= 1;
         self.times.record(now.since(*at));
         self.latencies.answered(now, target.key, now.since(*at));
+        if let Some(next) = self.room.freed(target.key) {
+            self.push(now, next.serial as usize, Kind::Room);
+        }
+    }
+
+    fn push(&mut self, at: Time, q: usize, kind: Kind) {
+        let serial = self.count();
+        self.events.push(Reverse((at, serial, q, kind)));
     }
 
     fn count(&mut self) -> u64 {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the library through its public interface.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod admission;
 mod ctl;
 mod fleet;
 mod hedge;
--- a/tests/testsuite/transport.rs
+++ b/tests/testsuite/transport.rs
@@ -236,3 +236,30 @@
         body.len()
     )
 }
+
+/// A connection whose answers are out of step by one is never used again.
+#[tokio::test]
+async fn connection_out_of_step_is_closed() {
+    let listener = TcpListener::bind(ANY).await.unwrap();
+    let bench = Bench::new(listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                let mut before = "wisteria-attempt: other\r\nwisteria-shard: 9\r\n".to_owned();
+                let mut head = vec![0; 4096];
+                while let Ok(n) = stream.read(&mut head).await
+                    && n > 0
+                {
+                    let _ = stream.write_all(echo(&before).as_bytes()).await;
+                    before = String::from_utf8_lossy(&head[..n]).into_owned();
+                }
+            });
+        }
+    });
+    for shard in 0..3 {
+        let refusal = bench.run(bench.attempt(shard, Span::secs(30))).await.unwrap_err();
+        assert_eq!((refusal.verdict, refusal.reason), (Verdict::MayHaveRun, Reason::Mismatch));
+    }
+    assert_eq!(bench.transport.open(), 0, "a connection out of step stayed in the pool");
+}
