--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,8 @@
 
 mod admission;
 mod ctl;
+mod ctl_changes;
+mod ctl_views;
 mod fleet;
 mod hedge;
 mod keys;
@@ -10,6 +12,10 @@
 mod peers;
 mod props;
 mod query;
+mod renewal;
+mod scripted;
+mod settings;
+mod storage;
 mod support;
 mod transport;
 mod whole;
