Run orders at most once: claim, one attempt, recorded outcome

Cause: POST /v1/orders and /v1/tickets were refused everywhere.

A pure state machine has the key claimed, sends to one endpoint chosen by the route, asks another only after the proof that the one before did not run it, and records the outcome before it answers. The order goes on when its caller goes away. The claims service is found by name; without one, orders are refused "not run". Attempts carry the key.

Tests: random interleavings of callers, resends, lost answers and kills (3,000 cases) and a matrix of four faults at four steps over HTTP, with a resend at another host; docs/proof/orders.md. The claims and the endpoints are fakes: the join with the real claims service is not tested here.

The property test failed at first for a fault of its own: it let time pass between the decision to send and its check. It now checks each decision when it is made, and that no endpoint that said it is leaving is asked again.

--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod hits;
 pub mod latency;
 pub mod message;
+pub mod order;
 pub mod query;
 pub mod registry;
 pub mod room;
--- a/src/wisteriahead/services/entry/mod.rs
+++ b/src/wisteriahead/services/entry/mod.rs
@@ -1,16 +1,17 @@
 //! Serves callers: reads a request, plans it, gathers the answer and labels it.
 
 mod learned;
+mod orders;
 mod request;
 mod room;
 mod search;
 mod turns;
 
 use self::learned::Learned;
-use self::request::{Asked, SearchBody};
+use self::request::{Asked, OrderBody, SearchBody};
 use self::room::Room;
 use self::turns::Turns;
-use super::{Accepted, Allowance, Control, Endpoints, Peers, Transport};
+use super::{Accepted, Allowance, Claims, Control, Endpoints, Peers, Transport};
 use crate::core::admission::Denial;
 use crate::core::document::Rules;
 use crate::kernel::{Context, Service};
@@ -55,15 +56,13 @@
         format!("{}-{:x}-{n:x}", self.host, self.boot).into()
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Answer {
+    async fn route(self: &Arc<Self>, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
             (&Method::GET, "/v1/health") => self.health(),
             (&Method::POST, "/v1/search") => self.search(request).await,
-            (&Method::POST, "/v1/orders" | "/v1/tickets") => http::refuse(&Refusal::not_run(
-                Reason::NoQuorum,
-                "this host cannot claim keys yet, so it takes no orders",
-            )),
+            (&Method::POST, "/v1/orders") => self.order(request).await,
+            (&Method::POST, "/v1/tickets") => self.ticket().await,
             _ => {
                 let detail = format!("`{} {path}` is not served here", request.method());
                 let refusal = Refusal::not_run(Reason::BadRequest, detail);
@@ -79,6 +78,54 @@
         http::json(StatusCode::OK, &json!({"state": "serving"}))
     }
 
+    /// The service that claims keys, where one runs.
+    fn claims(&self) -> Option<Arc<dyn Claims>> {
+        self.ctx.find::<dyn Claims>(<dyn Claims>::NAME).ok()
+    }
+
+    async fn ticket(&self) -> Answer {
+        let Some(claims) = self.claims().filter(|_| !self.ctx.is_stopping()) else {
+            let detail = "this host makes no tickets now; ask another";
+            return http::refuse(&Refusal::not_run(Reason::NoQuorum, detail));
+        };
+        match claims.ticket().await {
+            Ok(ticket) => http::json(StatusCode::OK, &json!({"ticket": ticket})),
+            Err(refusal) => http::refuse(&refusal),
+        }
+    }
+
+    async fn order(self: &Arc<Self>, request: Request<Incoming>) -> Answer {
+        let begun = self.ctx.now();
+        let result = self.run_order(begun, request).await;
+        self.metrics.time("order.time", self.ctx.now().since(begun).to_std());
+        self.metrics.incr(if result.is_ok() { "order.answered" } else { "order.refused" });
+        match result {
+            Ok(answer) => http::json(StatusCode::OK, &answer),
+            Err(refused) => refused.answer(),
+        }
+    }
+
+    async fn run_order(
+        self: &Arc<Self>,
+        begun: Time,
+        request: Request<Incoming>,
+    ) -> Result<orders::Answer, Refused> {
+        self.check_serving()?;
+        let (head, body) = request.into_parts();
+        let (asked, key) = (self.asked(&head.headers)?, request::key(&head.headers)?);
+        let body = OrderBody::read(body).await?;
+        let ask = asked.ask(begun, self.serial());
+        let turn = self.turns.take(ask).await.map_err(Refused::Denied)?;
+        Ok(orders::run(Arc::clone(self), key, body, turn.query().deadline).await?)
+    }
+
+    fn check_serving(&self) -> Result<(), Refusal> {
+        if self.ctx.is_stopping() {
+            return Err(Refusal::not_run(Reason::Draining, "this host is stopping; ask another"));
+        }
+        Ok(())
+    }
+
     async fn search(&self, request: Request<Incoming>) -> Answer {
         let begun = self.ctx.now();
         let result = self.run_search(begun, request).await;
@@ -95,10 +142,7 @@
         begun: Time,
         request: Request<Incoming>,
     ) -> Result<search::Answer, Refused> {
-        if self.ctx.is_stopping() {
-            let refusal = Refusal::not_run(Reason::Draining, "this host is stopping; ask another");
-            return Err(refusal.into());
-        }
+        self.check_serving()?;
         let (head, body) = request.into_parts();
         let asked = self.asked(&head.headers)?;
         let body = SearchBody::read(body, asked.least).await?;
@@ -142,9 +186,12 @@
     }
 }
 
-impl http::Routes for Entry {
+/// The routes that callers are served.
+struct Callers(Arc<Entry>);
+
+impl http::Routes for Callers {
     fn answer(&self, request: Request<Incoming>) -> BoxFuture<'_, Answer> {
-        Box::pin(self.route(request))
+        Box::pin(self.0.route(request))
     }
 }
 
@@ -192,8 +239,9 @@
                 accepted: control.map(|c| c.watch()),
                 metrics: self.metrics.clone(),
             };
+            let routes = Callers(Arc::new(entry));
             let listener = http::bind(self.listen).await?;
-            *self.server.lock() = Some(Arc::new(Server::start(listener, Arc::new(entry))?));
+            *self.server.lock() = Some(Arc::new(Server::start(listener, Arc::new(routes))?));
             Ok(())
         })
     }
--- /dev/null
+++ b/src/wisteriahead/services/entry/orders.rs
@@ -0,0 +1,155 @@
+//! Drives one order: claims its key, sends it, records its outcome.
+//!
+//! An order goes on when its caller goes away, so that its outcome is recorded.
+
+use super::Entry;
+use super::request::OrderBody;
+use crate::core::order::{self, Action, Event, Known, Order, Outcome, Places};
+use crate::core::routes::{Snapshot, Target};
+use crate::prelude::*;
+use crate::services::{self, Attempt, Claim, Claims, Permit};
+use bytes::Bytes;
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+/// Longest wait for an outcome to be recorded before the caller is answered.
+const RECORD_WAIT: Span = Span::millis(500);
+
+/// The answer to an order.
+#[derive(Debug, Serialize)]
+pub struct Answer {
+    verdict: Verdict,
+    result: Box<RawValue>,
+}
+
+/// The endpoints of one collection, as an order sees them.
+struct Takers<'a> {
+    entry: &'a Entry,
+    collection: &'a str,
+}
+
+impl Places for Takers<'_> {
+    type Permit = Permit;
+
+    fn plan(&self) -> Option<Arc<Snapshot>> {
+        self.entry.endpoints.routes().collections.get(self.collection)?.best()
+    }
+
+    fn acquire(&mut self, to: &Target) -> Option<Permit> {
+        self.entry.allowance.acquire(to)
+    }
+}
+
+struct Drive {
+    entry: Arc<Entry>,
+    claims: Arc<dyn Claims>,
+    key: Arc<str>,
+    body: OrderBody,
+    deadline: Time,
+}
+
+/// Runs one order to its answer, also when nobody waits for it any more.
+///
+/// # Errors
+///
+/// Refuses with a verdict that says whether this request may have run.
+pub async fn run(
+    entry: Arc<Entry>,
+    key: Arc<str>,
+    body: OrderBody,
+    deadline: Time,
+) -> Result<Answer, Refusal> {
+    let Some(claims) = entry.claims() else {
+        let detail = "this host can claim no keys, so it takes no orders; ask another";
+        return Err(Refusal::not_run(Reason::NoQuorum, detail));
+    };
+    if !entry.endpoints.routes().collections.contains_key(&*body.collection) {
+        let detail = format!("no endpoint holds collection `{}`", body.collection);
+        return Err(Refusal::not_run(Reason::UnknownCollection, detail));
+    }
+    let drive = Drive { entry, claims, key, body, deadline };
+    let stopped = |_| Refusal::may_have_run(Reason::Internal, "the order was stopped");
+    let body = tokio::spawn(drive.run()).await.map_err(stopped)??;
+    let text = String::from_utf8(body.to_vec()).ok();
+    let result = text.and_then(|t| RawValue::from_string(t).ok());
+    // The order ran; an answer that is no JSON is lost, which does not change that.
+    let result = result.unwrap_or_else(|| RawValue::NULL.to_owned());
+    Ok(Answer { verdict: Verdict::Ran, result })
+}
+
+impl Drive {
+    async fn run(self) -> Result<Bytes, Refusal> {
+        let mut order = Order::new(self.body.route.clone(), self.deadline);
+        let mut event = Event::Start;
+        loop {
+            let action = {
+                let collection = &*self.body.collection;
+                let mut takers = Takers { entry: &self.entry, collection };
+                order.step(self.entry.ctx.now(), event, &mut takers)
+            };
+            event = match action {
+                Some(Action::Claim) => Event::Claimed(self.claim().await),
+                Some(Action::Send { snapshot, shard, target, permit }) => {
+                    Event::Done(self.send(snapshot, shard, &target, permit).await)
+                }
+                Some(Action::Wake(at)) => {
+                    tokio::time::sleep(at.since(self.entry.ctx.now()).to_std()).await;
+                    Event::Wake
+                }
+                Some(Action::Record(outcome)) => {
+                    self.record(outcome).await;
+                    Event::Recorded
+                }
+                Some(Action::Answer(answer)) => return answer,
+                None => {
+                    let detail = "the order stopped in an unknown state";
+                    return Err(Refusal::may_have_run(Reason::Internal, detail));
+                }
+            };
+        }
+    }
+
+    async fn claim(&self) -> Result<Known, Refusal> {
+        let digest = order::digest(&self.body.collection, &self.body.route, &self.body.order);
+        Ok(match self.claims.claim(&self.key, digest).await? {
+            Claim::Granted => Known::Granted,
+            Claim::Running => Known::Running,
+            Claim::Known(services::Outcome::Ran(body)) => Known::Ran(body.into()),
+            Claim::Known(services::Outcome::NotRun) => Known::NotRun,
+            Claim::Known(services::Outcome::MayHaveRun) => Known::MayHaveRun,
+        })
+    }
+
+    async fn send(
+        &self,
+        snapshot: Arc<str>,
+        shard: u32,
+        target: &Target,
+        permit: Permit,
+    ) -> Result<Bytes, Refusal> {
+        let attempt = Attempt {
+            id: self.entry.attempt_id(),
+            idempotent: false,
+            key: Some(Arc::clone(&self.key)),
+            collection: Arc::clone(&self.body.collection),
+            snapshot,
+            shard,
+            timeout: self.deadline.since(self.entry.ctx.now()),
+            body: self.body.order.clone(),
+        };
+        self.entry.transport.run(target, attempt, permit).await
+    }
+
+    async fn record(&self, outcome: Outcome) {
+        let outcome = match outcome {
+            Outcome::Ran(body) => services::Outcome::Ran(body.to_vec()),
+            Outcome::NotRun => services::Outcome::NotRun,
+            Outcome::MayHaveRun => services::Outcome::MayHaveRun,
+        };
+        let (claims, key) = (Arc::clone(&self.claims), Arc::clone(&self.key));
+        let record = tokio::spawn(async move { claims.record(&key, outcome).await });
+        if tokio::time::timeout(RECORD_WAIT.to_std(), record).await.is_err() {
+            log::warn!("the outcome of an order is not recorded yet");
+        }
+    }
+}
--- a/src/wisteriahead/services/entry/request.rs
+++ b/src/wisteriahead/services/entry/request.rs
@@ -15,6 +15,10 @@
 
 /// Most bytes of a caller's body.
 const BODY_MAX_BYTES: usize = 256 << 10;
+/// Longest route of an order, in bytes.
+const ROUTE_MAX_BYTES: usize = 256;
+/// Longest key of an order, in bytes.
+const KEY_MAX_BYTES: usize = 256;
 /// Time allowed when the caller names none.
 const TIMEOUT_DEFAULT: Span = Span::secs(1);
 /// Priority of callers without a class.
@@ -64,6 +68,60 @@
     pub least: f64,
 }
 
+#[derive(Deserialize)]
+struct OrderFields {
+    collection: String,
+    route: String,
+    order: Box<RawValue>,
+}
+
+/// The body of an order.
+#[derive(Clone, Debug)]
+pub struct OrderBody {
+    /// Collection that takes it.
+    pub collection: Arc<str>,
+    /// What chooses the endpoint: equal routes go to the same one.
+    pub route: String,
+    /// Order as the caller wrote it, for the endpoint.
+    pub order: Bytes,
+}
+
+impl OrderBody {
+    /// Reads and checks the body of an order.
+    ///
+    /// # Errors
+    ///
+    /// Refuses what is malformed or out of bounds, naming what is allowed.
+    pub async fn read(body: Incoming) -> Result<Self, Refusal> {
+        let bytes = read_body(body, BODY_MAX_BYTES).await?;
+        let f: OrderFields = serde_json::from_slice(&bytes)
+            .map_err(|e| bad(format!("the body is no order: {e}")))?;
+        check_name("collection", &f.collection).map_err(bad)?;
+        if f.route.is_empty() || f.route.len() > ROUTE_MAX_BYTES {
+            return Err(bad(format!("`route` needs 1 to {ROUTE_MAX_BYTES} bytes")));
+        }
+        let order = Bytes::from(Box::<str>::from(f.order).into_boxed_bytes());
+        Ok(Self { collection: f.collection.into(), route: f.route, order })
+    }
+}
+
+/// The key of a non-idempotent request.
+///
+/// # Errors
+///
+/// Refuses a request without a key, and a key that is out of bounds.
+pub fn key(headers: &HeaderMap) -> Result<Arc<str>, Refusal> {
+    let value = headers.get("idempotency-key").map(|v| v.to_str().unwrap_or_default());
+    let value = value.ok_or_else(|| bad("an order needs the header `idempotency-key`".into()))?;
+    let plain = |b: u8| b.is_ascii_graphic();
+    if value.is_empty() || value.len() > KEY_MAX_BYTES || !value.bytes().all(plain) {
+        return Err(bad(format!(
+            "`idempotency-key` needs 1 to {KEY_MAX_BYTES} visible ASCII characters"
+        )));
+    }
+    Ok(value.into())
+}
+
 impl Asked {
     /// Reads and checks the headers.
     ///
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod hedge;
 mod keys;
 mod operator;
+mod order_entry;
 mod peers;
 mod props;
 mod query;
