--- a/src/wisteriahead/services/entry/mod.rs
+++ b/src/wisteriahead/services/entry/mod.rs
@@ -1,25 +1,32 @@
 //! Serves callers: reads a request, plans it, gathers the answer and labels it.
 
 mod learned;
+mod orders;
 mod request;
 mod room;
 mod search;
+mod turns;
 
 use self::learned::Learned;
-use self::request::{Asked, SearchBody};
+use self::request::{Asked, OrderBody, SearchBody};
 use self::room::Room;
-use super::{Allowance, Endpoints, Peers, Transport};
+use self::turns::Turns;
+use super::{Accepted, Allowance, Claims, Control, Endpoints, Peers, Transport};
+use crate::core::admission::Denial;
+use crate::core::document::Rules;
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
 use crate::util::http::{self, Answer, Server};
 use crate::util::metrics::Metrics;
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
+use hyper::header::HeaderMap;
 use hyper::{Method, Request, StatusCode};
 use parking_lot::Mutex;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::watch;
 
 /// What the entry needs from the rest of the daemon.
 pub struct Entry {
@@ -32,6 +39,8 @@
     transport: Arc<dyn Transport>,
     learned: Learned,
     room: Arc<Room>,
+    turns: Arc<Turns>,
+    accepted: Option<watch::Receiver<Accepted>>,
     metrics: Metrics,
 }
 
@@ -47,15 +56,13 @@
         format!("{}-{:x}-{n:x}", self.host, self.boot).into()
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Answer {
+    async fn route(self: &Arc<Self>, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
             (&Method::GET, "/v1/health") => self.health(),
             (&Method::POST, "/v1/search") => self.search(request).await,
-            (&Method::POST, "/v1/orders" | "/v1/tickets") => http::refuse(&Refusal::not_run(
-                Reason::NoQuorum,
-                "this host cannot claim keys yet, so it takes no orders",
-            )),
+            (&Method::POST, "/v1/orders") => self.order(request).await,
+            (&Method::POST, "/v1/tickets") => self.ticket().await,
             _ => {
                 let detail = format!("`{} {path}` is not served here", request.method());
                 let refusal = Refusal::not_run(Reason::BadRequest, detail);
@@ -71,41 +78,120 @@
         http::json(StatusCode::OK, &json!({"state": "serving"}))
     }
 
+    /// The service that claims keys, where one runs.
+    fn claims(&self) -> Option<Arc<dyn Claims>> {
+        self.ctx.find::<dyn Claims>(<dyn Claims>::NAME).ok()
+    }
+
+    async fn ticket(&self) -> Answer {
+        let Some(claims) = self.claims().filter(|_| !self.ctx.is_stopping()) else {
+            let detail = "this host makes no tickets now; ask another";
+            return http::refuse(&Refusal::not_run(Reason::NoQuorum, detail));
+        };
+        match claims.ticket().await {
+            Ok(ticket) => http::json(StatusCode::OK, &json!({"ticket": ticket})),
+            Err(refusal) => http::refuse(&refusal),
+        }
+    }
+
+    async fn order(self: &Arc<Self>, request: Request<Incoming>) -> Answer {
+        let begun = self.ctx.now();
+        let result = self.run_order(begun, request).await;
+        self.metrics.time("order.time", self.ctx.now().since(begun).to_std());
+        self.metrics.incr(if result.is_ok() { "order.answered" } else { "order.refused" });
+        match result {
+            Ok(answer) => http::json(StatusCode::OK, &answer),
+            Err(refused) => refused.answer(),
+        }
+    }
+
+    async fn run_order(
+        self: &Arc<Self>,
+        begun: Time,
+        request: Request<Incoming>,
+    ) -> Result<orders::Answer, Refused> {
+        self.check_serving()?;
+        let (head, body) = request.into_parts();
+        let (asked, key) = (self.asked(&head.headers)?, request::key(&head.headers)?);
+        let body = OrderBody::read(body).await?;
+        let ask = asked.ask(begun, self.serial());
+        let turn = self.turns.take(ask).await.map_err(Refused::Denied)?;
+        Ok(orders::run(Arc::clone(self), key, body, turn.query().deadline).await?)
+    }
+
+    fn check_serving(&self) -> Result<(), Refusal> {
+        if self.ctx.is_stopping() {
+            return Err(Refusal::not_run(Reason::Draining, "this host is stopping; ask another"));
+        }
+        Ok(())
+    }
+
     async fn search(&self, request: Request<Incoming>) -> Answer {
         let begun = self.ctx.now();
-        let result = match Asked::read(request).await {
-            Ok((asked, body)) => self.run_search(begun, &asked, body).await,
-            Err(refusal) => Err(refusal),
-        };
+        let result = self.run_search(begun, request).await;
         self.metrics.time("search.time", self.ctx.now().since(begun).to_std());
+        self.metrics.incr(if result.is_ok() { "search.answered" } else { "search.refused" });
         match result {
-            Ok(answer) => {
-                self.metrics.incr("search.answered");
-                http::json(StatusCode::OK, &answer)
-            }
-            Err(refusal) => {
-                self.metrics.incr("search.refused");
-                http::refuse(&refusal)
-            }
+            Ok(answer) => http::json(StatusCode::OK, &answer),
+            Err(refused) => refused.answer(),
         }
     }
 
     async fn run_search(
         &self,
         begun: Time,
-        asked: &Asked,
-        body: SearchBody,
-    ) -> Result<search::Answer, Refusal> {
-        if self.ctx.is_stopping() {
-            return Err(Refusal::not_run(Reason::Draining, "this host is stopping; ask another"));
+        request: Request<Incoming>,
+    ) -> Result<search::Answer, Refused> {
+        self.check_serving()?;
+        let (head, body) = request.into_parts();
+        let asked = self.asked(&head.headers)?;
+        let body = SearchBody::read(body, asked.least).await?;
+        let ask = asked.ask(begun, self.serial());
+        let mut turn = self.turns.take(ask).await.map_err(Refused::Denied)?;
+        Ok(search::run(self, &mut turn, body).await?)
+    }
+
+    fn asked(&self, headers: &HeaderMap) -> Result<Asked, Refusal> {
+        match &self.accepted {
+            Some(accepted) => Asked::read(headers, &accepted.borrow().document.rules),
+            None => Asked::read(headers, &Rules::default()),
+        }
+    }
+}
+
+/// Why a caller gets no answer.
+enum Refused {
+    Denied(Denial),
+    Refusal(Refusal),
+}
+
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refusal(refusal)
+    }
+}
+
+impl Refused {
+    fn answer(&self) -> Answer {
+        match self {
+            Self::Refusal(refusal) => http::refuse(refusal),
+            Self::Denied(denial) => {
+                let mut answer = http::refuse(&denial.refusal());
+                if *denial == Denial::Caller {
+                    *answer.status_mut() = StatusCode::TOO_MANY_REQUESTS;
+                }
+                answer
+            }
         }
-        search::run(self, begun, asked, body).await
     }
 }
 
-impl http::Routes for Entry {
+/// The routes that callers are served.
+struct Callers(Arc<Entry>);
+
+impl http::Routes for Callers {
     fn answer(&self, request: Request<Incoming>) -> BoxFuture<'_, Answer> {
-        Box::pin(self.route(request))
+        Box::pin(self.0.route(request))
     }
 }
 
@@ -138,6 +224,7 @@
     fn start<'a>(&'a self, ctx: &'a Context) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
             let peers = ctx.find::<dyn Peers>(<dyn Peers>::NAME).ok();
+            let control = ctx.find::<dyn Control>(<dyn Control>::NAME).ok();
             let entry = Entry {
                 ctx: ctx.clone(),
                 host: self.host.as_str().into(),
@@ -148,10 +235,13 @@
                 transport: ctx.find::<dyn Transport>(<dyn Transport>::NAME)?,
                 learned: Learned::new(peers.as_ref().map_or("", |p| p.zone())),
                 room: Arc::default(),
+                turns: Turns::new(ctx.clone()),
+                accepted: control.map(|c| c.watch()),
                 metrics: self.metrics.clone(),
             };
+            let routes = Callers(Arc::new(entry));
             let listener = http::bind(self.listen).await?;
-            *self.server.lock() = Some(Arc::new(Server::start(listener, Arc::new(entry))?));
+            *self.server.lock() = Some(Arc::new(Server::start(listener, Arc::new(routes))?));
             Ok(())
         })
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_clients;
 mod bad_input;
+mod admission;
 mod ctl;
 mod ctl_changes;
 mod ctl_views;
@@ -10,6 +11,7 @@
 mod hedge;
 mod keys;
 mod operator;
+mod order_entry;
 mod peers;
 mod props;
 mod query;
