--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -5,11 +5,13 @@
 
 pub mod admission;
 pub mod choice;
+pub mod digest;
 pub mod document;
 pub mod endpoint;
 pub mod hedge;
 pub mod hits;
 pub mod latency;
+pub mod member;
 pub mod message;
 pub mod order;
 pub mod query;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod hedge;
 mod keys;
+mod member;
 mod operator;
 mod order_entry;
 mod peers;
