Add the replicated log: a pure state machine after Raft

Changes and claims need one order that survives lost disks, cuts and races, with no outside store. Identity by host name was ruled out by trial: in the property test a host with an emptied disk that keeps its identity lets a leader be elected that lacks a committed entry. A replica is therefore named by its disk too, joins as a learner, and is promoted only when it holds all that is committed.

--- /dev/null
+++ b/crates/wisteria-testkit/src/cluster.rs
@@ -0,0 +1,330 @@
+//! Replicas of a log on disks and a network that fail, one step at a time.
+
+use crate::disk::FakeDisk;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use wisteriahead::core::log::{
+    Action, Base, Change, Config, Entry, Event, Index, Limits, Message, Node, Payload, Replica,
+    Term,
+};
+use wisteriahead::core::time::{Span, Time};
+use wisteriahead::services::replica::{Kept, Store};
+
+/// Journal of the log on each disk.
+const NAME: &str = "log";
+
+/// One host: its disk, and its replica while its process runs.
+pub struct Host {
+    /// Which replica its disk makes it.
+    pub id: Replica,
+    /// Its disk.
+    pub disk: Arc<FakeDisk>,
+    /// Its process.
+    pub live: Option<Live>,
+    /// Actions until the power fails, and what that leaves.
+    fuse: Option<(usize, u64)>,
+    /// Whether its process stands still.
+    pub frozen: bool,
+    now: Time,
+}
+
+/// A running replica.
+pub struct Live {
+    /// The state machine.
+    pub node: Node,
+    store: Store,
+    /// Commands applied, in their order.
+    pub applied: Vec<Vec<u8>>,
+    at: Index,
+}
+
+/// All hosts, the network between them and what was seen to be promised.
+pub struct Cluster {
+    /// The hosts.
+    pub hosts: Vec<Host>,
+    /// Messages under way.
+    pub wire: Vec<(Replica, Message)>,
+    cuts: Vec<(String, String)>,
+    first: Config,
+    disks: u64,
+    seed: u64,
+    starts: u64,
+    committed: BTreeMap<Index, Arc<Entry>>,
+    leaders: BTreeMap<Term, Replica>,
+    highest: BTreeMap<Replica, Index>,
+}
+
+impl Cluster {
+    /// A cluster whose first `voters` hosts form it; the others have empty disks.
+    pub fn new(hosts: usize, voters: usize, seed: u64) -> Self {
+        let id = |i: usize| Replica { host: format!("h{i}"), zone: "z".into(), disk: i as u64 };
+        let first = Config { voters: (0..voters).map(id).collect(), learners: Vec::new() };
+        let mut cluster = Self {
+            hosts: Vec::new(),
+            wire: Vec::new(),
+            cuts: Vec::new(),
+            first,
+            disks: hosts as u64,
+            seed,
+            starts: 0,
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            highest: BTreeMap::new(),
+        };
+        for i in 0..hosts {
+            let disk = Arc::new(FakeDisk::default());
+            let now = Time(1_000_000);
+            let host = Host { id: id(i), disk, live: None, fuse: None, frozen: false, now };
+            cluster.hosts.push(host);
+            cluster.start(i);
+        }
+        cluster
+    }
+
+    /// Starts a host's process from its disk.
+    pub fn start(&mut self, i: usize) {
+        let host = &mut self.hosts[i];
+        if host.live.is_some() {
+            return;
+        }
+        let Kept { mut store, base, records } =
+            Store::open(host.disk.clone(), NAME).expect("the fake disk works");
+        // A replica that joins begins with a log that names no voters.
+        let base = base.unwrap_or_else(|| {
+            let founder = self.first.voters.contains(&host.id);
+            let base = Base::empty(if founder { self.first.voters.clone() } else { Vec::new() });
+            store.compact(&base).expect("the fake disk works");
+            base
+        });
+        let applied = unpack(&base.snapshot.data);
+        let at = base.snapshot.index;
+        self.starts += 1;
+        let seed = mix(self.seed ^ mix(self.starts));
+        let node = Node::recover(host.id.clone(), base, records, seed, host.now)
+            .with(Limits { chunk: 20, trail: 2 });
+        host.frozen = false;
+        host.live = Some(Live { node, store, applied, at });
+    }
+
+    /// Cuts the power of a host; part of what was not synced is lost.
+    pub fn crash(&mut self, i: usize, seed: u64) {
+        self.hosts[i].live = None;
+        self.hosts[i].fuse = None;
+        self.hosts[i].disk.crash(seed);
+    }
+
+    /// Has the power of a host fail after so many more actions.
+    pub fn fuse(&mut self, i: usize, actions: usize, seed: u64) {
+        self.hosts[i].fuse = Some((actions, seed));
+    }
+
+    /// Loses a host's disk: it is another replica from here on.
+    pub fn lose(&mut self, i: usize) {
+        self.hosts[i].live = None;
+        self.hosts[i].fuse = None;
+        self.hosts[i].disk.lose();
+        self.hosts[i].id.disk = self.disks;
+        self.disks += 1;
+        self.start(i);
+    }
+
+    /// Cuts one direction between two hosts.
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.push((self.hosts[from].id.host.clone(), self.hosts[to].id.host.clone()));
+    }
+
+    /// Heals all cuts.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Lets time pass at one host.
+    pub fn tick(&mut self, i: usize, span: Span) {
+        self.hosts[i].now = self.hosts[i].now + span;
+        self.step(i, Event::Tick);
+    }
+
+    /// Delivers one message, unless it is cut off; a copy may stay under way.
+    pub fn deliver(&mut self, n: usize, copy: bool) {
+        if self.wire.is_empty() {
+            return;
+        }
+        let n = n % self.wire.len();
+        let (to, message) = if copy { self.wire[n].clone() } else { self.wire.remove(n) };
+        let route = (message.from.host.clone(), to.host.clone());
+        let Some(i) = self.hosts.iter().position(|h| h.id == to) else { return };
+        if !self.cuts.contains(&route) && !self.hosts[i].frozen {
+            self.step(i, Event::Receive(message));
+        }
+    }
+
+    /// Delivers everything and lets time pass until nothing is left to do.
+    pub fn settle(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            for _ in 0..400 {
+                self.deliver(0, false);
+            }
+            (0..self.hosts.len()).for_each(|i| self.tick(i, Span::millis(50)));
+        }
+    }
+
+    /// The host that leads with a settled term, if one does.
+    pub fn leader(&self) -> Option<usize> {
+        let settled = |h: &Host| h.live.as_ref().is_some_and(|l| l.node.settled());
+        let leaders = (0..self.hosts.len()).filter(|&i| settled(&self.hosts[i]));
+        leaders.max_by_key(|&i| self.hosts[i].live.as_ref().map(|l| l.node.hard().term))
+    }
+
+    /// The state of all hosts, for a failed test.
+    pub fn show(&self) -> String {
+        let show = |h: &Host| {
+            let Some(l) = &h.live else { return format!("{:?} is down\n", h.id) };
+            let n = &l.node;
+            let log = n.entries();
+            format!(
+                "{}/{} frozen {} term {} last {}/{} commit {} leads {} voters {:?}\n",
+                h.id.host,
+                h.id.disk,
+                h.frozen,
+                n.hard().term,
+                log.last_term(),
+                log.last(),
+                n.commit(),
+                n.leads(),
+                n.config().voters.iter().map(|v| v.disk).collect::<Vec<_>>()
+            )
+        };
+        format!("{} messages under way\n", self.wire.len())
+            + &self.hosts.iter().map(show).collect::<String>()
+    }
+
+    /// Commands that were committed, in their order.
+    pub fn committed(&self) -> Vec<Vec<u8>> {
+        self.committed.values().filter_map(|e| data(e)).collect()
+    }
+
+    /// Has a host propose a command.
+    pub fn propose(&mut self, i: usize, command: u64) {
+        self.step(i, Event::Propose { token: command, data: command.to_be_bytes().to_vec() });
+    }
+
+    /// Has a host ask for a change of the replicas.
+    pub fn change(&mut self, i: usize, change: Change) {
+        self.step(i, Event::Change { token: 0, change });
+    }
+
+    /// Has a host compact its log.
+    pub fn compact(&mut self, i: usize) {
+        let Some(live) = &self.hosts[i].live else { return };
+        let state = pack(&live.applied);
+        self.step(i, Event::Compact(state));
+    }
+
+    /// Gives an event to a host and carries out its actions.
+    pub fn step(&mut self, i: usize, event: Event) {
+        let host = &mut self.hosts[i];
+        let Some(live) = &mut host.live else { return };
+        if host.frozen {
+            return;
+        }
+        let led = live.node.leads();
+        let actions = live.node.step(host.now, event);
+        let leads = live.node.leads();
+        for action in actions {
+            if let Some((left, seed)) = &mut self.hosts[i].fuse {
+                if *left == 0 {
+                    let seed = *seed;
+                    // Half of the time the write has begun when the power fails.
+                    if seed % 2 == 0 {
+                        self.begin(i, &action);
+                    }
+                    return self.crash(i, seed);
+                }
+                *left -= 1;
+            }
+            self.act(i, action);
+        }
+        if leads && !led {
+            self.elected(i);
+        }
+    }
+
+    fn begin(&mut self, i: usize, action: &Action) {
+        if let (Some(live), Action::Persist(records)) = (&mut self.hosts[i].live, action) {
+            live.store.append(records).expect("the fake disk works");
+        }
+    }
+
+    fn act(&mut self, i: usize, action: Action) {
+        let Some(live) = &mut self.hosts[i].live else { return };
+        match action {
+            Action::Persist(records) => {
+                live.store.append(&records).expect("the fake disk works");
+                live.store.sync().expect("the fake disk works");
+            }
+            Action::Compact(base) => live.store.compact(&base).unwrap(),
+            Action::Send { to, message } => self.wire.push((to, message)),
+            Action::Apply(entry) => self.apply(i, &entry),
+            Action::Install(snapshot) => {
+                live.applied = unpack(&snapshot.data);
+                live.at = snapshot.index;
+                self.check_prefix(i);
+            }
+            Action::Proposed { .. } => {}
+        }
+    }
+
+    fn apply(&mut self, i: usize, entry: &Arc<Entry>) {
+        let Some(live) = &mut self.hosts[i].live else { return };
+        assert_eq!(entry.index, live.at + 1, "h{i} applies in order");
+        live.at = entry.index;
+        live.applied.extend(data(entry));
+        let first = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
+        assert_eq!(first, entry, "h{i} applies another entry than was committed");
+        self.check_prefix(i);
+    }
+
+    /// What a host has applied is what was committed up to there.
+    fn check_prefix(&mut self, i: usize) {
+        let host = &self.hosts[i];
+        let Some(live) = &host.live else { return };
+        let upto = self.committed.range(..=live.at).filter_map(|(_, e)| data(e));
+        assert!(upto.eq(live.applied.iter().cloned()), "h{i} has another state at {}", live.at);
+        let highest = self.highest.entry(host.id.clone()).or_default();
+        *highest = live.at.max(*highest);
+    }
+
+    /// One leader a term, and it holds all that was committed.
+    fn elected(&mut self, i: usize) {
+        let host = &self.hosts[i];
+        let Some(live) = &host.live else { return };
+        let (term, log) = (live.node.hard().term, live.node.entries());
+        let first = self.leaders.entry(term).or_insert_with(|| host.id.clone());
+        assert_eq!(*first, host.id, "two leaders of term {term}");
+        for (&index, entry) in self.committed.range(log.base() + 1..) {
+            assert_eq!(log.get(index), Some(entry), "leader of term {term} lacks entry {index}");
+        }
+    }
+}
+
+fn data(entry: &Entry) -> Option<Vec<u8>> {
+    match &entry.payload {
+        Payload::Data(data) => Some(data.clone()),
+        Payload::Noop | Payload::Config(_) => None,
+    }
+}
+
+fn pack(commands: &[Vec<u8>]) -> Vec<u8> {
+    commands.concat()
+}
+
+fn unpack(bytes: &[u8]) -> Vec<Vec<u8>> {
+    bytes.chunks(8).map(<[u8]>::to_vec).collect()
+}
+
+/// Numbers of which none tells the next.
+fn mix(n: u64) -> u64 {
+    let n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let n = (n ^ (n >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    n ^ (n >> 31)
+}
--- a/crates/wisteria-testkit/src/lib.rs
+++ b/crates/wisteria-testkit/src/lib.rs
@@ -2,6 +2,7 @@
 //! processes on loopback, and a small HTTP client.
 
 pub mod client;
+pub mod cluster;
 pub mod disk;
 pub mod keys;
 pub mod matrix;
--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod document;
 pub mod endpoint;
 pub mod hits;
+pub mod log;
 pub mod message;
 pub mod query;
 pub mod registry;
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -19,6 +19,7 @@
 pub mod operator;
 pub mod peers;
 pub mod registry;
+pub mod replica;
 pub mod transport;
 
 /// Handles the messages of one topic.
--- /dev/null
+++ b/tests/testsuite/log.rs
@@ -0,0 +1,394 @@
+use crate::support::config;
+use proptest::prelude::*;
+use wisteria_testkit::cluster::Cluster;
+use wisteria_testkit::matrix::Matrix;
+use wisteriahead::core::log::{
+    Action, Base, Body, Change, ELECTION_MIN, ELECTION_SPREAD, Entry, Event, HardState, Message,
+    Node, Payload, Record, Refused, Replica,
+};
+use wisteriahead::core::time::{Span, Time};
+
+const HOSTS: usize = 5;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Deliver(usize),
+    Copy(usize),
+    Drop(usize),
+    Tick(usize, u64),
+    Propose(usize),
+    Crash(usize, u64),
+    Fuse(usize, usize, u64),
+    Start(usize),
+    Freeze(usize),
+    Cut(usize, usize),
+    Heal,
+    Lose(usize),
+    Repair,
+    Remove(usize),
+    Compact(usize),
+    Settle,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let host = 0..HOSTS;
+    prop_oneof![
+        60 => any::<u16>().prop_map(|n| Step::Deliver(usize::from(n))),
+        4 => any::<u16>().prop_map(|n| Step::Copy(usize::from(n))),
+        4 => any::<u16>().prop_map(|n| Step::Drop(usize::from(n))),
+        30 => (host.clone(), 1..700u64).prop_map(|(i, ms)| Step::Tick(i, ms)),
+        12 => host.clone().prop_map(Step::Propose),
+        2 => (host.clone(), any::<u64>()).prop_map(|(i, s)| Step::Crash(i, s)),
+        4 => (host.clone(), 0..6usize, any::<u64>()).prop_map(|(i, n, s)| Step::Fuse(i, n, s)),
+        8 => host.clone().prop_map(Step::Start),
+        2 => host.clone().prop_map(Step::Freeze),
+        3 => (host.clone(), host.clone()).prop_map(|(a, b)| Step::Cut(a, b)),
+        3 => Just(Step::Heal),
+        2 => host.clone().prop_map(Step::Lose),
+        8 => Just(Step::Repair),
+        1 => host.clone().prop_map(Step::Remove),
+        3 => host.prop_map(Step::Compact),
+        4 => Just(Step::Settle),
+    ]
+}
+
+/// Voters of the newest configuration whose disk is lost.
+fn lost(cluster: &Cluster) -> Vec<Replica> {
+    let Some(config) = newest(cluster) else { return Vec::new() };
+    let here = |r: &_| cluster.hosts.iter().any(|h| h.id == *r);
+    config.all().filter(|r| !here(r)).cloned().collect()
+}
+
+fn newest(cluster: &Cluster) -> Option<wisteriahead::core::log::Config> {
+    let live = cluster.hosts.iter().filter_map(|h| h.live.as_ref());
+    let newest = live.max_by_key(|l| (l.node.commit(), l.node.entries().config_index()))?;
+    Some(newest.node.config().clone())
+}
+
+/// A disk may be lost while no other loss is unrepaired: no quorum's memory goes.
+fn may_lose(cluster: &Cluster) -> bool {
+    let settled = cluster.leader().and_then(|i| {
+        let node = &cluster.hosts[i].live.as_ref()?.node;
+        (node.entries().config_index() <= node.commit()).then(|| node.config().clone())
+    });
+    settled.is_some_and(|c| c.voters.len() >= 3) && lost(cluster).is_empty()
+}
+
+/// What the operators or the supervisor do: take a lost replica out, let its successor in.
+fn repair(cluster: &mut Cluster) {
+    let Some(leader) = cluster.leader() else { return };
+    let Some(live) = &cluster.hosts[leader].live else { return };
+    let config = live.node.config().clone();
+    if let Some(gone) = lost(cluster).pop() {
+        return cluster.change(leader, Change::Remove(gone));
+    }
+    if let Some(learner) = config.learners.first() {
+        return cluster.change(leader, Change::Promote(learner.clone()));
+    }
+    let new = cluster.hosts.iter().map(|h| &h.id).find(|id| config.all().all(|r| r != *id));
+    if let Some(new) = new.cloned() {
+        cluster.change(leader, Change::Learn(new));
+    }
+}
+
+fn run(steps: Vec<Step>, seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(HOSTS, 3, seed);
+    let mut command = 0;
+    cluster.settle(30);
+    for step in steps {
+        match step {
+            Step::Deliver(n) => cluster.deliver(n, false),
+            Step::Copy(n) => cluster.deliver(n, true),
+            Step::Drop(n) if !cluster.wire.is_empty() => {
+                let n = n % cluster.wire.len();
+                cluster.wire.remove(n);
+            }
+            Step::Drop(_) => {}
+            Step::Tick(i, ms) => cluster.tick(i, Span::millis(ms)),
+            Step::Propose(i) => {
+                command += 1;
+                cluster.propose(i, command);
+            }
+            Step::Crash(i, seed) => cluster.crash(i, seed),
+            Step::Fuse(i, n, seed) => cluster.fuse(i, n, seed),
+            Step::Start(i) => {
+                cluster.start(i);
+                cluster.hosts[i].frozen = false;
+            }
+            Step::Freeze(i) => cluster.hosts[i].frozen = true,
+            Step::Cut(a, b) => cluster.cut(a, b),
+            Step::Heal => cluster.heal(),
+            Step::Lose(i) if may_lose(&cluster) => cluster.lose(i),
+            Step::Lose(_) => {}
+            Step::Repair => repair(&mut cluster),
+            Step::Remove(i) => {
+                let id = cluster.hosts[i].id.clone();
+                let many = newest(&cluster).is_some_and(|c| c.voters.len() > 3);
+                if many && let Some(leader) = cluster.leader() {
+                    cluster.change(leader, Change::Remove(id));
+                }
+            }
+            Step::Compact(i) => cluster.compact(i),
+            Step::Settle => cluster.settle(4),
+        }
+    }
+    cluster
+}
+
+proptest! {
+    #![proptest_config(config(512))]
+
+    /// The cluster checks at every step: one leader a term, which holds all that was
+    /// committed; every host applies the same entries in the same order.
+    #[test]
+    fn committed_is_never_lost(
+        steps in prop::collection::vec(step(), 1..400),
+        seed in any::<u64>(),
+    ) {
+        let mut cluster = run(steps, seed);
+        cluster.heal();
+        for i in 0..HOSTS {
+            cluster.crash(i, seed);
+            cluster.start(i);
+        }
+        cluster.settle(120);
+        let leader = cluster.leader().unwrap_or_else(|| panic!("no leader: {}", cluster.show()));
+        cluster.propose(leader, u64::MAX);
+        cluster.settle(20);
+        let committed = cluster.committed();
+        prop_assert_eq!(committed.last().map(Vec::as_slice), Some(&u64::MAX.to_be_bytes()[..]));
+        let config = newest(&cluster).unwrap();
+        for host in cluster.hosts.iter().filter(|h| config.voters.contains(&h.id)) {
+            prop_assert_eq!(&host.live.as_ref().unwrap().applied, &committed);
+        }
+    }
+}
+
+fn replica(disk: u64) -> Replica {
+    Replica { host: format!("h{disk}"), zone: "z".into(), disk }
+}
+
+/// Replica 0 of three, elected with one entry of an older term in its log.
+struct Lead {
+    node: Node,
+    now: Time,
+}
+
+impl Lead {
+    fn new() -> Self {
+        let old = Entry { index: 1, term: 1, payload: Payload::Data(vec![1]) };
+        let hard = HardState { term: 1, vote: None };
+        let records = vec![Record::Hard(hard), Record::Entry(std::sync::Arc::new(old))];
+        let base = Base::empty((0..3).map(replica).collect());
+        let node = Node::recover(replica(0), base, records, 1, Time(0));
+        let mut lead = Self { node, now: Time(0) + ELECTION_MIN + ELECTION_SPREAD };
+        lead.step(Event::Tick);
+        for pre in [true, false] {
+            lead.receive(1, 2, Body::Vote { pre, granted: true });
+        }
+        assert!(lead.node.leads());
+        lead
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Action> {
+        self.node.step(self.now, event)
+    }
+
+    fn receive(&mut self, from: u64, term: u64, body: Body) -> Vec<Action> {
+        self.step(Event::Receive(Message { term, from: replica(from), body }))
+    }
+
+    fn answer(&mut self, from: u64, index: u64) {
+        self.receive(from, 2, Body::Appended { matched: true, index });
+    }
+
+    fn change(&mut self, change: Change) -> Result<(), Refused> {
+        let actions = self.step(Event::Change { token: 7, change });
+        let at = actions.iter().find_map(|a| match a {
+            Action::Proposed { token: 7, at } => Some(*at),
+            _ => None,
+        });
+        at.unwrap().map(drop)
+    }
+}
+
+#[test]
+fn entry_of_an_older_term_is_committed_only_with_a_newer_one() {
+    let mut lead = Lead::new();
+    lead.answer(1, 1);
+    lead.answer(2, 1);
+    assert_eq!(lead.node.commit(), 0);
+    lead.answer(1, 2);
+    assert_eq!(lead.node.commit(), 2);
+}
+
+#[test]
+fn change_waits_until_the_last_one_and_the_term_are_settled() {
+    let mut lead = Lead::new();
+    assert_eq!(lead.change(Change::Learn(replica(3))), Err(Refused::Unsettled));
+    lead.answer(1, 2);
+    assert_eq!(lead.change(Change::Learn(replica(3))), Ok(()));
+    assert_eq!(lead.change(Change::Learn(replica(4))), Err(Refused::Unsettled));
+    lead.answer(1, 3);
+    assert_eq!(lead.change(Change::Learn(replica(4))), Ok(()));
+}
+
+#[test]
+fn learner_gets_its_vote_once_it_has_caught_up_and_answers() {
+    let mut lead = Lead::new();
+    lead.answer(1, 2);
+    lead.change(Change::Learn(replica(3))).unwrap();
+    lead.answer(1, 3);
+    let promote = || Change::Promote(replica(3));
+    assert_eq!(lead.change(promote()), Err(Refused::Unfit));
+    lead.answer(3, 2);
+    assert_eq!(lead.change(promote()), Err(Refused::Unfit), "one entry is missing");
+    lead.answer(3, 3);
+    lead.now = lead.now + ELECTION_MIN;
+    lead.answer(1, 3);
+    assert_eq!(lead.change(promote()), Err(Refused::Unfit), "it is silent");
+    lead.answer(3, 3);
+    assert_eq!(lead.change(promote()), Ok(()));
+    assert_eq!(lead.node.config().quorum(), 3);
+}
+
+#[test]
+fn leader_without_a_quorum_stops_leading() {
+    let mut lead = Lead::new();
+    lead.answer(1, 2);
+    lead.now = lead.now + ELECTION_MIN;
+    lead.step(Event::Tick);
+    assert!(!lead.node.leads());
+    let actions = lead.step(Event::Propose { token: 1, data: vec![] });
+    assert_eq!(actions, [Action::Proposed { token: 1, at: Err(Refused::NotLeader) }]);
+}
+
+#[test]
+fn replica_that_was_cut_off_ends_no_term() {
+    let mut cluster = Cluster::new(3, 3, 1);
+    cluster.settle(60);
+    let leader = cluster.leader().unwrap();
+    let term = |c: &Cluster| c.hosts[leader].live.as_ref().unwrap().node.hard().term;
+    let before = term(&cluster);
+    let cut = (leader + 1) % 3;
+    for other in 0..3 {
+        cluster.cut(cut, other);
+        cluster.cut(other, cut);
+    }
+    cluster.settle(100);
+    cluster.heal();
+    cluster.settle(60);
+    assert_eq!((cluster.leader(), term(&cluster)), (Some(leader), before));
+}
+
+const FAULTS: [&str; 11] = [
+    "leader loses power",
+    "follower loses power",
+    "all lose power",
+    "leader loses its disk",
+    "follower loses its disk",
+    "leader cut off outwards",
+    "leader cut off inwards",
+    "leader freezes",
+    "messages lost",
+    "messages doubled and reordered",
+    "follower loses its disk, another power after the repair",
+];
+const STEPS: [&str; 8] = [
+    "entry appended",
+    "entry at one follower",
+    "entry at both",
+    "entry committed at the leader",
+    "snapshot taken",
+    "learner added",
+    "snapshot on its way to the learner",
+    "learner promoted",
+];
+
+/// Brings a cluster of three voters and one spare host to a step.
+fn reach(step: usize, seed: u64) -> (Cluster, usize) {
+    let mut cluster = Cluster::new(4, 3, seed);
+    cluster.settle(60);
+    let leader = cluster.leader().unwrap();
+    for command in 0..6 {
+        cluster.propose(leader, command);
+        cluster.settle(2);
+    }
+    if step >= 4 {
+        cluster.compact(leader);
+    }
+    let spare = cluster.hosts[3].id.clone();
+    if step >= 5 {
+        cluster.change(leader, Change::Learn(spare.clone()));
+        let messages = [0, 12, 400][step - 5];
+        (0..messages).for_each(|_| cluster.deliver(0, false));
+    }
+    if step == 7 {
+        cluster.settle(20);
+        cluster.change(leader, Change::Promote(spare));
+    }
+    cluster.propose(leader, 100);
+    let messages = [0, 1, 2, 4, 1, 1, 1, 1][step];
+    (0..messages).for_each(|_| cluster.deliver(0, false));
+    (cluster, leader)
+}
+
+fn strike(cluster: &mut Cluster, leader: usize, fault: usize, seed: u64) {
+    let follower = (leader + 1) % 3;
+    match fault {
+        0 => cluster.crash(leader, seed),
+        1 => cluster.crash(follower, seed),
+        2 => (0..4).for_each(|i| cluster.crash(i, seed)),
+        3 => cluster.lose(leader),
+        4 => cluster.lose(follower),
+        5 => (0..4).for_each(|i| cluster.cut(leader, i)),
+        6 => (0..4).for_each(|i| cluster.cut(i, leader)),
+        7 => cluster.hosts[leader].frozen = true,
+        8 => cluster.wire.clear(),
+        9 => {
+            let copies = cluster.wire.clone();
+            cluster.wire.extend(copies);
+            cluster.wire.reverse();
+        }
+        _ => {
+            cluster.lose(follower);
+            for _ in 0..12 {
+                cluster.settle(10);
+                repair(cluster);
+            }
+            if let Some(leader) = cluster.leader() {
+                cluster.crash(leader, seed);
+            }
+        }
+    }
+}
+
+#[test]
+fn every_fault_at_every_step() {
+    let invariant = "one leader a term, all hosts apply the same entries, what was committed \
+                     stays, and once the fault is over the tier goes on.";
+    let mut matrix = Matrix::new("log", invariant, &FAULTS, &STEPS);
+    for (fault, name) in FAULTS.iter().enumerate() {
+        for (step, at) in STEPS.iter().enumerate() {
+            for seed in 0..8 {
+                let (mut cluster, leader) = reach(step, seed);
+                strike(&mut cluster, leader, fault, seed);
+                cluster.settle(60);
+                cluster.heal();
+                (0..4).for_each(|i| cluster.start(i));
+                cluster.hosts[leader].frozen = false;
+                for _ in 0..8 {
+                    cluster.settle(15);
+                    repair(&mut cluster);
+                }
+                let now = cluster.leader().unwrap_or_else(|| panic!("{name}, {at}, {seed}"));
+                cluster.propose(now, 200);
+                cluster.settle(20);
+                let want = 200u64.to_be_bytes().to_vec();
+                assert_eq!(cluster.committed().last(), Some(&want), "{name}, {at}, {seed}");
+                matrix.held(name, at);
+            }
+        }
+    }
+    matrix.finish();
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 
 mod ctl;
 mod keys;
+mod log;
 mod operator;
 mod peers;
 mod storage;
