--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,10 +2,23 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod ctl;
+mod ctl_changes;
+mod ctl_views;
 mod keys;
 mod log;
 mod operator;
 mod peers;
 mod storage;
+mod renewal;
+mod scripted;
+mod settings;
+mod fleet;
+mod hedge;
+mod keys;
+mod operator;
+mod peers;
+mod props;
+mod query;
 mod support;
+mod transport;
 mod whole;
