--- a/crates/wisteria-testkit/src/cluster.rs
+++ b/crates/wisteria-testkit/src/cluster.rs
@@ -140,7 +140,7 @@
 
     /// Lets time pass at one host.
     pub fn tick(&mut self, i: usize, span: Span) {
-        self.hosts[i].now = self.hosts[i].now + span;
+        self.hosts[i].now += span;
         self.step(i, Event::Tick);
     }
 
@@ -262,7 +262,7 @@
                 live.store.append(&records).expect("the fake disk works");
                 live.store.sync().expect("the fake disk works");
             }
-            Action::Compact(base) => live.store.compact(&base).unwrap(),
+            Action::Compact(base) => live.store.compact(&base).expect("the fake disk works"),
             Action::Send { to, message } => self.wire.push((to, message)),
             Action::Apply(entry) => self.apply(i, &entry),
             Action::Install(snapshot) => {
--- a/src/wisteriahead/util/mod.rs
+++ b/src/wisteriahead/util/mod.rs
@@ -1,7 +1,7 @@
 //! Plumbing that knows nothing of queries.
 
-pub mod disk;
 pub mod certificate;
+pub mod disk;
 pub mod http;
 pub mod logging;
 pub mod metrics;
--- a/tests/testsuite/log.rs
+++ b/tests/testsuite/log.rs
@@ -244,7 +244,7 @@
     lead.answer(3, 2);
     assert_eq!(lead.change(promote()), Err(Refused::Unfit), "one entry is missing");
     lead.answer(3, 3);
-    lead.now = lead.now + ELECTION_MIN;
+    lead.now += ELECTION_MIN;
     lead.answer(1, 3);
     assert_eq!(lead.change(promote()), Err(Refused::Unfit), "it is silent");
     lead.answer(3, 3);
@@ -256,7 +256,7 @@
 fn leader_without_a_quorum_stops_leading() {
     let mut lead = Lead::new();
     lead.answer(1, 2);
-    lead.now = lead.now + ELECTION_MIN;
+    lead.now += ELECTION_MIN;
     lead.step(Event::Tick);
     assert!(!lead.node.leads());
     let actions = lead.step(Event::Propose { token: 1, data: vec![] });
--- a/tests/testsuite/transport.rs
+++ b/tests/testsuite/transport.rs
@@ -93,6 +93,7 @@
         connections: 25,
         setup: Duration::ZERO,
         cold: Duration::ZERO,
+        delay: Duration::ZERO,
         latency: Latency { mean, stragglers: 0.0, factor: 1.0 },
         seed: 1,
     };
