--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod hits;
 pub mod latency;
 pub mod member;
+pub mod log;
 pub mod message;
 pub mod order;
 pub mod query;
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -23,6 +23,7 @@
 pub mod operator;
 pub mod peers;
 pub mod registry;
+pub mod replica;
 pub mod transport;
 
 /// Handles the messages of one topic.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod hedge;
 mod keys;
 mod member;
+mod log;
 mod operator;
 mod order_entry;
 mod peers;
