--- a/tests/testsuite/transport.rs
+++ b/tests/testsuite/transport.rs
@@ -94,7 +94,6 @@
         delay: Duration::ZERO,
         setup: Duration::ZERO,
         cold: Duration::ZERO,
-        delay: Duration::ZERO,
         latency: Latency { mean, stragglers: 0.0, factor: 1.0 },
         seed: 1,
     };
