Write the pages for operators, callers, endpoints and developers, checked by tests

Cause: docs/API.md was the only page; nothing said how to install, renew a key, take a zone out at night or replace a disk, and nothing held a page against the programs.

Seen to fail by hand: a test that does not exist, a faulty flag, a wrong default, a wrong status of an example, an example with an unknown zone, a command that does not exist. The last passed at first, since `wisteriactl` answers a faulty command with the help of the one above; the test now looks for each word in that help.

Ruled out: running the guide against a daemon of this version, which serves only some of the calls; commands that ask a host are checked to be well formed, the others are run.

--- a/src/bin/wisteriactl/commands/zone.rs
+++ b/src/bin/wisteriactl/commands/zone.rs
@@ -34,8 +34,11 @@
             revision::settle(remote, change, revision)?;
         }
         None => {
-            shell::status("Marked", &format!("{what} at {} alone", remote.server));
-            shell::warn("no quorum was reached; repeat this at each host of the availability zone");
+            shell::status("Marked", &format!("{what} by host {}", remote.server));
+            shell::warn(
+                "no quorum was reached: this holds at the hosts of the availability zone that \
+                 this host reaches, and everywhere once a quorum is back",
+            );
         }
     }
     Ok(if remote.json { json(&done) } else { String::new() })
--- a/src/bin/wisteriahead/cli.rs
+++ b/src/bin/wisteriahead/cli.rs
@@ -1,6 +1,7 @@
 //! The daemon's command line: every setting as a flag and an environment variable.
 
 use bpaf::{OptionParser, Parser, construct, long};
+use std::env;
 use wisteriahead::ops::serve::settings::RawSettings;
 
 /// What the command line says.
@@ -57,7 +58,12 @@
         text("peer-listen", "WISTERIAHEAD_PEER_LISTEN", "IP:PORT", "UDP address for other hosts")
             .fallback("127.0.0.1:7103".into())
             .display_fallback();
-    let peers = list("peer", "WISTERIAHEAD_PEERS", "IP:PORT", "UDP address of another host");
+    let peers = list(
+        "peer",
+        "WISTERIAHEAD_PEERS",
+        "IP:PORT",
+        "UDP address of another host; with commas in the environment",
+    );
     let ca = text("ca", "WISTERIAHEAD_CA", "FILE", "Certificate authority")
         .fallback("keys/ca.pem".into())
         .display_fallback();
@@ -65,7 +71,12 @@
     let key = needed("key", "WISTERIAHEAD_KEY", "FILE", "Private key of this host; needed");
     let data =
         text("data", "WISTERIAHEAD_DATA", "FOLDER", "Data folder; without one, no vote").optional();
-    let voters = list("voter", "WISTERIAHEAD_VOTERS", "NAME", "Host of the first quorum");
+    let voters = list(
+        "voter",
+        "WISTERIAHEAD_VOTERS",
+        "NAME",
+        "Host of the first quorum; with commas in the environment",
+    );
     let metrics =
         text("metrics", "WISTERIAHEAD_METRICS", "IP:PORT", "Send metrics here by UDP").optional();
     let log_level = text("log-level", "WISTERIAHEAD_LOG_LEVEL", "LEVEL", "Least severe log lines")
@@ -110,13 +121,14 @@
 /// A setting given several times as a flag, or once in the environment with commas.
 fn list(
     flag: &'static str,
-    env: &'static str,
+    name: &'static str,
     meta: &'static str,
     help: &'static str,
 ) -> impl Parser<Vec<String>> {
-    let flags = long(flag).help(help).argument::<String>(meta).some("unreachable");
+    let help = format!("{help}\n[env:{name}: {}]", env::var(name).unwrap_or("N/A".to_owned()));
+    let flags = long(flag).help(&*help).argument::<String>(meta).some("unreachable");
     let from_env = long(flag)
-        .env(env)
+        .env(name)
         .argument::<String>(meta)
         .hide()
         .map(|all| all.split(',').filter(|s| !s.is_empty()).map(str::to_owned).collect());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod ctl;
 mod ctl_changes;
 mod ctl_views;
+mod docs;
 mod fleet;
 mod hedge;
 mod keys;
