--- a/crates/wisteria-testkit/src/lib.rs
+++ b/crates/wisteria-testkit/src/lib.rs
@@ -2,8 +2,10 @@
 //! processes on loopback, and a small HTTP client.
 
 pub mod client;
+pub mod cluster;
 pub mod disk;
 pub mod keys;
 pub mod matrix;
 pub mod process;
+pub mod prop;
 pub mod tier;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,12 +2,16 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod admission;
+mod bad_clients;
+mod bad_input;
 mod ctl;
 mod ctl_changes;
 mod ctl_views;
 mod fleet;
 mod hedge;
 mod keys;
+mod log;
+mod member;
 mod operator;
 mod order_entry;
 mod peers;
