--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod member;
 pub mod message;
 pub mod order;
+pub mod quarantine;
 pub mod query;
 pub mod registry;
 pub mod room;
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -22,6 +22,7 @@
 pub mod member;
 pub mod operator;
 pub mod peers;
+pub mod quarantine;
 pub mod registry;
 pub mod replica;
 pub mod transport;
