--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod promises;
 mod props;
+mod quarantine;
 mod query;
 mod renewal;
 mod scripted;
