--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -3,15 +3,21 @@
 //! State machines here have the shape `step(&mut self, now, event) -> actions`.
 //! The services feed them, so a property test can replay any sequence of events.
 
+pub mod admission;
 pub mod choice;
+pub mod digest;
 pub mod document;
 pub mod endpoint;
 pub mod hedge;
 pub mod hits;
 pub mod latency;
+pub mod member;
+pub mod log;
 pub mod message;
+pub mod order;
 pub mod query;
 pub mod registry;
+pub mod room;
 pub mod routes;
 pub mod time;
 pub mod verdict;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,13 +1,19 @@
 //! Tests of the library through its public interface.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod bad_clients;
+mod bad_input;
+mod admission;
 mod ctl;
 mod ctl_changes;
 mod ctl_views;
 mod fleet;
 mod hedge;
 mod keys;
+mod member;
+mod log;
 mod operator;
+mod order_entry;
 mod peers;
 mod props;
 mod query;
