--- a/crates/wisteria-experiment/src/experiments/mod.rs
+++ b/crates/wisteria-experiment/src/experiments/mod.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod cost;
 mod hosts;
+mod orders;
 mod overload;
 mod sites;
 mod snapshots;
@@ -57,6 +58,7 @@
     ("cost", |plan| Box::pin(cost::run(plan))),
     ("frozen", |plan| Box::pin(hosts::run(plan, Loss::Frozen))),
     ("killed", |plan| Box::pin(hosts::run(plan, Loss::Killed))),
+    ("orders", |plan| Box::pin(orders::run(plan))),
     ("overload", |plan| Box::pin(overload::run(plan))),
     ("shirakaba", |plan| Box::pin(sites::run(plan, sites::SHIRAKABA))),
     ("snapshots", |plan| Box::pin(snapshots::run(plan))),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,17 +1,17 @@
 //! Tests of the library through its public interface.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod admission;
 mod bad_clients;
 mod bad_input;
-mod admission;
 mod ctl;
 mod ctl_changes;
 mod ctl_views;
 mod fleet;
 mod hedge;
 mod keys;
-mod member;
 mod log;
+mod member;
 mod operator;
 mod order_entry;
 mod peers;
--- a/tests/testsuite/member.rs
+++ b/tests/testsuite/member.rs
@@ -1,8 +1,8 @@
 //! Membership over a network that loses, delays and reorders, with cuts, freezes and crashes.
 
 use proptest::prelude::*;
-use rand::rngs::StdRng;
 use rand::SeedableRng as _;
+use rand::rngs::StdRng;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use wisteria_testkit::matrix::Matrix;
