Serve on while the host leaves, and stop what requests need last

Cause: from SIGTERM on, each request that the balancer still sent was refused, and the registry and the other loops ended while requests were in flight.

The host now says 503 on /v1/health first and serves on for a second; then the service for callers stops while all others run, and the others after it. The test holds an order in flight through the stop; with the stop signal given first, as before, its check of the services below fails.

--- a/src/wisteriahead/kernel/mod.rs
+++ b/src/wisteriahead/kernel/mod.rs
@@ -35,6 +35,7 @@
 pub struct Context {
     names: Arc<RwLock<IndexMap<&'static str, Box<dyn Any + Send + Sync>>>>,
     epoch: Instant,
+    leaving: watch::Receiver<bool>,
     stopping: watch::Receiver<bool>,
 }
 
@@ -63,6 +64,11 @@
             .ok_or_else(|| anyhow!("service `{name}` is not running; start it before its users"))
     }
 
+    /// Whether the daemon is about to stop: it still serves, and asks to be sent nothing new.
+    pub fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
     /// Whether the daemon is stopping.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
@@ -81,6 +87,7 @@
 /// Runs services.
 pub struct Kernel {
     ctx: Context,
+    leave: watch::Sender<bool>,
     stop: watch::Sender<bool>,
     running: Vec<Arc<dyn Service>>,
 }
@@ -88,8 +95,9 @@
 impl Default for Kernel {
     fn default() -> Self {
         let (stop, stopping) = watch::channel(false);
-        let ctx = Context { names: Arc::default(), epoch: Instant::now(), stopping };
-        Self { ctx, stop, running: Vec::new() }
+        let (leave, leaving) = watch::channel(false);
+        let ctx = Context { names: Arc::default(), epoch: Instant::now(), leaving, stopping };
+        Self { ctx, leave, stop, running: Vec::new() }
     }
 }
 
@@ -112,8 +120,21 @@
         Ok(())
     }
 
+    /// Has the daemon ask to be sent nothing new, while it serves on.
+    pub fn leave(&self) {
+        self.leave.send_replace(true);
+    }
+
     /// Stops all services, the last started first, each within `bound`.
+    ///
+    /// The last started one serves callers: it stops while all others still run, so that requests
+    /// in flight find what they need.
     pub async fn stop(&mut self, bound: Span) {
+        self.leave();
+        if let Some(service) = self.running.pop() {
+            log::debug!("stopping {}", service.name());
+            service.stop(bound).await;
+        }
         self.stop.send_replace(true);
         while let Some(service) = self.running.pop() {
             log::debug!("stopping {}", service.name());
--- a/src/wisteriahead/ops/serve/mod.rs
+++ b/src/wisteriahead/ops/serve/mod.rs
@@ -23,6 +23,9 @@
 use std::time::SystemTime;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Time in which the host serves on after it has said that it leaves, so that the balancer sees it.
+const LAME_DUCK: Span = Span::secs(1);
+
 /// Serves until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -48,6 +51,8 @@
             _ = term.recv() => log::info!(state = "stopping", signal = "SIGTERM"; "stopping"),
             _ = int.recv() => log::info!(state = "stopping", signal = "SIGINT"; "stopping"),
         }
+        kernel.leave();
+        tokio::time::sleep(LAME_DUCK.to_std()).await;
     }
     kernel.stop(settings.drain_timeout).await;
     log::info!(state = "stopped"; "stopped");
--- a/src/wisteriahead/services/entry/mod.rs
+++ b/src/wisteriahead/services/entry/mod.rs
@@ -74,7 +74,7 @@
     }
 
     fn health(&self) -> Answer {
-        if self.ctx.is_stopping() {
+        if self.ctx.is_leaving() {
             return http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({"state": "stopping"}));
         }
         http::json(StatusCode::OK, &json!({"state": "serving"}))
@@ -86,7 +86,7 @@
     }
 
     async fn ticket(&self) -> Answer {
-        let Some(claims) = self.claims().filter(|_| !self.ctx.is_stopping()) else {
+        let Some(claims) = self.claims() else {
             let detail = "this host makes no tickets now; ask another";
             return http::refuse(&Refusal::not_run(Reason::NoQuorum, detail));
         };
@@ -112,7 +112,6 @@
         begun: Time,
         request: Request<Incoming>,
     ) -> Result<orders::Answer, Refused> {
-        self.check_serving()?;
         let (head, body) = request.into_parts();
         let (asked, key) = (self.asked(&head.headers)?, request::key(&head.headers)?);
         let body = OrderBody::read(body).await?;
@@ -121,13 +120,6 @@
         Ok(orders::run(Arc::clone(self), key, body, turn.query().deadline).await?)
     }
 
-    fn check_serving(&self) -> Result<(), Refusal> {
-        if self.ctx.is_stopping() {
-            return Err(Refusal::not_run(Reason::Draining, "this host is stopping; ask another"));
-        }
-        Ok(())
-    }
-
     async fn search(&self, request: Request<Incoming>) -> Answer {
         let begun = self.ctx.now();
         let result = self.run_search(begun, request).await;
@@ -144,7 +136,6 @@
         begun: Time,
         request: Request<Incoming>,
     ) -> Result<search::Answer, Refused> {
-        self.check_serving()?;
         let (head, body) = request.into_parts();
         let asked = self.asked(&head.headers)?;
         let body = SearchBody::read(body, asked.least).await?;
--- a/tests/testsuite/order_entry.rs
+++ b/tests/testsuite/order_entry.rs
@@ -226,6 +226,8 @@
     executions: Mutex<Vec<String>>,
     strike: Mutex<Option<Strike>>,
     stuck: Mutex<u32>,
+    /// Holds the next attempt until notified.
+    gate: Mutex<Option<Arc<tokio::sync::Notify>>>,
     routes: Arc<Routes>,
 }
 
@@ -331,6 +333,10 @@
                 Some("host killed") => self.hang().await,
                 _ => {}
             }
+            let gate = self.gate.lock().take();
+            if let Some(gate) = gate {
+                gate.notified().await;
+            }
             self.executions.lock().push(key);
             match self.struck("answer") {
                 Some("answer lost") => return may(Reason::Connection),
@@ -498,3 +504,33 @@
     let sent = client::send(host.callers, Method::POST, "/v1/orders", &[], body).await.unwrap();
     assert_eq!((sent.status.as_u16(), &sent.body["verdict"]), (400, &"not-run".into()));
 }
+
+/// A host that leaves says so first and serves on; a stop finishes what is in flight.
+#[tokio::test]
+async fn stop_cuts_off_no_request() {
+    let shared = shared(None);
+    let mut host = Host::start(&shared, true).await;
+    let callers = host.callers;
+    assert_eq!(client::get(callers, "/v1/health").await.unwrap().status, 200);
+    host.kernel.leave();
+    assert_eq!(client::get(callers, "/v1/health").await.unwrap().status, 503);
+    assert_eq!(host.order("k-1", 7).await.status, 200);
+    let gate = Arc::new(tokio::sync::Notify::new());
+    *shared.gate.lock() = Some(Arc::clone(&gate));
+    let body = r#"{"collection":"kits","route":"r","order":{"id":8}}"#;
+    let flying = tokio::spawn(async move {
+        let headers = [("idempotency-key", "k-2"), ("wisteria-timeout-ms", "30000")];
+        client::send(callers, Method::POST, "/v1/orders", &headers, body).await
+    });
+    until("the order is in flight", || shared.gate.lock().is_none()).await;
+    let ctx = host.kernel.context().clone();
+    let stop = tokio::spawn(async move { host.kernel.stop(Span::secs(30)).await });
+    while tokio::net::TcpStream::connect(callers).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    assert!(!ctx.is_stopping(), "the services below stopped under a request in flight");
+    gate.notify_one();
+    assert_eq!(flying.await.unwrap().unwrap().status, 200);
+    stop.await.unwrap();
+    assert!(ctx.is_stopping());
+}
