--- /dev/null
+++ b/src/wisteriahead/core/control/changes.rs
@@ -0,0 +1,185 @@
+//! The document in force, and what became of the changes that were asked for.
+
+use crate::core::document::{Document, Revision, ZoneState};
+use crate::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Most outcomes of changes remembered.
+pub const IDS_MAX: usize = 1024;
+/// Most bytes of a change's identifier.
+pub const ID_MAX_BYTES: usize = 128;
+/// Changes of zones that hosts are told of, so that a host drops its own mark for them.
+const CARRIED_MAX: usize = 64;
+
+/// A change asked for by an operator.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Change {
+    /// Identifier that makes a resend recognisable.
+    pub id: String,
+    /// Name of the operator.
+    pub operator: String,
+    /// Revision that the operator edited; the change is refused if another is in force.
+    pub base: Revision,
+    /// The new document as TOML, or the name of a zone.
+    pub text: String,
+}
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Done {
+    /// It is in force with this revision.
+    Accepted(Revision),
+    /// It was refused.
+    Refused(Refusal),
+}
+
+impl From<Done> for Result<Revision, Refusal> {
+    fn from(done: Done) -> Self {
+        match done {
+            Done::Accepted(revision) => Ok(revision),
+            Done::Refused(refusal) => Err(refusal),
+        }
+    }
+}
+
+/// What is in force, as hosts tell each other.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InForce {
+    /// Revision; it rises with each accepted change.
+    pub revision: Revision,
+    /// Operator of the last change.
+    pub operator: String,
+    /// The document as the operators wrote it.
+    pub text: Arc<str>,
+    /// States of zones that were set without an edit, in place of the document's.
+    pub zones: IndexMap<String, ZoneState>,
+    /// Identifiers of the last changes of zones.
+    pub carried: Vec<String>,
+}
+
+impl InForce {
+    /// The document with the zones' states put in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the document is faulty, which a host of another version may have let in.
+    pub fn document(&self) -> Result<Document, String> {
+        let mut document = Document::parse(&self.text)?;
+        for zone in &mut document.zones {
+            if let Some(&state) = self.zones.get(&zone.name) {
+                zone.state = state;
+            }
+        }
+        Ok(document)
+    }
+}
+
+/// The document and the outcomes of the last changes.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Changes {
+    /// Revision in force.
+    pub revision: Revision,
+    operator: String,
+    text: Arc<str>,
+    zones: IndexMap<String, ZoneState>,
+    ids: IndexMap<String, Done>,
+    carried: Vec<String>,
+    /// Highest revision at which an outcome that is forgotten now was reached.
+    forgotten: Option<Revision>,
+}
+
+impl Changes {
+    /// What is in force.
+    pub fn in_force(&self) -> InForce {
+        InForce {
+            revision: self.revision,
+            operator: self.operator.clone(),
+            text: self.text.clone(),
+            zones: self.zones.clone(),
+            carried: self.carried.clone(),
+        }
+    }
+
+    /// Whether the outcome of a change is remembered.
+    pub fn known(&self, id: &str) -> bool {
+        self.ids.contains_key(id)
+    }
+
+    /// Accepts or refuses a new document; a resend gets its first outcome.
+    pub fn edit(&mut self, change: Change, fault: Option<String>, zones: &[String]) -> Done {
+        if let Some(done) = self.ids.get(&change.id) {
+            return done.clone();
+        }
+        if self.forgotten.is_some_and(|at| change.base <= at) {
+            return Done::Refused(unknown(&change));
+        }
+        let refusal = if change.base != self.revision {
+            Some(self.conflict(&change))
+        } else {
+            fault.map(|f| Refusal::not_run(Reason::BadRequest, f))
+        };
+        if let Some(refusal) = refusal {
+            return self.remember(change.id, Done::Refused(refusal));
+        }
+        // An edit of a zone's state in the text is newer than a state set without one.
+        self.zones.retain(|zone, _| !zones.contains(zone));
+        self.text = change.text.into();
+        self.accept(change.id, change.operator)
+    }
+
+    /// Sets the state of the zone named by the change's text; a resend gets its first
+    /// outcome, and whatever is in force is no conflict.
+    pub fn zone(&mut self, change: Change, state: ZoneState) -> Done {
+        if let Some(done) = self.ids.get(&change.id) {
+            return done.clone();
+        }
+        if self.forgotten.is_some_and(|at| change.base <= at) {
+            return Done::Refused(unknown(&change));
+        }
+        let Change { id, operator, text: zone, .. } = change;
+        self.zones.insert(zone, state);
+        self.carried.push(id.clone());
+        let old = self.carried.len().saturating_sub(CARRIED_MAX);
+        self.carried.drain(..old);
+        self.accept(id, operator)
+    }
+
+    fn accept(&mut self, id: String, operator: String) -> Done {
+        self.revision += 1;
+        self.operator = operator;
+        self.remember(id, Done::Accepted(self.revision))
+    }
+
+    fn remember(&mut self, id: String, done: Done) -> Done {
+        self.ids.insert(id, done.clone());
+        if self.ids.len() > IDS_MAX
+            && let Some((_, Done::Accepted(at))) = self.ids.shift_remove_index(0)
+        {
+            // That change was based on the revision before its own.
+            self.forgotten = Some(at.saturating_sub(1));
+        }
+        done
+    }
+
+    fn conflict(&self, change: &Change) -> Refusal {
+        let by = match self.revision {
+            0 => "the empty document".to_owned(),
+            _ => format!("by operator `{}`", self.operator),
+        };
+        let detail = format!(
+            "revision {} is in force, {by}, but the change is based on {}; get it and edit anew",
+            self.revision, change.base
+        );
+        Refusal::not_run(Reason::Conflict, detail)
+    }
+}
+
+fn unknown(change: &Change) -> Refusal {
+    let detail = format!(
+        "the change is based on revision {}, and the outcomes of changes that old are forgotten: \
+         it may have been accepted; look it up in the audit trail",
+        change.base
+    );
+    Refusal::may_have_run(Reason::Conflict, detail)
+}
--- /dev/null
+++ b/src/wisteriahead/core/control/mod.rs
@@ -0,0 +1,203 @@
+//! The state that the replicated log of the tier carries: the operators' document, the
+//! trail of changes, and the claims whose home is the whole tier.
+//!
+//! Every replica applies the same commands in the same order. So that hosts of different
+//! versions agree, nothing is parsed or judged here that another version might judge
+//! otherwise: the host that takes a change checks its document and says what is wrong.
+
+pub mod audit;
+pub mod changes;
+pub mod claims;
+
+use self::audit::{Asked, Trail};
+use self::changes::{Change, Changes, Done};
+use self::claims::{Claim, Ledger, Outcome};
+use super::document::{Revision, ZoneState};
+use super::message::{DecodeError, decode, encode};
+use crate::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// A command with the time at the host that took it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Stamped {
+    /// Milliseconds since 1970 by that host's clock.
+    pub time_ms: u64,
+    /// The command.
+    pub command: Command,
+}
+
+/// What the log is asked for.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Command {
+    /// A new document.
+    Edit {
+        /// The change.
+        change: Change,
+        /// What is wrong with the document, as its host found.
+        fault: Option<String>,
+        /// Zones whose state the text changes against the document it is based on.
+        zones: Vec<String>,
+    },
+    /// A zone is taken out or put back.
+    Zone {
+        /// Identifier that makes a resend recognisable.
+        id: String,
+        /// Name of the operator.
+        operator: String,
+        /// Name of the zone.
+        zone: String,
+        /// Its new state.
+        state: ZoneState,
+        /// Revision in force at the host that took the call; no precondition, it tells how
+        /// old the call is.
+        base: Revision,
+    },
+    /// A change of the voters that was made or refused.
+    Voters {
+        /// Identifier of the change.
+        id: String,
+        /// Name of the operator.
+        operator: String,
+        /// What was asked for.
+        what: String,
+        /// Why it was refused.
+        fault: Option<String>,
+    },
+    /// A claim on a key.
+    Claim {
+        /// The key.
+        key: String,
+        /// Digest of the request.
+        digest: [u8; 32],
+        /// Number of the claim, drawn by the claimant.
+        nonce: u64,
+    },
+    /// What became of a claim.
+    Record {
+        /// The key.
+        key: String,
+        /// Number of the claim.
+        nonce: u64,
+        /// What became of it.
+        outcome: Outcome,
+    },
+}
+
+/// What a command led to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reply {
+    /// A change.
+    Change(Result<Revision, Refusal>),
+    /// A claim.
+    Claim(Result<Claim, Refusal>),
+    /// Nothing to tell.
+    Noted,
+}
+
+/// The state.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct State {
+    /// Highest time of any command, in milliseconds since 1970.
+    pub time_ms: u64,
+    /// The document and the outcomes of changes.
+    pub changes: Changes,
+    /// The trail of changes.
+    pub audit: Trail,
+    /// The claims.
+    pub claims: Ledger,
+}
+
+impl State {
+    /// Applies one command.
+    ///
+    /// # Errors
+    ///
+    /// Fails for bytes that are no command; the state is unchanged then.
+    pub fn apply(&mut self, bytes: &[u8]) -> Result<Reply, DecodeError> {
+        let Stamped { time_ms, command } = decode(bytes)?;
+        // Kept times never run backwards, whichever host's clock stamped the command.
+        self.time_ms = self.time_ms.max(time_ms);
+        Ok(match command {
+            Command::Edit { change, fault, zones } => self.edit(change, fault, &zones),
+            Command::Zone { id, operator, zone, state, base } => {
+                let change = Change { id, operator, base, text: zone };
+                self.zone(change, state)
+            }
+            Command::Voters { id, operator, what, fault } => {
+                let result = fault.unwrap_or_else(|| "accepted".to_owned());
+                let base = self.changes.revision;
+                self.note(Asked { operator, id, what, base }, base, result);
+                Reply::Noted
+            }
+            Command::Claim { key, digest, nonce } => {
+                Reply::Claim(self.claims.claim(self.time_ms, &key, digest, nonce))
+            }
+            Command::Record { key, nonce, outcome } => {
+                self.claims.record(&key, nonce, outcome);
+                Reply::Noted
+            }
+        })
+    }
+
+    /// The state as bytes.
+    pub fn write(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    /// Reads a state and checks its trail of changes; no bytes are the first state.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no state or the trail was altered.
+    pub fn read(bytes: &[u8]) -> Result<Self> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        let state: Self = decode(bytes)?;
+        state.audit.check()?;
+        Ok(state)
+    }
+
+    fn edit(&mut self, change: Change, fault: Option<String>, zones: &[String]) -> Reply {
+        let asked = Asked {
+            operator: change.operator.clone(),
+            id: change.id.clone(),
+            what: "inventory".to_owned(),
+            base: change.base,
+        };
+        let known = self.changes.known(&change.id);
+        let done = self.changes.edit(change, fault, zones);
+        self.finish(asked, known, done)
+    }
+
+    fn zone(&mut self, change: Change, state: ZoneState) -> Reply {
+        let verb = if state == ZoneState::Out { "out" } else { "in" };
+        let asked = Asked {
+            operator: change.operator.clone(),
+            id: change.id.clone(),
+            what: format!("zone {} {verb}", change.text),
+            base: change.base,
+        };
+        let known = self.changes.known(&change.id);
+        let done = self.changes.zone(change, state);
+        self.finish(asked, known, done)
+    }
+
+    /// Notes a change unless it is a resend of one that stands in the trail.
+    fn finish(&mut self, asked: Asked, known: bool, done: Done) -> Reply {
+        if !known {
+            let result = match &done {
+                Done::Accepted(_) => "accepted".to_owned(),
+                Done::Refused(refusal) => refusal.to_string(),
+            };
+            self.note(asked, self.changes.revision, result);
+        }
+        Reply::Change(done.into())
+    }
+
+    fn note(&mut self, asked: Asked, revision: Revision, result: String) {
+        self.audit.note(self.time_ms, asked, revision, result);
+    }
+}
--- a/src/wisteriahead/core/log/mod.rs
+++ b/src/wisteriahead/core/log/mod.rs
@@ -14,9 +14,11 @@
 mod lead;
 mod member;
 mod node;
+mod repair;
 
 pub use entries::Entries;
 pub use node::Node;
+pub use repair::repair;
 
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -4,6 +4,7 @@
 //! The services feed them, so a property test can replay any sequence of events.
 
 pub mod choice;
+pub mod control;
 pub mod document;
 pub mod endpoint;
 pub mod hedge;
--- a/src/wisteriahead/ops/serve/mod.rs
+++ b/src/wisteriahead/ops/serve/mod.rs
@@ -7,7 +7,7 @@
 use crate::kernel::Kernel;
 use crate::prelude::*;
 use crate::services::allowance::AllowanceService;
-use crate::services::control::ControlService;
+use crate::services::control::{ControlService, ControlSettings};
 use crate::services::entry::EntryService;
 use crate::services::operator::{OperatorService, OperatorSettings};
 use crate::services::peers::{PeerSettings, PeersService};
@@ -87,12 +87,17 @@
         seeds: s.peers.clone(),
         tls: tls.clone(),
     }));
+    let control = ControlSettings {
+        data: s.data.clone(),
+        voters: s.voters.clone(),
+        joins: !s.peers.is_empty(),
+    };
     let registry = Arc::new(RegistryService::new(s.endpoint_listen));
     let operators =
         Arc::new(OperatorService::new(OperatorSettings { listen: s.operator_listen, tls }));
     let entry = Arc::new(EntryService::new(s.caller_listen, s.host.clone(), boot(), metrics));
     kernel.start(peers.clone()).await?;
-    kernel.start(Arc::new(ControlService::default())).await?;
+    kernel.start(Arc::new(ControlService::new(control))).await?;
     kernel.start(registry.clone()).await?;
     kernel.start(Arc::new(AllowanceService)).await?;
     kernel.start(Arc::new(TransportService)).await?;
--- /dev/null
+++ b/src/wisteriahead/services/control/rounds.rs
@@ -0,0 +1,145 @@
+//! What the service does again and again: join a tier, tell others how this host stands,
+//! replace lost voters, and carry local marks into the log.
+
+use super::form::{self, TIER};
+use super::submit;
+use super::wire::{Here, Mark, Note};
+use super::{Seen, Shared};
+use crate::core::control::{Command, Reply};
+use crate::core::document::ZoneState;
+use crate::core::log::{Replica, repair};
+use crate::core::message::{Topic, encode};
+use crate::kernel::Context;
+use crate::prelude::*;
+use std::time::Instant;
+use tokio::time::sleep;
+
+/// Time between two rounds.
+const ROUND: Span = Span::millis(250);
+/// Hosts told in one round, besides the leader.
+const FANOUT: usize = 4;
+/// Age up to which it counts who another host says that leads.
+pub const FRESH: Span = Span::secs(3);
+/// Time allowed for carrying one mark into the log.
+const CARRY_MAX: Span = Span::secs(2);
+/// Most hosts remembered.
+const SEEN_MAX: usize = 2_048;
+
+/// Runs the rounds until the daemon stops.
+pub async fn run(shared: Arc<Shared>, ctx: Context) {
+    let rounds = async {
+        for round in 0_usize.. {
+            if shared.founded().is_none()
+                && let Err(e) = form::attempt(&shared).await
+            {
+                log::error!("could not join the tier: {e:#}");
+            }
+            shared.tell(round);
+            shared.repair().await;
+            shared.carry().await;
+            sleep(ROUND.to_std()).await;
+        }
+    };
+    tokio::select! {
+        () = ctx.stopped() => {}
+        () = rounds => {}
+    }
+}
+
+impl Shared {
+    pub(super) fn standing(&self) -> Here {
+        let view = self.group(TIER).map(|g| g.view());
+        let leader = view.and_then(|v| Some((v.term, v.leader?.host)));
+        Here {
+            zone: self.peers.zone().to_owned(),
+            revision: self.keeper.revision(),
+            disk: self.me.as_ref().map(|me| me.disk),
+            leader,
+            marks: self.keeper.marks(),
+        }
+    }
+
+    /// Tells the leader and a few others in turn how this host stands.
+    pub(super) fn tell(&self, round: usize) {
+        let others = self.peers.others();
+        let body = encode(&Note::Here(self.standing()));
+        let turn = (0..FANOUT.min(others.len())).map(|i| (round * FANOUT + i) % others.len());
+        let hosts = turn.map(|i| others[i].clone()).chain(self.leader(TIER));
+        for host in hosts.collect::<IndexSet<_>>() {
+            self.peers.send(&host, Topic::Control, body.clone());
+        }
+    }
+
+    /// Tells all others at once.
+    pub(super) fn tell_all(&self) {
+        let body = encode(&Note::Here(self.standing()));
+        for host in self.peers.others() {
+            self.peers.send(&host, Topic::Control, body.clone());
+        }
+    }
+
+    /// Takes note of how another host stands, and sends it what it lacks.
+    pub(super) fn here(&self, from: &str, here: Here) {
+        let (mine, theirs) = (self.keeper.revision(), here.revision);
+        if here.zone == self.peers.zone() {
+            for mark in here.marks.clone() {
+                let keeper = Arc::clone(&self.keeper);
+                // It may write to the disk.
+                tokio::task::spawn_blocking(move || keeper.mark(&mark));
+            }
+        }
+        let mut seen = self.seen.lock();
+        if seen.len() < SEEN_MAX || seen.contains_key(from) {
+            seen.insert(from.to_owned(), Seen { here, at: Instant::now() });
+        }
+        drop(seen);
+        let note = match theirs.cmp(&mine) {
+            std::cmp::Ordering::Less => Note::Push(self.keeper.force()),
+            std::cmp::Ordering::Greater => Note::Here(self.standing()),
+            std::cmp::Ordering::Equal => return,
+        };
+        self.peers.send(from, Topic::Control, encode(&note));
+    }
+
+    /// Hosts and the disks that they were last seen with.
+    pub(super) fn disks(&self) -> Vec<Replica> {
+        let seen = self.seen.lock();
+        let replica = |(host, s): (&String, &Seen)| {
+            let fresh = Span::from(s.at.elapsed()) < FRESH;
+            let (zone, disk) = (s.here.zone.clone(), s.here.disk.filter(|_| fresh)?);
+            Some(Replica { host: host.clone(), zone, disk })
+        };
+        seen.iter().filter_map(replica).collect()
+    }
+
+    /// Replaces voters that lost their disks, as far as this host leads.
+    async fn repair(&self) {
+        let Some(group) = self.group(TIER) else { return };
+        let view = group.view();
+        if !view.leads {
+            return;
+        }
+        if let Some(change) = repair(&view.config, &view.ready, &self.disks()) {
+            log::info!("repairing the voters: {change:?}");
+            if let Err(e) = group.change(change).await {
+                log::debug!("the repair waits: {e:?}");
+            }
+        }
+    }
+
+    /// Takes the zones that are marked out here into the log.
+    async fn carry(&self) {
+        for Mark { id, operator, zone, base } in self.keeper.marks() {
+            let command =
+                Command::Zone { id: id.clone(), operator, zone, state: ZoneState::Out, base };
+            match submit::submit(self, TIER, command, CARRY_MAX).await {
+                Ok(Reply::Change(Ok(_))) => self.keeper.unmark(&id),
+                Ok(Reply::Change(Err(refusal))) => {
+                    log::warn!("the mark of a zone is dropped: {refusal}");
+                    self.keeper.unmark(&id);
+                }
+                Ok(_) | Err(_) => return,
+            }
+        }
+    }
+}
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -4,7 +4,11 @@
 //! The traits here are the borders between services. Each is published in the
 //! kernel under the name given as its `NAME`.
 
-use crate::core::document::{Document, Revision};
+pub use crate::core::control::changes::Change;
+pub use crate::core::control::claims::{Claim, Outcome};
+use crate::core::control::audit::AuditEntry;
+use crate::core::document::{Document, Revision, ZoneState};
+use self::control::Voters;
 use crate::core::message::Topic;
 use crate::core::routes::{Routes, Target};
 use crate::prelude::*;
@@ -78,21 +82,10 @@
 pub struct Accepted {
     /// Revision of the document.
     pub revision: Revision,
-    /// The document.
+    /// The document, with the states of zones that were set without an edit.
     pub document: Arc<Document>,
-}
-
-/// A change asked for by an operator.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Change {
-    /// Identifier that makes a resend recognisable.
-    pub id: String,
-    /// Name of the operator.
-    pub operator: String,
-    /// Revision that the operator edited; the change is refused if another is in force.
-    pub base: Revision,
-    /// The new document as TOML.
-    pub text: String,
+    /// The document as the operators wrote it.
+    pub text: Arc<str>,
 }
 
 /// Holds the operators' document and accepts changes to it.
@@ -113,6 +106,97 @@
     pub const NAME: &'static str = "control";
 }
 
+/// A change of one availability zone's state.
+#[derive(Clone, Debug)]
+pub struct ZoneChange {
+    /// Identifier that makes a resend recognisable.
+    pub id: String,
+    /// Name of the operator.
+    pub operator: String,
+    /// Name of the zone.
+    pub zone: String,
+    /// Its new state.
+    pub state: ZoneState,
+}
+
+/// How a zone's state was changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ZoneDone {
+    /// In the log, with this revision.
+    Accepted(Revision),
+    /// At this host and those of the zone that it reaches, until the quorum is reached.
+    Local,
+}
+
+/// A change of the hosts that keep the tier's state.
+#[derive(Clone, Debug)]
+pub struct VoterChange {
+    /// Identifier that makes a resend recognisable.
+    pub id: String,
+    /// Name of the operator.
+    pub operator: String,
+    /// Name of the host.
+    pub host: String,
+    /// Whether it is added, or taken out.
+    pub add: bool,
+}
+
+/// The revision in force at a host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRevision {
+    /// Name of the host.
+    pub host: String,
+    /// Its availability zone, empty if it was never heard of.
+    pub zone: String,
+    /// The revision.
+    pub revision: Revision,
+    /// Time since the host said so, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What operators see and change besides the document.
+pub trait Admin: Send + Sync {
+    /// Time since this host heard of a quorum.
+    fn silent(&self) -> Span;
+
+    /// Takes a zone out or puts it back.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when no quorum accepts it; taking out this host's own zone needs none.
+    fn zone(&self, change: ZoneChange) -> BoxFuture<'_, Result<ZoneDone, Refusal>>;
+
+    /// The revision in force at each host.
+    fn revisions(&self) -> BoxFuture<'_, Vec<HostRevision>>;
+
+    /// At most `limit` entries of the trail of changes after the one with number `after`.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when no host that keeps the trail is reached.
+    fn audit(&self, after: u64, limit: usize)
+    -> BoxFuture<'_, Result<Vec<AuditEntry>, Refusal>>;
+
+    /// The hosts that keep the tier's state.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when none of them is reached.
+    fn voters(&self) -> BoxFuture<'_, Result<Voters, Refusal>>;
+
+    /// Adds or takes out one host that keeps the tier's state.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the change does not fit, or no quorum accepts it.
+    fn change_voters(&self, change: VoterChange) -> BoxFuture<'_, Result<Revision, Refusal>>;
+}
+
+impl dyn Admin {
+    /// Name in the kernel.
+    pub const NAME: &'static str = "admin";
+}
+
 /// The endpoints that this host knows.
 pub trait Endpoints: Send + Sync {
     /// The index that queries plan on.
@@ -236,29 +320,6 @@
     Restarted(u64),
 }
 
-/// What is known of a key's request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Outcome {
-    /// It ran, with this answer.
-    Ran(Vec<u8>),
-    /// It did not run and never will under this claim; the key may be claimed again.
-    NotRun,
-    /// It may have run.
-    MayHaveRun,
-}
-
-/// The answer to a claim.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Claim {
-    /// The caller of [`Claims::claim`] alone may now send one attempt, once.
-    Granted,
-    /// The key was claimed before with the same request, and this became of it.
-    Known(Outcome),
-    /// The key was claimed before with the same request, which may still be running.
-    Running,
-}
-
 /// Makes non-idempotent requests run at most once.
 pub trait Claims: Send + Sync {
     /// Makes a ticket: a fresh key whose home is this host's availability zone.
--- /dev/null
+++ b/src/wisteriahead/services/replica/driver.rs
@@ -0,0 +1,347 @@
+//! The thread that runs one replica: it steps the node, keeps its journal, sends its
+//! messages and applies what is committed.
+//!
+//! All events that wait are stepped together, so that their records are made durable
+//! by one sync. The order that the node asks for holds: everything that a batch persists is
+//! durable before anything of the batch is sent, applied or answered.
+
+use super::{Kept, Store};
+use crate::core::log::{
+    Action, Base, Change, Config, Event, Index, Message, Node, Payload, Refused, Replica, Snapshot,
+    Term,
+};
+use crate::prelude::*;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
+use std::time::Instant;
+use tokio::sync::{oneshot, watch};
+
+/// Longest time between two looks at the clock.
+const TICK: Span = Span::millis(20);
+/// Most events stepped together.
+const BATCH_MAX: usize = 256;
+/// Most events that wait; further ones are dropped, as a network drops messages.
+const QUEUE_MAX: usize = 4_096;
+
+/// What a replica's entries change.
+pub trait Machine: Send {
+    /// Applies a command and returns the reply to who proposed it.
+    fn apply(&mut self, data: &[u8]) -> Vec<u8>;
+
+    /// The whole state.
+    fn write(&self) -> Vec<u8>;
+
+    /// Takes a whole state in place of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no state.
+    fn read(&mut self, bytes: &[u8]) -> Result<()>;
+
+    /// Called after each batch of applied commands.
+    fn applied(&mut self, leads: bool);
+
+    /// Answers a question about the state.
+    fn ask(&self, question: &[u8]) -> Vec<u8>;
+}
+
+/// Carries a replica's messages.
+pub trait Carrier: Send {
+    /// Sends a message; it may be lost.
+    fn send(&self, to: &Replica, message: Message);
+}
+
+/// Why a proposal has no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// It was not appended.
+    Refused(Refused),
+    /// It was appended, and what became of it is not known here.
+    Unknown,
+}
+
+/// How a replica stands.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The leader, if one is known.
+    pub leader: Option<Replica>,
+    /// Whether this replica leads and its term is settled.
+    pub leads: bool,
+    /// Current term.
+    pub term: Term,
+    /// Who holds the log.
+    pub config: Config,
+    /// Time since the quorum was heard.
+    pub silent: Span,
+    /// Learners that have caught up, as far as this replica leads.
+    pub ready: Vec<Replica>,
+}
+
+/// A request to the thread.
+enum Input {
+    Receive(Message),
+    Propose(Vec<u8>, oneshot::Sender<Result<Vec<u8>, Lost>>),
+    Change(Change, oneshot::Sender<Result<Vec<u8>, Lost>>),
+    Ask(Vec<u8>, oneshot::Sender<Vec<u8>>),
+    Stop,
+}
+
+/// A handle on a running replica.
+#[derive(Clone)]
+pub struct Group {
+    tx: SyncSender<Input>,
+    view: watch::Receiver<View>,
+}
+
+struct Driver {
+    node: Node,
+    store: Store,
+    machine: Box<dyn Machine>,
+    carrier: Box<dyn Carrier>,
+    epoch: Instant,
+    waiting: IndexMap<u64, oneshot::Sender<Result<Vec<u8>, Lost>>>,
+    placed: IndexMap<Index, (Term, u64)>,
+    token: u64,
+    view: watch::Sender<View>,
+}
+
+impl Group {
+    /// Starts a replica on its own thread with what its store kept.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the kept state cannot be read or the thread cannot be started.
+    pub fn start(
+        me: Replica,
+        kept: Kept,
+        mut machine: Box<dyn Machine>,
+        carrier: Box<dyn Carrier>,
+        seed: u64,
+    ) -> Result<Self> {
+        let Kept { store, base, records } = kept;
+        let base = base.unwrap_or_else(|| Base::empty(Vec::new()));
+        machine.read(&base.snapshot.data)?;
+        let node = Node::recover(me, base, records, seed, Time(0));
+        let (tx, rx) = sync_channel(QUEUE_MAX);
+        let (view, watch) = watch::channel(View::default());
+        let driver = Driver {
+            node,
+            store,
+            machine,
+            carrier,
+            epoch: Instant::now(),
+            waiting: IndexMap::new(),
+            placed: IndexMap::new(),
+            token: 0,
+            view,
+        };
+        std::thread::Builder::new()
+            .name("replica".to_owned())
+            .spawn(move || driver.run(&rx))
+            .context("could not start a thread")?;
+        Ok(Self { tx, view: watch })
+    }
+
+    /// How the replica stands.
+    pub fn view(&self) -> View {
+        self.view.borrow().clone()
+    }
+
+    /// Whether the replica still runs; it stops when its disk fails.
+    pub fn runs(&self) -> bool {
+        self.view.has_changed().is_ok()
+    }
+
+    /// Hands it a message.
+    pub fn receive(&self, message: Message) {
+        if let Err(TrySendError::Full(_)) = self.tx.try_send(Input::Receive(message)) {
+            log::debug!("a message to the replica was dropped: its queue is full");
+        }
+    }
+
+    /// Proposes a command and waits until it was applied.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it was not appended, or what became of it is not known.
+    pub async fn propose(&self, data: Vec<u8>) -> Result<Vec<u8>, Lost> {
+        self.request(|reply| Input::Propose(data, reply)).await
+    }
+
+    /// Changes the replicas and waits until the change was committed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it was not appended, or what became of it is not known.
+    pub async fn change(&self, change: Change) -> Result<Vec<u8>, Lost> {
+        self.request(|reply| Input::Change(change, reply)).await
+    }
+
+    /// Asks about the applied state.
+    pub async fn ask(&self, question: Vec<u8>) -> Option<Vec<u8>> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.try_send(Input::Ask(question, tx)).ok()?;
+        rx.await.ok()
+    }
+
+    /// Stops the replica.
+    pub fn stop(&self) {
+        // A full queue or an ended thread leaves nothing to stop for.
+        let _ = self.tx.try_send(Input::Stop);
+    }
+
+    async fn request(
+        &self,
+        input: impl FnOnce(oneshot::Sender<Result<Vec<u8>, Lost>>) -> Input,
+    ) -> Result<Vec<u8>, Lost> {
+        let (tx, rx) = oneshot::channel();
+        let refused = Lost::Refused(Refused::NotLeader);
+        self.tx.try_send(input(tx)).map_err(|_| refused)?;
+        rx.await.unwrap_or(Err(Lost::Unknown))
+    }
+}
+
+impl Driver {
+    fn run(mut self, rx: &Receiver<Input>) {
+        loop {
+            let first = match rx.recv_timeout(TICK.to_std()) {
+                Ok(input) => Some(input),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let more = std::iter::from_fn(|| rx.try_recv().ok());
+            let inputs: Vec<Input> = first.into_iter().chain(more.take(BATCH_MAX)).collect();
+            if inputs.iter().any(|i| matches!(i, Input::Stop)) {
+                return;
+            }
+            if let Err(e) = self.batch(inputs) {
+                log::error!("this host no longer votes or keeps claims: {e:#}");
+                return;
+            }
+        }
+    }
+
+    fn now(&self) -> Time {
+        // Not zero, so that "never" is told from "at the start".
+        Time(1) + Span::from(self.epoch.elapsed())
+    }
+
+    fn batch(&mut self, inputs: Vec<Input>) -> Result<()> {
+        let now = self.now();
+        let mut actions = Vec::new();
+        for input in inputs {
+            let event = match input {
+                Input::Receive(message) => Event::Receive(message),
+                Input::Propose(data, reply) => Event::Propose { token: self.wait(reply), data },
+                Input::Change(change, reply) => Event::Change { token: self.wait(reply), change },
+                Input::Ask(question, reply) => {
+                    // Nobody waits any more if the send fails.
+                    let _ = reply.send(self.machine.ask(&question));
+                    continue;
+                }
+                Input::Stop => continue,
+            };
+            actions.extend(self.node.step(now, event));
+        }
+        actions.extend(self.node.step(now, Event::Tick));
+        self.carry_out(actions)?;
+        if self.store.is_long() {
+            let state = self.machine.write();
+            let actions = self.node.step(now, Event::Compact(state));
+            self.carry_out(actions)?;
+        }
+        self.show(now);
+        Ok(())
+    }
+
+    fn wait(&mut self, reply: oneshot::Sender<Result<Vec<u8>, Lost>>) -> u64 {
+        self.token += 1;
+        self.waiting.retain(|_, tx| !tx.is_closed());
+        self.waiting.insert(self.token, reply);
+        self.token
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) -> Result<()> {
+        for action in &actions {
+            match action {
+                Action::Persist(records) => self.store.append(records)?,
+                Action::Compact(base) => self.store.compact(base)?,
+                // Noted first: a lone voter applies its proposal at once.
+                Action::Proposed { token, at } => self.place(*token, *at),
+                Action::Send { .. } | Action::Apply(_) | Action::Install(_) => {}
+            }
+        }
+        self.store.sync()?;
+        let (mut applied, mut replies) = (false, Vec::new());
+        for action in actions {
+            match action {
+                Action::Persist(_) | Action::Compact(_) | Action::Proposed { .. } => {}
+                Action::Send { to, message } => self.carrier.send(&to, message),
+                Action::Apply(entry) => {
+                    let reply = match &entry.payload {
+                        Payload::Data(data) => self.machine.apply(data),
+                        Payload::Noop | Payload::Config(_) => Vec::new(),
+                    };
+                    replies.push((entry.index, entry.term, reply));
+                    applied = true;
+                }
+                Action::Install(snapshot) => {
+                    self.install(&snapshot)?;
+                    applied = true;
+                }
+            }
+        }
+        if applied {
+            self.machine.applied(self.node.leads());
+        }
+        for (index, term, reply) in replies {
+            self.answer(index, term, reply);
+        }
+        Ok(())
+    }
+
+    fn place(&mut self, token: u64, at: Result<(Index, Term), Refused>) {
+        match at {
+            Ok((index, term)) => {
+                self.placed.insert(index, (term, token));
+            }
+            Err(refused) => self.reply(token, Err(Lost::Refused(refused))),
+        }
+    }
+
+    /// Answers the proposal at a position, which may be another than the applied entry.
+    fn answer(&mut self, index: Index, term: Term, reply: Vec<u8>) {
+        let Some((placed, token)) = self.placed.swap_remove(&index) else { return };
+        self.reply(token, if placed == term { Ok(reply) } else { Err(Lost::Unknown) });
+    }
+
+    fn reply(&mut self, token: u64, reply: Result<Vec<u8>, Lost>) {
+        if let Some(tx) = self.waiting.swap_remove(&token) {
+            // Nobody waits any more if the send fails.
+            let _ = tx.send(reply);
+        }
+    }
+
+    fn install(&mut self, snapshot: &Snapshot) -> Result<()> {
+        self.machine.read(&snapshot.data)?;
+        let passed: Vec<Index> =
+            self.placed.keys().copied().filter(|&i| i <= snapshot.index).collect();
+        for index in passed {
+            self.answer(index, Term::MAX, Vec::new());
+        }
+        Ok(())
+    }
+
+    fn show(&self, now: Time) {
+        let node = &self.node;
+        let learners = node.config().learners.iter();
+        let view = View {
+            leader: node.leader().cloned(),
+            leads: node.settled(),
+            term: node.hard().term,
+            config: node.config().clone(),
+            silent: now.since(node.contact(now).unwrap_or(Time(1))),
+            ready: learners.filter(|r| node.caught_up(now, r)).cloned().collect(),
+        };
+        self.view.send_replace(view);
+    }
+}
