--- a/src/wisteriahead/ops/serve/mod.rs
+++ b/src/wisteriahead/ops/serve/mod.rs
@@ -7,8 +7,10 @@
 use crate::kernel::Kernel;
 use crate::prelude::*;
 use crate::services::allowance::AllowanceService;
+use crate::services::claims::ClaimsService;
 use crate::services::control::{ControlService, ControlSettings};
 use crate::services::entry::EntryService;
+use crate::services::member::{MemberService, MemberSettings};
 use crate::services::operator::{OperatorService, OperatorSettings};
 use crate::services::peers::{PeerSettings, PeersService};
 use crate::services::registry::RegistryService;
@@ -96,8 +98,11 @@
     let operators =
         Arc::new(OperatorService::new(OperatorSettings { listen: s.operator_listen, tls }));
     let entry = Arc::new(EntryService::new(s.caller_listen, s.host.clone(), boot(), metrics));
+    let member = MemberSettings { incarnation: boot(), durable: s.data.is_some() };
     kernel.start(peers.clone()).await?;
+    kernel.start(Arc::new(MemberService::new(member))).await?;
     kernel.start(Arc::new(ControlService::new(control))).await?;
+    kernel.start(Arc::new(ClaimsService)).await?;
     kernel.start(registry.clone()).await?;
     kernel.start(Arc::new(AllowanceService)).await?;
     kernel.start(Arc::new(TransportService)).await?;
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -14,14 +14,14 @@
 mod submit;
 mod wire;
 
-pub use wire::Voters;
+pub use keeper::Keeper;
+pub use wire::{Mark, Voters};
 
 use self::form::TIER;
 use self::identity::Identity;
-use self::keeper::Keeper;
 use self::machine::{GroupCarrier, TierState};
 use self::wire::{Ask, Founded, Hello, Here, Note, Submitted};
-use super::{Accepted, Admin, Change, Control, Handler, Peers};
+use super::{Accepted, Admin, Change, Commands, Control, Handler, Peers};
 use crate::core::control::{Command, Reply, State};
 use crate::core::document::{Document, Revision};
 use crate::core::log::Replica;
@@ -100,6 +100,8 @@
         peers.handle(Topic::Control, shared.clone());
         let control: Arc<dyn Control> = shared.clone();
         ctx.publish(<dyn Control>::NAME, control);
+        let commands: Arc<dyn Commands> = shared.clone();
+        ctx.publish(<dyn Commands>::NAME, commands);
         let admin: Arc<dyn Admin> = shared.clone();
         ctx.publish(<dyn Admin>::NAME, admin);
         tokio::spawn(rounds::run(shared.clone(), ctx.clone()));
@@ -294,7 +296,7 @@
             }
             Ask::Revision => encode(&Some(self.keeper.revision())),
             Ask::Submit { group, command } => encode(&match self.group(&group) {
-                Some(group) => submit::propose(&group, command).await,
+                Some(group) => submit::propose(self, &group, command).await,
                 None => Submitted::Refused("this host does not hold the group".to_owned()),
             }),
             Ask::Audit { .. } => self
@@ -328,6 +330,26 @@
     }
 }
 
+impl Commands for Shared {
+    fn submit(&self, command: Command, bound: Span) -> BoxFuture<'_, Result<Reply, Refusal>> {
+        Box::pin(submit::submit(self, TIER, command, bound))
+    }
+
+    fn tier(&self) -> BoxFuture<'_, Result<u64, Refusal>> {
+        Box::pin(async {
+            let mut founded = self.founded();
+            if founded.is_none()
+                && let Some(leader) = self.leader(TIER)
+            {
+                let hello = self.call::<Hello>(&leader, &Ask::Hello).await;
+                founded = hello.ok().and_then(|h| h.tier);
+            }
+            let detail = "no host that keeps the tier's state was reached";
+            founded.map(|f| f.tier).ok_or_else(|| Refusal::not_run(Reason::NoQuorum, detail))
+        })
+    }
+}
+
 impl Handler for Shared {
     fn receive(&self, from: &str, body: &[u8]) {
         match decode(body) {
--- a/src/wisteriahead/services/control/submit.rs
+++ b/src/wisteriahead/services/control/submit.rs
@@ -5,6 +5,7 @@
 
 use super::Shared;
 use super::wire::{Ask, Submitted};
+use crate::core::control::claims::{Ticket, expired};
 use crate::core::control::{Command, Reply, Stamped};
 use crate::core::log::Refused;
 use crate::core::message::{decode, encode};
@@ -67,7 +68,7 @@
     if let Some(group) = shared.group(group)
         && group.view().leads
     {
-        return Some(propose(&group, command.to_vec()).await);
+        return Some(propose(shared, &group, command.to_vec()).await);
     }
     let leader = shared.leader(group)?;
     let ask = Ask::Submit { group: group.to_owned(), command: command.to_vec() };
@@ -76,10 +77,24 @@
 }
 
 /// Proposes a command at this host, if it leads.
-pub async fn propose(group: &Group, command: Vec<u8>) -> Submitted {
+pub async fn propose(shared: &Shared, group: &Group, command: Vec<u8>) -> Submitted {
+    if group.view().leads
+        && let Some(refusal) = foreign(shared, &command)
+    {
+        return Submitted::Done(encode(&Reply::Claim(Err(refusal))));
+    }
     finish(timeout(COMMIT_MAX.to_std(), group.propose(command)).await.unwrap_or(Err(Lost::Unknown)))
 }
 
+/// Refuses a ticket of a tier that was founded before this one and lost its memory.
+fn foreign(shared: &Shared, command: &[u8]) -> Option<Refusal> {
+    let Ok(Stamped { command: Command::Claim { key, .. }, .. }) = decode(command) else {
+        return None;
+    };
+    let (ticket, tier) = (Ticket::parse(&key)?, shared.founded()?.tier);
+    (ticket.home != Ticket::TIER || ticket.epoch != tier).then(expired)
+}
+
 /// The answer for a caller on another host.
 pub fn finish(done: Result<Vec<u8>, Lost>) -> Submitted {
     match done {
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -8,18 +8,23 @@
 use crate::core::control::audit::AuditEntry;
 pub use crate::core::control::changes::Change;
 pub use crate::core::control::claims::{Claim, Outcome};
+use crate::core::control::{Command, Reply};
 use crate::core::document::{Document, Revision, ZoneState};
+pub use crate::core::member::{Health, Member};
 use crate::core::message::Topic;
 use crate::core::routes::{Routes, Target};
 use crate::prelude::*;
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use tokio::sync::watch;
 
 pub mod allowance;
+pub mod claims;
 pub mod control;
 pub mod entry;
+pub mod member;
 pub mod operator;
 pub mod peers;
 pub mod registry;
@@ -53,6 +58,16 @@
     /// Names of the other hosts known now, without regard to their health.
     fn others(&self) -> Vec<String>;
 
+    /// Address that this host listens on for the others, once it does.
+    fn listens(&self) -> Option<SocketAddr> {
+        None
+    }
+
+    /// Notes the address of a host that another reported.
+    fn learn(&self, host: &str, address: SocketAddr) {
+        let _ = (host, address);
+    }
+
     /// Sets the handler of a topic.
     fn handle(&self, topic: Topic, handler: Arc<dyn Handler>);
 
@@ -319,6 +334,28 @@
     Restarted(u64),
 }
 
+/// Brings commands to the replicated state.
+pub trait Commands: Send + Sync {
+    /// Hands a command in until it was applied or the time is over.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with "not run" when it surely was not applied, else with "may have run".
+    fn submit(&self, command: Command, bound: Span) -> BoxFuture<'_, Result<Reply, Refusal>>;
+
+    /// Number of the tier, which each founding draws anew.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with "not run" when no host that knows it is reached.
+    fn tier(&self) -> BoxFuture<'_, Result<u64, Refusal>>;
+}
+
+impl dyn Commands {
+    /// Name in the kernel.
+    pub const NAME: &'static str = "commands";
+}
+
 /// Makes non-idempotent requests run at most once.
 pub trait Claims: Send + Sync {
     /// Makes a ticket: a fresh key whose home is this host's availability zone.
@@ -347,35 +384,6 @@
     pub const NAME: &'static str = "claims";
 }
 
-/// How a host of the tier is seen from here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Health {
-    /// It answers.
-    Alive,
-    /// It was silent lately, and may be lost.
-    Suspect,
-    /// It is taken for lost.
-    Lost,
-    /// It said that it leaves.
-    Left,
-}
-
-/// A host of the tier.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Member {
-    /// Name of the host.
-    pub host: Arc<str>,
-    /// Its availability zone.
-    pub zone: Arc<str>,
-    /// How it is seen.
-    pub health: Health,
-    /// Number that rises with each start of its process.
-    pub incarnation: u64,
-    /// Whether it has a data folder.
-    pub durable: bool,
-}
-
 /// The hosts of the tier, this one included.
 pub trait Members: Send + Sync {
     /// All hosts known, in the order of their names.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,12 @@
 //! Tests of the library through its public interface.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod admission;
+mod audit;
+mod bad_clients;
+mod bad_input;
+mod changes;
+mod claims;
 mod control;
 mod ctl;
 mod ctl_changes;
@@ -9,8 +15,11 @@
 mod hedge;
 mod keys;
 mod log;
+mod member;
 mod operator;
+mod order_entry;
 mod peers;
+mod promises;
 mod props;
 mod query;
 mod renewal;
