--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod control;
 pub mod digest;
 pub mod document;
 pub mod endpoint;
--- a/src/wisteriahead/ops/serve/mod.rs
+++ b/src/wisteriahead/ops/serve/mod.rs
@@ -7,7 +7,8 @@
 use crate::kernel::Kernel;
 use crate::prelude::*;
 use crate::services::allowance::AllowanceService;
-use crate::services::control::ControlService;
+use crate::services::claims::ClaimsService;
+use crate::services::control::{ControlService, ControlSettings};
 use crate::services::entry::EntryService;
 use crate::services::member::{MemberService, MemberSettings};
 use crate::services::operator::{OperatorService, OperatorSettings};
@@ -94,6 +95,11 @@
         seeds: s.peers.clone(),
         tls: tls.clone(),
     }));
+    let control = ControlSettings {
+        data: s.data.clone(),
+        voters: s.voters.clone(),
+        joins: !s.peers.is_empty(),
+    };
     let registry = Arc::new(RegistryService::new(s.endpoint_listen));
     let operators =
         Arc::new(OperatorService::new(OperatorSettings { listen: s.operator_listen, tls }));
@@ -101,7 +107,8 @@
     let member = MemberSettings { incarnation: boot(), durable: s.data.is_some() };
     kernel.start(peers.clone()).await?;
     kernel.start(Arc::new(MemberService::new(member))).await?;
-    kernel.start(Arc::new(ControlService::default())).await?;
+    kernel.start(Arc::new(ControlService::new(control))).await?;
+    kernel.start(Arc::new(ClaimsService)).await?;
     kernel.start(registry.clone()).await?;
     kernel.start(Arc::new(AllowanceService::new(boot()))).await?;
     kernel.start(Arc::new(TransportService)).await?;
--- /dev/null
+++ b/tests/testsuite/changes.rs
@@ -0,0 +1,141 @@
+use crate::support::config;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use wisteria_testkit::disk::FakeDisk;
+use wisteriahead::core::control::changes::{Change, Changes, Done, IDS_MAX, InForce};
+use wisteriahead::core::control::{Command, Reply, Stamped, State};
+use wisteriahead::core::document::ZoneState;
+use wisteriahead::core::message::encode;
+use wisteriahead::core::verdict::{Reason, Verdict};
+use wisteriahead::services::control::{Keeper, Mark};
+use wisteriahead::util::disk::Disk;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// An edit under one of a few identifiers, based so far back.
+    Edit {
+        id: u8,
+        back: u64,
+        faulty: bool,
+    },
+    Zone {
+        id: u8,
+        out: bool,
+    },
+    Restart,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (0..40u8, prop_oneof![4 => Just(0), 1 => 0..3u64], prop::bool::weighted(0.1))
+            .prop_map(|(id, back, faulty)| Step::Edit { id, back, faulty }),
+        2 => (0..40u8, any::<bool>()).prop_map(|(id, out)| Step::Zone { id, out }),
+        1 => Just(Step::Restart),
+    ]
+}
+
+fn apply(state: &mut State, step: &Step) -> Option<(u8, Done)> {
+    let base = state.changes.revision;
+    let (id, command) = match step {
+        Step::Edit { id, back, faulty } => {
+            let base = base.saturating_sub(*back);
+            let change =
+                Change { id: id.to_string(), operator: "ann".into(), base, text: String::new() };
+            let fault = faulty.then(|| "line 1".to_owned());
+            (*id, Command::Edit { change, fault, zones: Vec::new() })
+        }
+        Step::Zone { id, out } => {
+            let zone = if *out { ZoneState::Out } else { ZoneState::In };
+            let (id, operator) = (*id, "ann".into());
+            let command =
+                Command::Zone { id: id.to_string(), operator, zone: "z".into(), state: zone, base };
+            (id, command)
+        }
+        Step::Restart => {
+            *state = State::read(&state.write()).unwrap();
+            return None;
+        }
+    };
+    let reply = state.apply(&encode(&Stamped { time_ms: 1, command })).unwrap();
+    let Reply::Change(done) = reply else { panic!() };
+    Some((id, done.map_or_else(Done::Refused, Done::Accepted)))
+}
+
+proptest! {
+    #![proptest_config(config(512))]
+
+    /// A resend hears the first outcome, each revision belongs to one change, and the trail
+    /// names each change once.
+    #[test]
+    fn change_has_one_outcome(steps in prop::collection::vec(step(), 0..80)) {
+        let mut state = State::default();
+        let mut first: BTreeMap<u8, Done> = BTreeMap::new();
+        for step in &steps {
+            let before = state.changes.revision;
+            let Some((id, done)) = apply(&mut state, step) else { continue };
+            let resent = first.contains_key(&id);
+            let new = u64::from(!resent && matches!(done, Done::Accepted(_)));
+            prop_assert_eq!(state.changes.revision, before + new);
+            if new == 1 {
+                prop_assert_eq!(&done, &Done::Accepted(before + 1));
+            }
+            prop_assert_eq!(first.entry(id).or_insert_with(|| done.clone()), &done);
+        }
+        prop_assert_eq!(state.audit.after(0, usize::MAX).len(), first.len());
+        state.audit.check().unwrap();
+    }
+
+    /// Whatever comes in whatever order, also over losses of power, the revision in force
+    /// never falls, and a mark holds until the log has taken it up.
+    #[test]
+    fn revision_in_force_never_falls(
+        steps in prop::collection::vec((0..30u64, any::<bool>(), any::<u64>()), 1..60),
+    ) {
+        let fake = Arc::new(FakeDisk::default());
+        let disk: Arc<dyn Disk> = fake.clone();
+        let mut keeper = Keeper::open(Some(&disk)).unwrap();
+        let mark = |n: u64| Mark {
+            id: format!("m{n}"), operator: "ann".into(), zone: "z".into(), base: 0,
+        };
+        prop_assert!(keeper.mark(&mark(0)));
+        let (mut highest, mut carried) = (0, false);
+        for (revision, crash, seed) in steps {
+            let ids = if revision >= 20 { vec!["m0".to_owned()] } else { Vec::new() };
+            carried |= revision > highest && revision >= 20;
+            keeper.adopt(InForce { revision, carried: ids, ..InForce::default() });
+            highest = highest.max(revision);
+            if crash {
+                fake.crash(seed);
+                keeper = Keeper::open(Some(&disk)).unwrap();
+            }
+            prop_assert_eq!(keeper.watch().borrow().revision, highest);
+            prop_assert_eq!(keeper.marks().is_empty(), carried);
+        }
+    }
+}
+
+#[test]
+fn resend_whose_outcome_is_forgotten_is_not_said_to_be_not_run() {
+    let mut changes = Changes::default();
+    let edit = |base: u64| Change {
+        id: format!("c{base}"),
+        operator: "ann".into(),
+        base,
+        text: String::new(),
+    };
+    let all = IDS_MAX as u64 + 2;
+    for base in 0..all {
+        assert_eq!(changes.edit(edit(base), None, &[]), Done::Accepted(base + 1));
+    }
+    for base in 0..all {
+        match changes.edit(edit(base), None, &[]) {
+            Done::Accepted(revision) => assert_eq!((revision, base >= 2), (base + 1, true)),
+            Done::Refused(r) => {
+                assert_eq!((r.verdict, r.reason), (Verdict::MayHaveRun, Reason::Conflict));
+                assert!(base < 2);
+            }
+        }
+    }
+    assert_eq!(changes.revision, all);
+}
--- /dev/null
+++ b/tests/testsuite/claims.rs
@@ -0,0 +1,334 @@
+use crate::support::config;
+use proptest::prelude::*;
+use serde_json::{Value, json};
+use std::time::Duration;
+use wisteria_testkit::client::{self, Answer};
+use wisteria_testkit::matrix::Matrix;
+use wisteria_testkit::process::built;
+use wisteria_testkit::tier::Tier;
+use wisteriahead::core::control::claims::{
+    Claim, KEPT_MILLIS, Outcome, RUNNING_MAX_MILLIS, Ticket,
+};
+use wisteriahead::core::control::{Command, Reply, Stamped, State};
+use wisteriahead::core::message::encode;
+use wisteriahead::core::verdict::{Reason, Refusal, Verdict};
+
+const NOW: u64 = 1_700_000_000_000;
+
+fn ticket(nonce: u128, time_ms: u64) -> String {
+    Ticket { home: Ticket::TIER.into(), epoch: 1, time_ms, nonce }.to_string()
+}
+
+/// A home: the replicated state, with commands that may be applied late and twice.
+#[derive(Default)]
+struct Home {
+    state: State,
+    /// Commands under way; a copy stays when one is applied.
+    wire: Vec<Stamped>,
+}
+
+impl Home {
+    fn apply(&mut self, time_ms: u64, command: Command) -> Reply {
+        self.wire.push(Stamped { time_ms, command: command.clone() });
+        self.state.apply(&encode(&Stamped { time_ms, command })).unwrap()
+    }
+
+    fn again(&mut self, n: usize) {
+        if !self.wire.is_empty() {
+            let stamped = self.wire[n % self.wire.len()].clone();
+            self.state.apply(&encode(&stamped)).unwrap();
+        }
+    }
+
+    fn claim(&mut self, time_ms: u64, key: &str, digest: u8, nonce: u64) -> Result<Claim, Refusal> {
+        let command = Command::Claim { key: key.to_owned(), digest: [digest; 32], nonce };
+        let Reply::Claim(done) = self.apply(time_ms, command) else { panic!() };
+        done
+    }
+
+    fn record(&mut self, time_ms: u64, key: &str, nonce: u64, outcome: Outcome) {
+        self.apply(time_ms, Command::Record { key: key.to_owned(), nonce, outcome });
+    }
+
+    /// All replicas restart from a snapshot.
+    fn restart(&mut self) {
+        self.state = State::read(&self.state.write()).unwrap();
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A claimant claims a key; its answer may be lost, and then it takes the claim back.
+    Claim {
+        key: usize,
+        digest: u8,
+        lost: bool,
+    },
+    /// The oldest claimant with a grant runs the request and records its outcome.
+    Run {
+        recorded: bool,
+    },
+    /// The oldest claimant with a grant gives up before it sends.
+    NotRun,
+    /// A command is applied again.
+    Again(usize),
+    /// Time passes, in milliseconds.
+    Pass(u64),
+    /// A command is stamped by a clock that is behind.
+    Behind(u64),
+    Restart,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let pass = prop_oneof![0..2_000u64, Just(RUNNING_MAX_MILLIS + 1), Just(KEPT_MILLIS / 2)];
+    prop_oneof![
+        8 => (0..4usize, 0..5u8, any::<bool>())
+            .prop_map(|(key, d, lost)| Step::Claim { key, digest: d / 4, lost }),
+        4 => any::<bool>().prop_map(|recorded| Step::Run { recorded }),
+        2 => Just(Step::NotRun),
+        6 => any::<usize>().prop_map(Step::Again),
+        2 => pass.clone().prop_map(Step::Pass),
+        1 => pass.prop_map(Step::Behind),
+        1 => Just(Step::Restart),
+    ]
+}
+
+/// Runs the steps and counts the executions of each key.
+fn executions(steps: &[Step], keys: &[String]) -> Vec<u32> {
+    let mut home = Home::default();
+    let mut ran = vec![0; keys.len()];
+    let (mut now, mut nonce, mut grants) = (NOW, 0, Vec::new());
+    for step in steps {
+        match step {
+            Step::Claim { key, digest, lost } => {
+                nonce += 1;
+                let done = home.claim(now, &keys[*key], *digest, nonce);
+                match done {
+                    Ok(Claim::Granted) if !lost => grants.push((*key, nonce)),
+                    Ok(Claim::Known(Outcome::Ran(_))) => assert_eq!(ran[*key], 1),
+                    _ => {}
+                }
+                if *lost {
+                    home.record(now, &keys[*key], nonce, Outcome::NotRun);
+                }
+            }
+            Step::Run { recorded } if !grants.is_empty() => {
+                let (key, nonce) = grants.remove(0);
+                ran[key] += 1;
+                if *recorded {
+                    home.record(now, &keys[key], nonce, Outcome::Ran(b"done".to_vec()));
+                }
+            }
+            Step::NotRun if !grants.is_empty() => {
+                let (key, nonce) = grants.remove(0);
+                home.record(now, &keys[key], nonce, Outcome::NotRun);
+            }
+            Step::Run { .. } | Step::NotRun => {}
+            Step::Again(n) => home.again(*n),
+            Step::Pass(ms) => now += ms,
+            Step::Behind(ms) => {
+                nonce += 1;
+                let _ = home.claim(now.saturating_sub(*ms), "clock", 0, nonce);
+            }
+            Step::Restart => home.restart(),
+        }
+    }
+    ran
+}
+
+proptest! {
+    #![proptest_config(config(4096))]
+
+    #[test]
+    fn request_of_a_key_runs_at_most_once(steps in prop::collection::vec(step(), 0..80)) {
+        let keys = [ticket(1, NOW), ticket(2, NOW), "plain".to_owned(), "other".to_owned()];
+        for (key, ran) in keys.iter().zip(executions(&steps, &keys)) {
+            prop_assert!(ran <= 1, "{key} ran {ran} times");
+        }
+    }
+}
+
+#[test]
+fn ticket_is_read_as_it_was_written_and_no_other_way() {
+    let text = ticket(7, NOW);
+    assert_eq!(Ticket::parse(&text).unwrap().to_string(), text);
+    for other in [text.to_uppercase(), format!("{text}."), text.replace(".1.", ".01.")] {
+        assert_eq!(Ticket::parse(&other), None, "{other}");
+    }
+}
+
+const FAULTS: [&str; 9] = [
+    "claim handed in again",
+    "answer lost, claim taken back",
+    "claimant gone",
+    "outcome recorded twice",
+    "late record of an earlier claim",
+    "replicas restart",
+    "clock behind",
+    "kept time over",
+    "another request under the key",
+];
+const STEPS: [&str; 4] = ["before the claim", "granted", "ran, not recorded", "ran and recorded"];
+
+/// Strikes with one fault at one step, resends, and returns the executions.
+fn strike(fault: usize, step: usize, key: &str) -> u32 {
+    let mut home = Home::default();
+    let (mut now, mut ran) = (NOW, 0);
+    let hit = |home: &mut Home, now: &mut u64| match fault {
+        0 => home.again(0),
+        1 => home.record(*now, key, 1, Outcome::NotRun),
+        3 => (0..2).for_each(|_| home.record(*now, key, 1, Outcome::Ran(b"x".to_vec()))),
+        4 => home.record(*now, key, 99, Outcome::NotRun),
+        5 => home.restart(),
+        6 => drop(home.claim(*now - KEPT_MILLIS, "clock", 0, 50)),
+        7 => *now += 2 * KEPT_MILLIS,
+        8 => drop(home.claim(*now, key, 9, 60)),
+        _ => {}
+    };
+    // The claimant of claim 1 runs only if it is alive and has not taken its claim back.
+    let gone = fault == 2 || (fault == 1 && step <= 1);
+    if step == 0 {
+        hit(&mut home, &mut now);
+    }
+    let granted = home.claim(now, key, 0, 1) == Ok(Claim::Granted);
+    if step == 1 {
+        hit(&mut home, &mut now);
+    }
+    if granted && !(gone && step <= 1) {
+        ran += 1;
+        if step == 2 {
+            hit(&mut home, &mut now);
+        } else if !gone {
+            home.record(now, key, 1, Outcome::Ran(b"done".to_vec()));
+        }
+    }
+    if step == 3 {
+        hit(&mut home, &mut now);
+    }
+    for nonce in 2..5 {
+        now += RUNNING_MAX_MILLIS;
+        home.restart();
+        if home.claim(now, key, 0, nonce) == Ok(Claim::Granted) {
+            ran += 1;
+        }
+    }
+    ran
+}
+
+#[test]
+fn every_fault_at_every_step_of_an_order() {
+    let invariant = "the request of the key runs at most once, over three resends.";
+    let mut matrix = Matrix::new("claims", invariant, &FAULTS, &STEPS);
+    for (f, fault) in FAULTS.iter().enumerate() {
+        for (s, step) in STEPS.iter().enumerate() {
+            if f == 1 && s >= 2 {
+                let why = "a claimant whose request ran never takes its claim back";
+                matrix.impossible(fault, step, why);
+                continue;
+            }
+            if f == 3 && s < 2 {
+                matrix.impossible(fault, step, "nothing ran, so nothing is recorded");
+                continue;
+            }
+            for key in [ticket(1, NOW), "plain".to_owned()] {
+                assert!(strike(f, s, &key) <= 1, "{fault}, {step}, {key}");
+                matrix.held(fault, step);
+            }
+        }
+    }
+    matrix.finish();
+}
+
+#[test]
+fn resend_hears_what_became_of_the_request() {
+    let mut home = Home::default();
+    let key = ticket(1, NOW);
+    assert_eq!(home.claim(NOW, &key, 0, 1), Ok(Claim::Granted));
+    assert_eq!(home.claim(NOW, &key, 0, 2), Ok(Claim::Running));
+    let reused = home.claim(NOW, &key, 1, 3).unwrap_err();
+    assert_eq!((reused.verdict, reused.reason), (Verdict::NotRun, Reason::KeyReused));
+    let later = NOW + RUNNING_MAX_MILLIS + 1;
+    assert_eq!(home.claim(later, &key, 0, 4), Ok(Claim::Known(Outcome::MayHaveRun)));
+    home.record(later, &key, 1, Outcome::Ran(b"done".to_vec()));
+    let ran = Ok(Claim::Known(Outcome::Ran(b"done".to_vec())));
+    assert_eq!(home.claim(later, &key, 0, 5), ran);
+    let other = ticket(2, NOW);
+    assert_eq!(home.claim(later, &other, 0, 11), Ok(Claim::Granted));
+    home.record(later, &other, 11, Outcome::NotRun);
+    let taken_back = Ok(Claim::Known(Outcome::NotRun));
+    assert_eq!(home.claim(later, &other, 0, 11), taken_back, "a late copy grants nothing");
+    assert_eq!(home.claim(later, &other, 0, 12), Ok(Claim::Granted));
+    for key in [key, "plain".to_owned()] {
+        let mut home = Home::default();
+        assert_eq!(home.claim(later, &key, 0, 6), Ok(Claim::Granted));
+        let old = later + 2 * KEPT_MILLIS;
+        let expired = home.claim(old, &key, 0, 7).unwrap_err();
+        assert_eq!((expired.verdict, expired.reason), (Verdict::MayHaveRun, Reason::ExpiredKey));
+    }
+    let future = home.claim(NOW, &ticket(9, NOW * 2), 0, 8).unwrap_err();
+    assert_eq!(future.reason, Reason::BadRequest);
+}
+
+async fn order(tier: &Tier, i: usize, key: &str) -> Answer {
+    let body = json!({"collection": "kits", "route": "kit 7", "order": {"kit": 7}});
+    let headers = [("idempotency-key", key), ("wisteria-timeout-ms", "8000")];
+    let callers = tier.daemons[i].callers;
+    client::send(callers, hyper::Method::POST, "/v1/orders", &headers, body.to_string())
+        .await
+        .unwrap()
+}
+
+/// Orders at any host until it is not refused; a resend under the same key.
+async fn ordered(tier: &Tier, i: usize, key: &str) -> Value {
+    let mut last = None;
+    for _ in 0..600 {
+        let answer = order(tier, i, key).await;
+        if answer.status == 200 {
+            return answer.body;
+        }
+        last = Some(answer);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the order was never taken: {last:?}");
+}
+
+#[tokio::test]
+async fn order_is_answered_from_its_record_after_kills() {
+    let mut tier = Tier::new(&built().unwrap()).unwrap();
+    tier.voters = ["v1", "v2", "v3"].map(str::to_owned).into();
+    for (host, zone) in [("v1", "north"), ("v2", "north"), ("v3", "south"), ("h4", "north")] {
+        tier.daemon(host, zone, &["--log-level", "info"]).await.unwrap();
+    }
+    let leaves = ["--zone", "north", "--shards", "2", "--snapshot", "s1"];
+    tier.leaves(2, &[0, 1, 2, 3], &leaves).await.unwrap();
+    let file = tier.folder().join("inventory.toml");
+    std::fs::write(&file, "[[zone]]\nname = \"north\"\n[rules]\nadmit = \"any\"\n").unwrap();
+    let file = file.to_string_lossy().into_owned();
+    let (status, output) = tier.ctl(3, &["inventory", "apply", "--file", &file]).await.unwrap();
+    assert_eq!(status, Some(0), "{output}");
+    tier.covered(3, "kits", 2).await.unwrap();
+    let made = client::post(tier.daemons[3].callers, "/v1/tickets", &json!({})).await.unwrap();
+    let ticket = made.body["ticket"].as_str().unwrap().to_owned();
+    let keys = [ticket, "plain-key".to_owned()];
+    let mut first = Vec::new();
+    for key in &keys {
+        first.push(ordered(&tier, 3, key).await);
+    }
+    // The host that took the orders dies, and one of three that keep them.
+    for i in [3, 0] {
+        tier.daemons[i].process.kill().await.unwrap();
+        tier.daemons.remove(i);
+    }
+    for (key, first) in keys.iter().zip(&first) {
+        assert_eq!(ordered(&tier, 1, key).await["result"], first["result"], "{key}");
+    }
+    let control = tier.leaves[0].control;
+    let seen = client::get(control, "/executions").await.unwrap();
+    let all = seen.body["executions"].as_array().unwrap();
+    let orders = all.iter().filter(|e| e["kind"] == "order").count();
+    assert_eq!(orders, 2, "{}", seen.body);
+    // A lone host of the three takes no orders.
+    tier.daemons[0].process.kill().await.unwrap();
+    let refused = order(&tier, 1, "another").await;
+    assert_eq!(refused.body["verdict"], "not-run", "{refused:?}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,9 +2,13 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod admission;
+mod audit;
 mod bad_clients;
 mod bad_input;
 mod budget;
+mod changes;
+mod claims;
+mod control;
 mod ctl;
 mod ctl_changes;
 mod ctl_views;
