--- a/tests/testsuite/order_entry.rs
+++ b/tests/testsuite/order_entry.rs
@@ -7,9 +7,11 @@
 use hyper::Method;
 use parking_lot::Mutex;
 use proptest::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
 use wisteria_testkit::client::{self, Answer};
 use wisteria_testkit::matrix::Matrix;
 use wisteriahead::core::order::{Action, Event, Known, Order, Outcome, Places, digest};
@@ -226,8 +228,10 @@
     executions: Mutex<Vec<String>>,
     strike: Mutex<Option<Strike>>,
     stuck: Mutex<u32>,
-    /// Holds the next attempt until notified.
-    gate: Mutex<Option<Arc<tokio::sync::Notify>>>,
+    /// Endpoints that ran an order.
+    ran_at: Mutex<BTreeSet<String>>,
+    /// Holds the next call at a step until notified.
+    gate: Mutex<Option<(&'static str, Arc<Notify>)>>,
     routes: Arc<Routes>,
 }
 
@@ -242,6 +246,21 @@
         fault
     }
 
+    /// Waits at the gate if it holds this step.
+    async fn pass(&self, step: &str) {
+        let gate = self.gate.lock().take_if(|(at, _)| *at == step);
+        if let Some((_, gate)) = gate {
+            gate.notified().await;
+        }
+    }
+
+    /// Closes the gate at a step.
+    fn close_gate(&self, step: &'static str) -> Arc<Notify> {
+        let gate = Arc::new(Notify::new());
+        *self.gate.lock() = Some((step, Arc::clone(&gate)));
+        gate
+    }
+
     async fn hang(&self) {
         *self.stuck.lock() += 1;
         std::future::pending::<()>().await;
@@ -278,6 +297,7 @@
     ) -> BoxFuture<'a, Result<Claim, Refusal>> {
         Box::pin(async move {
             let fault = self.struck("claim");
+            self.pass("claim").await;
             let lost = Err(Refusal::not_run(Reason::NoQuorum, "no home"));
             if fault == Some("refused") {
                 return lost;
@@ -306,6 +326,7 @@
 
     fn record<'a>(&'a self, key: &'a str, outcome: services::Outcome) -> BoxFuture<'a, ()> {
         Box::pin(async move {
+            self.pass("record").await;
             match self.struck("record") {
                 Some("refused") => return,
                 Some("host killed") => self.hang().await,
@@ -321,7 +342,7 @@
 impl Transport for Shared {
     fn run<'a>(
         &'a self,
-        _: &'a Target,
+        to: &'a Target,
         attempt: Attempt,
         _: Permit,
     ) -> BoxFuture<'a, Result<Bytes, Refusal>> {
@@ -333,11 +354,10 @@
                 Some("host killed") => self.hang().await,
                 _ => {}
             }
-            let gate = self.gate.lock().take();
-            if let Some(gate) = gate {
-                gate.notified().await;
-            }
+            self.pass("send").await;
             self.executions.lock().push(key);
+            self.ran_at.lock().insert(to.life());
+            self.pass("answer").await;
             match self.struck("answer") {
                 Some("answer lost") => return may(Reason::Connection),
                 Some("refused") => return may(Reason::Deadline),
@@ -374,7 +394,11 @@
     }
 
     async fn order(&self, key: &str, order: u32) -> Answer {
-        let body = format!(r#"{{"collection":"kits","route":"r","order":{{"id":{order}}}}}"#);
+        self.order_by(key, order, "r").await
+    }
+
+    async fn order_by(&self, key: &str, order: u32, route: &str) -> Answer {
+        let body = format!(r#"{{"collection":"kits","route":"{route}","order":{{"id":{order}}}}}"#);
         let headers = [("idempotency-key", key), ("wisteria-timeout-ms", "10000")];
         let sent = client::send(self.callers, Method::POST, "/v1/orders", &headers, body);
         tokio::time::timeout(PATIENCE, sent).await.unwrap().unwrap()
@@ -442,20 +466,20 @@
     assert!(after <= 1, "{strike:?}: ran {after} times");
 }
 
-/// Sends the order and closes the connection at once; the order goes on.
-async fn caller_gone(shared: &Arc<Shared>, host: &Host, step: &str) {
-    let callers = host.callers;
+/// Sends the order and closes the connection while it is at the step; the order goes on.
+async fn caller_gone(shared: &Arc<Shared>, host: &Host, step: &'static str) {
+    let (callers, gate) = (host.callers, shared.close_gate(step));
     let sent = tokio::spawn(async move {
         let headers = [("idempotency-key", "k-1"), ("wisteria-timeout-ms", "10000")];
         let body = r#"{"collection":"kits","route":"r","order":{"id":7}}"#;
         client::send(callers, Method::POST, "/v1/orders", &headers, body).await.map(drop)
     });
-    until("the order has come to the step", || match step {
-        "claim" | "send" => !shared.claims.lock().is_empty(),
-        _ => !shared.executions.lock().is_empty(),
-    })
-    .await;
+    until("the order has come to the step", || shared.gate.lock().is_none()).await;
     sent.abort();
+    assert!(sent.await.unwrap_err().is_cancelled());
+    // Long enough for the host to see that the connection is closed.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    gate.notify_one();
     until("the outcome is recorded", || {
         matches!(shared.claims.lock().get("k-1"), Some((_, Claim::Known(_))))
     })
@@ -515,8 +539,7 @@
     host.kernel.leave();
     assert_eq!(client::get(callers, "/v1/health").await.unwrap().status, 503);
     assert_eq!(host.order("k-1", 7).await.status, 200);
-    let gate = Arc::new(tokio::sync::Notify::new());
-    *shared.gate.lock() = Some(Arc::clone(&gate));
+    let gate = shared.close_gate("send");
     let body = r#"{"collection":"kits","route":"r","order":{"id":8}}"#;
     let flying = tokio::spawn(async move {
         let headers = [("idempotency-key", "k-2"), ("wisteria-timeout-ms", "30000")];
@@ -534,3 +557,27 @@
     stop.await.unwrap();
     assert!(ctx.is_stopping());
 }
+
+/// An order that stops each endpoint that runs it, sent again under fresh keys.
+#[tokio::test]
+async fn order_that_stops_endpoints_stops_two() {
+    let shared = shared(None);
+    let host = Host::start(&shared, true).await;
+    let mut refused = 0;
+    for n in 0..12 {
+        *shared.strike.lock() = Some(Strike { fault: "answer lost", step: "answer" });
+        let before = shared.executions.lock().len();
+        let answer = host.order_by(&format!("k-{n}"), 7, &format!("route-{n}")).await;
+        if answer.status == 422 {
+            assert_eq!(answer.body["verdict"], "not-run");
+            assert_eq!(shared.executions.lock().len(), before, "a quarantined order ran");
+            refused += 1;
+        } else {
+            assert_eq!(answer.body["verdict"], "may-have-run");
+        }
+    }
+    assert!(refused > 0);
+    assert_eq!(shared.ran_at.lock().len(), 2, "endpoints stopped");
+    *shared.strike.lock() = None;
+    assert_eq!(host.order("k-other", 8).await.status, 200, "another order is refused");
+}
