Open connections between hosts on demand and close them when idle

Cause: a full mesh with packets each second is 858 connections a host at 430 hosts. A host now dials another when it first hears of it and when it has something to send; without keep-alive a connection that nobody uses closes after 4 s. Addresses that members report are dialled too.

Ruled out: a connection for each message, a handshake of some kilobytes. Not measured: open connections and memory at 430 hosts.

--- a/src/wisteriahead/services/peers/dial.rs
+++ b/src/wisteriahead/services/peers/dial.rs
@@ -1,4 +1,5 @@
-//! Keeps one connection to each address: dials, says hello, and dials again with backoff.
+//! Opens one connection to each address on demand: dials, says hello, and dials again with
+//! backoff. A connection that nobody uses closes by itself.
 
 use super::hub::{Hub, Peer};
 use super::wire::{HELLO_MAX_BYTES, Hello};
@@ -16,10 +17,15 @@
 /// Longest wait before dialling again.
 const BACKOFF_MAX: Duration = Duration::from_secs(2);
 
-/// Keeps a connection to an address until its host moves; seeds have no name and are kept.
+/// Opens connections to an address on demand until its host moves; seeds have no name and
+/// are dialled until they answer once.
 pub async fn keep(hub: Arc<Hub>, name: Option<String>, address: SocketAddr) {
     let mut backoff = BACKOFF_MIN;
+    let mut known = name.as_deref().and_then(|n| hub.peer(n)).filter(|p| p.was_met());
     loop {
+        if let Some(peer) = &known {
+            peer.wanted().await;
+        }
         if name.as_deref().is_some_and(|n| hub.moved(n, address)) {
             return hub.hang_up(address);
         }
@@ -27,6 +33,8 @@
             Ok(Some((peer, link))) => {
                 backoff = BACKOFF_MIN;
                 hold(&peer, link).await;
+                known = Some(peer);
+                continue;
             }
             Ok(None) => return,
             Err(e) => log::debug!("could not connect to {address}: {e:#}"),
--- a/src/wisteriahead/services/peers/hub.rs
+++ b/src/wisteriahead/services/peers/hub.rs
@@ -13,14 +13,17 @@
 use parking_lot::{Mutex, RwLock};
 use quinn::{Connection, Endpoint};
 use std::net::SocketAddr;
-use std::sync::OnceLock;
-use tokio::sync::watch;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{OnceLock, Weak};
+use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
 /// Most hosts remembered.
 const PEERS_MAX: usize = 1024;
 /// Time allowed for one call, connecting included.
 const CALL_TIMEOUT: Span = Span::secs(5);
+/// Time after which a connection is asked for again.
+const WANT_AGAIN: Span = Span::millis(200);
 /// Time allowed to hand one message to the connection.
 const SEND_TIMEOUT: Span = Span::secs(2);
 
@@ -32,13 +35,45 @@
     pub queue: Queue,
     /// The connection that this host opened to it.
     pub link: watch::Sender<Option<Connection>>,
+    /// Told when a connection is needed.
+    want: Notify,
+    /// Whether it said hello.
+    met: AtomicBool,
 }
 
 impl Peer {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address: Mutex::new(address),
+            queue: Queue::default(),
+            link: watch::channel(None).0,
+            want: Notify::new(),
+            met: AtomicBool::new(false),
+        }
+    }
+
+    /// Waits until a connection is needed.
+    pub async fn wanted(&self) {
+        self.want.notified().await;
+    }
+
+    /// Whether the host said hello.
+    pub fn was_met(&self) -> bool {
+        self.met.load(Ordering::Relaxed)
+    }
+
     async fn connected(&self) -> Result<Connection> {
         let mut rx = self.link.subscribe();
-        let link = rx.wait_for(Option::is_some).await.context("the host was forgotten")?;
-        link.clone().context("the host is not connected")
+        loop {
+            if rx.borrow_and_update().is_none() {
+                self.want.notify_one();
+            }
+            let found = timeout(WANT_AGAIN.to_std(), rx.wait_for(Option::is_some)).await;
+            if let Ok(link) = found {
+                let link = link.context("the host was forgotten")?;
+                return link.clone().context("the host is not connected");
+            }
+        }
     }
 }
 
@@ -52,19 +87,21 @@
     peers: RwLock<IndexMap<String, Arc<Peer>>>,
     dials: Mutex<IndexSet<SocketAddr>>,
     stop: watch::Sender<bool>,
+    me: Weak<Self>,
 }
 
 impl Hub {
     /// A hub that knows no other host yet.
-    pub fn new(settings: PeerSettings) -> Self {
-        Self {
+    pub fn new(settings: PeerSettings) -> Arc<Self> {
+        Arc::new_cyclic(|me| Self {
+            me: me.clone(),
             settings,
             endpoint: OnceLock::new(),
             handlers: RwLock::default(),
             peers: RwLock::default(),
             dials: Mutex::default(),
             stop: watch::channel(false).0,
-        }
+        })
     }
 
     /// Runs a task until it ends or the service stops.
@@ -125,6 +162,7 @@
             listen.set_ip(remote.ip());
         }
         let peer = self.remember(&id.name, listen)?;
+        peer.met.store(true, Ordering::Relaxed);
         self.dial(Some(&id.name), listen);
         for contact in hello.others.into_iter().take(CONTACTS_MAX) {
             self.dial(Some(&contact.name), contact.listen);
@@ -141,11 +179,7 @@
         if peers.len() >= PEERS_MAX {
             bail!("{PEERS_MAX} hosts are known already; `{name}` is left out");
         }
-        let peer = Arc::new(Peer {
-            address: Mutex::new(listen),
-            queue: Queue::default(),
-            link: watch::channel(None).0,
-        });
+        let peer = Arc::new(Peer::new(listen));
         peers.insert(name.to_owned(), peer.clone());
         self.spawn(pump(peer.clone()));
         Ok(peer)
@@ -182,7 +216,8 @@
         self.peers.read().values().map(|p| p.queue.dropped()).sum()
     }
 
-    fn peer(&self, name: &str) -> Option<Arc<Peer>> {
+    /// A host by name.
+    pub fn peer(&self, name: &str) -> Option<Arc<Peer>> {
         self.peers.read().get(name).cloned()
     }
 
@@ -220,8 +255,10 @@
         if host == self.settings.host || address.ip().is_unspecified() {
             return;
         }
-        if let Err(e) = self.remember(host, address) {
-            log::debug!("{e}");
+        match (self.remember(host, address), self.me.upgrade()) {
+            (Ok(_), Some(me)) => me.dial(Some(host), address),
+            (Err(e), _) => log::debug!("{e}"),
+            (Ok(_), None) => {}
         }
     }
 
@@ -269,7 +306,14 @@
 async fn pump(peer: Arc<Peer>) {
     loop {
         let bytes = peer.queue.pop().await;
-        let Ok(link) = peer.connected().await else { return };
+        let link = match timeout(SEND_TIMEOUT.to_std(), peer.connected()).await {
+            Ok(Ok(link)) => link,
+            Ok(Err(_)) => return,
+            Err(_) => {
+                peer.queue.lost();
+                continue;
+            }
+        };
         let sent = timeout(SEND_TIMEOUT.to_std(), deliver(&link, &bytes)).await;
         if !matches!(sent, Ok(Ok(()))) {
             peer.queue.lost();
--- a/src/wisteriahead/services/peers/mod.rs
+++ b/src/wisteriahead/services/peers/mod.rs
@@ -1,8 +1,9 @@
 //! Messages between hosts over QUIC with mutual TLS.
 //!
-//! Each host dials every address that it knows and sends over the connections that it
-//! opened itself; those that others opened are for receiving. Two hosts thus hold two
-//! connections, and neither waits for the other's dial. Hosts learn of each other from
+//! A host dials another when it first hears of it, and again when it has something to
+//! send; a connection that nobody uses closes after a few seconds. It sends over the
+//! connections that it opened itself; those that others opened are for receiving, so that
+//! neither waits for the other's dial. Hosts learn of each other from
 //! the seeds in their settings and from the hello that opens each connection. One-way
 //! messages may be lost and may overtake each other.
 
@@ -27,9 +28,7 @@
 
 /// Time allowed for a handshake, and again for the hello.
 const HANDSHAKE_TIMEOUT: Span = Span::secs(3);
-/// Time between packets that keep an idle connection open.
-const KEEP_ALIVE: Span = Span::secs(1);
-/// Silence after which a connection counts as lost, in milliseconds.
+/// Silence after which a connection is closed, unused or lost, in milliseconds.
 const IDLE_MAX_MILLIS: u32 = 4_000;
 /// Longest wait for the others to learn that this host stops. A connection still in its
 /// handshake would take seconds to drain, to no one's use.
@@ -62,7 +61,7 @@
 impl PeersService {
     /// A service that is not started yet.
     pub fn new(settings: PeerSettings) -> Self {
-        Self { hub: Arc::new(Hub::new(settings)) }
+        Self { hub: Hub::new(settings) }
     }
 
     /// Address that the socket is bound to, once started.
@@ -148,7 +147,6 @@
 fn transport() -> TransportConfig {
     let mut config = TransportConfig::default();
     config
-        .keep_alive_interval(Some(KEEP_ALIVE.to_std()))
         .max_idle_timeout(Some(VarInt::from_u32(IDLE_MAX_MILLIS).into()))
         .max_concurrent_uni_streams(STREAMS_MAX.into())
         .max_concurrent_bidi_streams(STREAMS_MAX.into())
