--- a/crates/wisteria-experiment/src/experiments/cost.rs
+++ b/crates/wisteria-experiment/src/experiments/cost.rs
@@ -74,7 +74,7 @@
         tables: vec![table],
         verdict: format!(
             "At 190 shards, {rate} leaf requests a second would take {needed:.1} cores by this \
-             slope; the goal of at most {cores} cores is {met}."
+             figure, no run at that rate was made; the goal of at most {cores} cores is {met}."
         ),
     };
     let plot = Plot {
