--- a/src/wisteriahead/ops/client.rs
+++ b/src/wisteriahead/ops/client.rs
@@ -110,6 +110,8 @@
 
     async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
         let stream = TcpStream::connect(self.address).await?;
+        // A request is a head and a body: the second must not wait for an acknowledgement.
+        let _ = stream.set_nodelay(true);
         let name = ServerName::try_from(SERVER_NAME)?;
         let stream = self.tls.connect(name, stream).await?;
         Identity::expect(stream.get_ref().1.peer_certificates(), Kind::Host)?;
--- a/src/wisteriahead/services/operator/mod.rs
+++ b/src/wisteriahead/services/operator/mod.rs
@@ -149,6 +149,8 @@
     }
 
     async fn serve(mut self, stream: TcpStream) -> Result<()> {
+        // Without this, small answers wait for the client's delayed acknowledgement.
+        let _ = stream.set_nodelay(true);
         let stream = timeout(HANDSHAKE_TIMEOUT.to_std(), self.tls.accept(stream))
             .await
             .context("the handshake took too long")??;
