Count a stand-in's refusals by cause, and run a few tiers at a time

The stand-in counts as refused what finds no slot, but also what arrives after its deadline or its cancellation, which is no overload; the test could not tell these apart.

Ruled out: the stand-in frees a slot before it answers, so the next request cannot meet it.

--- a/crates/wisteria-leaf/src/executions.rs
+++ b/crates/wisteria-leaf/src/executions.rs
@@ -52,6 +52,10 @@
     pub executions: u64,
     /// Requests refused before they ran.
     pub refused: u64,
+    /// Those of them that found no free slot.
+    pub busy: u64,
+    /// Those of them whose deadline or cancellation came first.
+    pub late: u64,
     /// Executions that started while the leaf was collapsed.
     pub collapsed: u64,
     /// Most executions at once.
--- a/crates/wisteria-leaf/src/leaf/slot.rs
+++ b/crates/wisteria-leaf/src/leaf/slot.rs
@@ -30,7 +30,11 @@
     pub(crate) fn admit(self: &Arc<Self>, run: &RunRequest) -> Result<Slot, Refusal> {
         let mut inner = self.inner.lock();
         if let Err(refusal) = inner.check(run, self.profile.slots) {
-            self.log.count(self.name(), |c| c.refused += 1);
+            self.log.count(self.name(), |c| {
+                c.refused += 1;
+                c.busy += u64::from(refusal == Refusal::Busy);
+                c.late += u64::from(refusal.is_late());
+            });
             return Err(refusal);
         }
         inner.running += 1;
--- a/crates/wisteria-leaf/src/message.rs
+++ b/crates/wisteria-leaf/src/message.rs
@@ -86,6 +86,11 @@
 }
 
 impl Refusal {
+    /// Whether nobody waits for the request any more.
+    pub(crate) fn is_late(self) -> bool {
+        matches!(self, Self::Deadline { .. } | Self::Cancelled { .. })
+    }
+
     fn status(self) -> StatusCode {
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
--- a/crates/wisteria-testkit/src/lib.rs
+++ b/crates/wisteria-testkit/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod matrix;
 pub mod process;
 pub mod prop;
+pub mod seat;
 pub mod tier;
--- a/crates/wisteria-testkit/src/tier.rs
+++ b/crates/wisteria-testkit/src/tier.rs
@@ -3,6 +3,7 @@
 use crate::client;
 use crate::keys::Keys;
 use crate::process::Process;
+use crate::seat::Seat;
 use anyhow::{Context as _, Result, bail};
 use serde_json::{Value, json};
 use std::fs::{self, OpenOptions};
@@ -57,6 +58,8 @@
     pub daemons: Vec<Daemon>,
     /// The stand-in endpoints.
     pub leaves: Vec<Leaves>,
+    /// Given back last, after all processes have ended.
+    _seat: Seat,
 }
 
 impl Tier {
@@ -80,10 +83,12 @@
     }
 
     fn with(programs: &Path, folder: TempDir) -> Result<Self> {
+        let seat = Seat::take();
         let keys = Keys::make(&folder.path().join("keys"))?;
         keys.operator("operator")?;
         let (voters, daemons, leaves) = (Vec::new(), Vec::new(), Vec::new());
-        Ok(Self { programs: programs.to_owned(), folder, keys, voters, daemons, leaves })
+        let programs = programs.to_owned();
+        Ok(Self { programs, folder, keys, voters, daemons, leaves, _seat: seat })
     }
 
     /// Folder of the tier, removed with it.
