--- a/src/wisteriahead/core/registry.rs
+++ b/src/wisteriahead/core/registry.rs
@@ -17,6 +17,9 @@
 pub const EXPIRY: Span = Span::secs(5);
 /// Time for which late announcements of a forgotten endpoint are recognised.
 pub const GONE_KEPT: Span = Span::secs(60);
+/// How many times fewer endpoints than hold a snapshot in one partitioning are too few to make
+/// another.
+const FEW: usize = 8;
 /// Most endpoints kept.
 pub const ENDPOINTS_MAX: usize = 20_000;
 
@@ -215,7 +218,7 @@
     /// Builds the index that queries plan on.
     pub fn routes(&self) -> Routes {
         let hosts = self.document.hosts_by_name();
-        let mut found: IndexMap<&str, IndexMap<&str, Snapshot>> = IndexMap::new();
+        let mut found: IndexMap<&str, IndexMap<(&str, u32), Snapshot>> = IndexMap::new();
         let mut targets = IndexMap::new();
         for (key, e) in self.iter() {
             let a = &e.latest;
@@ -225,12 +228,12 @@
             targets.insert(target.name.clone(), target.clone());
             for h in &a.holdings {
                 let snapshots = found.entry(&h.collection).or_default();
-                let s = snapshots.entry(&h.snapshot).or_insert_with(|| Snapshot {
+                // An endpoint that names another number of shards holds another snapshot.
+                let s = snapshots.entry((&h.snapshot, h.shards)).or_insert_with(|| Snapshot {
                     name: h.snapshot.as_str().into(),
                     shards: vec![Vec::new(); h.shards as usize],
                 });
-                // An endpoint that names another number of shards holds another snapshot.
-                if s.shards.len() == h.shards as usize && allowed > 0 {
+                if allowed > 0 {
                     s.shards[h.shard as usize].push(target.clone());
                 }
             }
@@ -255,8 +258,21 @@
     }
 }
 
-fn collection(snapshots: IndexMap<&str, Snapshot>) -> Collection {
-    let mut list: Vec<_> = snapshots.into_values().map(Arc::new).collect();
-    list.sort_by(|a, b| b.name.cmp(&a.name));
+/// The newest first; of those with one name and several numbers of shards, the one that most
+/// endpoints hold. A number that only few name is an error of theirs and no partitioning.
+fn collection(snapshots: IndexMap<(&str, u32), Snapshot>) -> Collection {
+    let mut most: IndexMap<&str, usize> = IndexMap::new();
+    for ((name, _), s) in &snapshots {
+        let most = most.entry(name).or_default();
+        *most = s.replicas().max(*most);
+    }
+    let few = |name: &str, s: &Snapshot| s.replicas() * FEW < most[name];
+    let kept = snapshots.into_iter().filter(|((name, _), s)| !few(name, s));
+    let mut list: Vec<_> = kept.map(|(_, s)| Arc::new(s)).collect();
+    list.sort_by(|a, b| {
+        let by_holders = b.replicas().cmp(&a.replicas());
+        let by_shards = b.shards.len().cmp(&a.shards.len());
+        b.name.cmp(&a.name).then(by_holders).then(by_shards)
+    });
     Collection { snapshots: list }
 }
--- a/src/wisteriahead/core/routes.rs
+++ b/src/wisteriahead/core/routes.rs
@@ -54,6 +54,11 @@
     pub fn held(&self) -> usize {
         self.shards.iter().filter(|r| !r.is_empty()).count()
     }
+
+    /// Number of replicas over all shards.
+    pub fn replicas(&self) -> usize {
+        self.shards.iter().map(Vec::len).sum()
+    }
 }
 
 /// The snapshots of a collection, the newest first.
@@ -77,7 +82,7 @@
         full.or_else(|| left().rev().max_by_key(|s| share(s))).cloned()
     }
 
-    /// The snapshot with the given name.
+    /// The snapshot with the given name, in the partitioning that most endpoints hold.
     pub fn snapshot(&self, name: &str) -> Option<Arc<Snapshot>> {
         self.snapshots.iter().find(|s| &*s.name == name).cloned()
     }
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -6,6 +6,7 @@
 use rand::rngs::StdRng;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use wisteriahead::core::document::{Admit, Document, Rules};
 use wisteriahead::core::endpoint::{Announcement, EndpointState, Holding};
 use wisteriahead::core::gossip::{Gossip, Message};
 use wisteriahead::core::registry::{Applied, EXPIRY, Registry};
@@ -195,3 +196,39 @@
     assert_eq!(registry.latest("leaf").unwrap().slots, 2);
     assert_eq!(registry.announce(now, announcement("leaf", 2, 6)), Applied::Refreshed);
 }
+
+/// A registry that heard first of one endpoint with one shard, then of `n` with a shard each of `n`.
+fn partitioned(n: u32) -> Registry {
+    let mut registry = Registry::default();
+    let rules = Rules { admit: Admit::Any, ..Rules::default() };
+    registry.set_document(Arc::new(Document { rules, ..Document::default() }));
+    let one = std::iter::once((0, 1));
+    for (shard, shards) in one.chain((0..n).map(|shard| (shard, n))) {
+        let mut a = announcement(&format!("leaf-{shard}-{shards}"), 1, 1);
+        (a.holdings[0].shard, a.holdings[0].shards) = (shard, shards);
+        assert_eq!(registry.announce(Time(1), a), Applied::Changed);
+    }
+    registry
+}
+
+fn best(registry: &Registry) -> (usize, usize) {
+    let best = registry.routes().collections["kits"].best().unwrap();
+    (best.held(), best.shards.len())
+}
+
+#[test]
+fn other_number_of_shards_is_another_snapshot() {
+    let mut registry = partitioned(4);
+    assert_eq!(best(&registry), (4, 4));
+    // Until the new partitioning is whole, a whole older one of the same name serves.
+    registry.drop_at(Time(2), &"leaf-3-4".into(), (1, 1));
+    assert_eq!(best(&registry), (1, 1));
+}
+
+#[test]
+fn number_of_shards_that_only_few_name_is_never_used() {
+    let mut registry = partitioned(16);
+    assert_eq!(best(&registry), (16, 16));
+    registry.drop_at(Time(2), &"leaf-3-16".into(), (1, 1));
+    assert_eq!(best(&registry), (15, 16), "a lost shard was hidden by a wrong number of shards");
+}
