Test what the registry's digests, silences and new keepers must do

Mutants of core/registry.rs and core/gossip.rs by hand: of eleven, six survived the six tests. New tests kill three of them (a silence older than an announcement drops the endpoint, what is gone is not passed on by digests, a new keeper gives no time); each failed under its mutant. Three still survive: heartbeats ignored by keepers, digests that push the older side, no reply to marks.

--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -44,6 +44,8 @@
     sent: u64,
     loss: f64,
     delay: Span,
+    /// A host that no message reaches or leaves.
+    cut: Option<usize>,
 }
 
 fn name(i: usize) -> Arc<str> {
@@ -61,7 +63,7 @@
         let hosts = hosts.collect();
         let rng = StdRng::seed_from_u64(seed);
         let (wire, delay) = (BTreeMap::new(), Span::millis(2));
-        Self { now, rng, hosts, wire, sent: 0, loss: 0.0, delay }
+        Self { now, rng, hosts, wire, sent: 0, loss: 0.0, delay, cut: None }
     }
 
     fn send(&mut self, from: usize, out: Vec<(Arc<str>, Message)>) {
@@ -72,6 +74,9 @@
             }
             let delay = rand::RngExt::random_range(&mut self.rng, 0..=self.delay.0);
             let to = to[1..].parse().unwrap();
+            if [from, to].map(Some).contains(&self.cut) {
+                continue;
+            }
             self.wire.insert((self.now + Span(delay), self.sent), (from, to, message));
         }
     }
@@ -166,12 +171,76 @@
     for beat in 1..20 {
         net.announce(3, announcement("leaf", 1, beat));
         net.run(Span::secs(1));
+        assert!((0..7).all(|at| net.latest(at, "leaf").is_some()), "forgotten at beat {beat}");
     }
-    assert!((0..7).all(|at| net.latest(at, "leaf").is_some()));
     net.run(Span(EXPIRY.0 + Span::secs(2).0));
     assert!((0..7).all(|at| net.latest(at, "leaf").is_none()));
 }
 
+/// Both pushes are lost; heartbeats change nothing and are not passed on.
+#[test]
+fn change_whose_pushes_are_all_lost_is_found_by_the_digests() {
+    let mut net = Net::new(4, 7);
+    net.loss = 1.0;
+    net.announce(0, announcement("leaf", 1, 1));
+    net.run(Span::secs(1));
+    net.loss = 0.0;
+    for beat in 2..10 {
+        net.announce(0, announcement("leaf", 1, beat));
+        net.run(Span::secs(1));
+    }
+    assert!((0..7).all(|at| net.latest(at, "leaf").is_some()));
+}
+
+#[test]
+fn host_that_was_cut_off_forgets_what_the_others_forgot() {
+    // Some host is no keeper of the endpoint, and cannot find out by itself.
+    for cut in 0..7 {
+        let mut net = Net::new(5, 7);
+        net.announce(0, announcement("leaf", 1, 1));
+        net.run(Span::secs(1));
+        net.cut = Some(cut);
+        net.run(Span(EXPIRY.0 + Span::secs(3).0));
+        net.cut = None;
+        net.run(Span::secs(8));
+        assert!(net.latest(cut, "leaf").is_none(), "still known at h{cut}");
+    }
+}
+
+/// A host that has not heard of an endpoint, since others watched it, gives it its full time.
+#[test]
+fn host_that_begins_to_watch_an_endpoint_gives_it_time() {
+    let mut watched_from_now_on = 0;
+    for leaf in 0..20 {
+        let leaf = format!("leaf-{leaf}");
+        let mut host = Gossip::new(name(0));
+        host.set_others(Time(1), (1..7).map(name).collect());
+        host.receive(Time(1), &name(1), Message::Push(vec![announcement(&leaf, 1, 1)]));
+        let later = Time(1) + Span(EXPIRY.0 * 2);
+        host.tick(later);
+        if host.registry.latest(&leaf).is_none() {
+            continue; // It watched this one from the start.
+        }
+        watched_from_now_on += 1;
+        host.set_others(later, Vec::new());
+        host.tick(later + Span(EXPIRY.0 / 2));
+        assert!(host.registry.latest(&leaf).is_some(), "{leaf} was forgotten at once");
+        host.tick(later + Span(EXPIRY.0 * 2));
+        assert!(host.registry.latest(&leaf).is_none(), "{leaf} is never forgotten");
+    }
+    assert!(watched_from_now_on > 0);
+}
+
+#[test]
+fn silence_before_a_newer_announcement_forgets_nothing() {
+    let mut registry = Registry::default();
+    registry.announce(Time(1), announcement("leaf", 1, 5));
+    assert!(!registry.drop_at(Time(2), &"leaf".into(), (1, 4)));
+    assert!(registry.latest("leaf").is_some());
+    assert!(registry.drop_at(Time(2), &"leaf".into(), (1, 5)));
+    assert!(registry.latest("leaf").is_none());
+}
+
 #[test]
 fn forgotten_endpoint_is_not_brought_back_by_a_late_message() {
     let mut net = Net::new(3, 3);
