Split the tool's command line, and keep one seed of property tests

Settings of property tests stood three times, with two seeds. The testkit's are kept, and the two test modules re-export them. WISTERIA_SEED goes with its copy; PROPTEST_RNG_SEED does the same.

--- /dev/null
+++ b/src/bin/wisteriactl/cli/history.rs
@@ -0,0 +1,47 @@
+//! The command lines of `wisteriactl revision` and `wisteriactl audit`.
+
+use super::{Patience, Remote, patience, remote};
+use bpaf::Bpaf;
+use wisteriahead::core::document::Revision;
+
+/// Entries of the audit trail read when no limit is given.
+const AUDIT_LIMIT: u32 = 100;
+
+/// Commands on revisions.
+#[derive(Clone, Debug, Bpaf)]
+pub enum RevisionCommand {
+    /// Wait until a revision is in force at every host
+    #[bpaf(command)]
+    Wait {
+        #[bpaf(external)]
+        patience: Patience,
+        #[bpaf(external)]
+        remote: Remote,
+        /// Revision to wait for
+        #[bpaf(positional("REVISION"))]
+        revision: Revision,
+    },
+}
+
+/// Which part of the trail of changes to show.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Audit {
+    /// Begin after the entry of this number
+    #[bpaf(long, env("WISTERIACTL_AFTER"), argument("NUMBER"), fallback(0), display_fallback)]
+    pub after: u64,
+    /// Show at most this many entries
+    #[bpaf(
+        long,
+        env("WISTERIACTL_LIMIT"),
+        argument("COUNT"),
+        fallback(AUDIT_LIMIT),
+        display_fallback
+    )]
+    pub limit: u32,
+    /// Go on showing entries as they are written
+    #[bpaf(long, switch)]
+    pub follow: bool,
+    #[bpaf(external)]
+    /// Which host to ask.
+    pub remote: Remote,
+}
--- a/tests/testsuite/docs.rs
+++ b/tests/testsuite/docs.rs
@@ -114,7 +114,7 @@
             "wisteriahead" => env!("CARGO_BIN_EXE_wisteriahead"),
             "export" => {
                 let (name, _) = args[0].split_once('=').unwrap();
-                assert!(read("src/bin/wisteriactl/cli.rs").contains(name), "{line}");
+                assert!(read("src/bin/wisteriactl/cli/mod.rs").contains(name), "{line}");
                 continue;
             }
             other => panic!("`{other}` cannot be run by this test: {line}"),
--- a/tests/testsuite/props.rs
+++ b/tests/testsuite/props.rs
@@ -1,22 +1,11 @@
-//! Settings of property tests, and endpoints to run them on.
+//! Endpoints to run property tests on, and the settings of these tests.
 
-use proptest::test_runner::{Config, RngSeed};
 use slotmap::SlotMap;
 use std::sync::Arc;
+pub use wisteria_testkit::prop::config;
 use wisteriahead::core::endpoint::EndpointKey;
 use wisteriahead::core::routes::{Snapshot, Target};
 
-/// Environment variable that sets another seed.
-const SEED: &str = "WISTERIA_SEED";
-const SEED_DEFAULT: u64 = 20_261_204;
-
-/// The same cases at each run, unless [`SEED`] names another seed.
-pub fn config(cases: u32) -> Config {
-    let seed = std::env::var(SEED).ok().and_then(|s| s.parse().ok()).unwrap_or(SEED_DEFAULT);
-    let rng_seed = RngSeed::Fixed(seed);
-    Config { cases, rng_seed, failure_persistence: None, ..Config::default() }
-}
-
 /// Makes targets with fresh keys.
 #[derive(Default)]
 pub struct Endpoints {
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tempfile::TempDir;
+pub use wisteria_testkit::prop::config;
 use wisteria_testkit::tier::scratch;
 use wisteriahead::core::time::Span;
 use wisteriahead::kernel::Kernel;
@@ -120,19 +121,3 @@
     };
     tokio::time::timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("never came: {what}"));
 }
-
-/// Seed of the property tests, so that each run is the same; `PROPTEST_RNG_SEED` sets another.
-const SEED: u64 = 7;
-
-/// Settings of a property test with this many cases; `PROPTEST_CASES` sets another number.
-pub fn config(cases: u32) -> proptest::test_runner::Config {
-    use proptest::test_runner::{Config, RngSeed};
-    let mut config = Config { failure_persistence: None, ..Config::default() };
-    if std::env::var_os("PROPTEST_CASES").is_none() {
-        config.cases = cases;
-    }
-    if std::env::var_os("PROPTEST_RNG_SEED").is_none() {
-        config.rng_seed = RngSeed::Fixed(SEED);
-    }
-    config
-}
