Let heartbeats, votes and commits go on while a disk syncs

Seen in trials of the example with log lines at each step (scratch copy, busy machine, a sync of 1.5 s at every 60th sync of one host): "apply with keeper sync 1501 ms, leads true" was followed by a campaign at both others 1.2 s after they last heard that leader.

It sends entries and heartbeats before its own sync, holds votes and messages of a new term until these are durable, acknowledges entries only as far as its disk holds them, and counts its own copy of an entry no sooner. What is in force is written by another thread, without the lock that readers take; a mark of a zone now falls only when what replaces it is in force here.

Tests: the cluster of the kit has slow disks and checks each message against what the sender's disk holds, and each commit against a quorum's disks. Seen failing: with acknowledgement of unsynced entries, with the leader counting its own unsynced copy, with votes not held back, and with all messages waiting for the disk (the old way: fails slow_disk_alone_starts_no_election and follower_acknowledges_what_its_disk_holds).

Changed checks: `Lead` in tests/testsuite/log.rs reports writes as durable at once, since the node asks for that now; nothing is asserted less.

--- a/crates/wisteria-testkit/src/cluster.rs
+++ b/crates/wisteria-testkit/src/cluster.rs
@@ -1,11 +1,11 @@
 //! Replicas of a log on disks and a network that fail, one step at a time.
 
 use crate::disk::FakeDisk;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use wisteriahead::core::log::{
-    Action, Base, Change, Config, Entry, Event, Index, Limits, Message, Node, Payload, Replica,
-    Term,
+    Action, Base, Body, Change, Config, Entries, Entry, Event, HardState, Index, Limits, Mark,
+    Message, Node, Payload, Record, Replica, Term,
 };
 use wisteriahead::core::time::{Span, Time};
 use wisteriahead::services::replica::{Kept, Store};
@@ -25,6 +25,8 @@
     fuse: Option<(usize, u64)>,
     /// Whether its process stands still.
     pub frozen: bool,
+    /// Whether its disk writes only when [`Cluster::sync`] is called.
+    pub slow: bool,
     now: Time,
 }
 
@@ -33,11 +35,47 @@
     /// The state machine.
     pub node: Node,
     store: Store,
+    /// Writes under way.
+    writes: VecDeque<(Mark, Write)>,
     /// Commands applied, in their order.
     pub applied: Vec<Vec<u8>>,
     at: Index,
 }
 
+enum Write {
+    Records(Vec<Record>),
+    Base(Base),
+}
+
+/// What a disk holds for certain.
+struct Synced {
+    hard: HardState,
+    log: Entries,
+}
+
+impl Synced {
+    fn read(base: &Base, records: &[Record]) -> Self {
+        let mut synced = Self { hard: base.hard.clone(), log: Entries::after(&base.snapshot) };
+        base.entries.iter().for_each(|e| synced.log.put(e.clone()));
+        synced.add(records);
+        synced
+    }
+
+    fn add(&mut self, records: &[Record]) {
+        for record in records {
+            match record {
+                Record::Hard(hard) => self.hard = hard.clone(),
+                Record::Entry(entry) => self.log.put(entry.clone()),
+            }
+        }
+    }
+
+    /// Whether it holds an entry, or a snapshot in its place.
+    fn holds(&self, index: Index, term: Option<Term>) -> bool {
+        index <= self.log.base() || (index <= self.log.last() && self.log.term(index) == term)
+    }
+}
+
 /// All hosts, the network between them and what was seen to be promised.
 pub struct Cluster {
     /// The hosts.
@@ -52,6 +90,8 @@
     committed: BTreeMap<Index, Arc<Entry>>,
     leaders: BTreeMap<Term, Replica>,
     highest: BTreeMap<Replica, Index>,
+    /// What each disk holds, also of those that are lost: it was true when it was told.
+    synced: BTreeMap<Replica, Synced>,
 }
 
 impl Cluster {
@@ -70,11 +110,13 @@
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
             highest: BTreeMap::new(),
+            synced: BTreeMap::new(),
         };
         for i in 0..hosts {
             let disk = Arc::new(FakeDisk::default());
             let now = Time(1_000_000);
-            let host = Host { id: id(i), disk, live: None, fuse: None, frozen: false, now };
+            let (frozen, slow) = (false, false);
+            let host = Host { id: id(i), disk, live: None, fuse: None, frozen, slow, now };
             cluster.hosts.push(host);
             cluster.start(i);
         }
@@ -96,6 +138,7 @@
             store.compact(&base).expect("the fake disk works");
             base
         });
+        self.synced.insert(host.id.clone(), Synced::read(&base, &records));
         let applied = unpack(&base.snapshot.data);
         let at = base.snapshot.index;
         self.starts += 1;
@@ -103,7 +146,30 @@
         let node = Node::recover(host.id.clone(), base, records, seed, host.now)
             .with(Limits { chunk: 20, trail: 2 });
         host.frozen = false;
-        host.live = Some(Live { node, store, applied, at });
+        host.live = Some(Live { node, store, writes: VecDeque::new(), applied, at });
+    }
+
+    /// Lets a host's disk do the next write that waits.
+    pub fn sync(&mut self, i: usize) {
+        if self.burn(i) {
+            return;
+        }
+        let host = &mut self.hosts[i];
+        let Some(live) = &mut host.live else { return };
+        let Some((mark, write)) = live.writes.pop_front() else { return };
+        let synced = self.synced.get_mut(&host.id).expect("it was noted at the start");
+        match write {
+            Write::Records(records) => {
+                live.store.append(&records).expect("the fake disk works");
+                live.store.sync().expect("the fake disk works");
+                synced.add(&records);
+            }
+            Write::Base(base) => {
+                live.store.compact(&base).expect("the fake disk works");
+                *synced = Synced::read(&base, &[]);
+            }
+        }
+        self.event(i, Event::Synced(mark));
     }
 
     /// Cuts the power of a host; part of what was not synced is lost.
@@ -220,27 +286,28 @@
         self.step(i, Event::Compact(state));
     }
 
-    /// Gives an event to a host and carries out its actions.
+    /// Gives an event to a host, carries out its actions and, unless its disk is slow, its
+    /// writes.
     pub fn step(&mut self, i: usize, event: Event) {
-        let host = &mut self.hosts[i];
-        let Some(live) = &mut host.live else { return };
-        if host.frozen {
+        if self.hosts[i].frozen {
             return;
         }
+        self.event(i, event);
+        let waits = |h: &Host| h.live.as_ref().is_some_and(|l| !l.writes.is_empty());
+        while !self.hosts[i].slow && waits(&self.hosts[i]) {
+            self.sync(i);
+        }
+    }
+
+    fn event(&mut self, i: usize, event: Event) {
+        let host = &mut self.hosts[i];
+        let Some(live) = &mut host.live else { return };
         let led = live.node.leads();
         let actions = live.node.step(host.now, event);
         let leads = live.node.leads();
         for action in actions {
-            if let Some((left, seed)) = &mut self.hosts[i].fuse {
-                if *left == 0 {
-                    let seed = *seed;
-                    // Half of the time the write has begun when the power fails.
-                    if seed % 2 == 0 {
-                        self.begin(i, &action);
-                    }
-                    return self.crash(i, seed);
-                }
-                *left -= 1;
+            if self.burn(i) {
+                return;
             }
             self.act(i, action);
         }
@@ -249,8 +316,25 @@
         }
     }
 
-    fn begin(&mut self, i: usize, action: &Action) {
-        if let (Some(live), Action::Persist(records)) = (&mut self.hosts[i].live, action) {
+    /// Shortens a host's fuse; true if its power fails now.
+    fn burn(&mut self, i: usize) -> bool {
+        let Some((left, seed)) = &mut self.hosts[i].fuse else { return false };
+        if *left > 0 {
+            *left -= 1;
+            return false;
+        }
+        let seed = *seed;
+        // Half of the time the next write has begun when the power fails.
+        if seed % 2 == 0 {
+            self.begin(i);
+        }
+        self.crash(i, seed);
+        true
+    }
+
+    fn begin(&mut self, i: usize) {
+        let Some(live) = &mut self.hosts[i].live else { return };
+        if let Some((_, Write::Records(records))) = live.writes.front() {
             live.store.append(records).expect("the fake disk works");
         }
     }
@@ -258,12 +342,14 @@
     fn act(&mut self, i: usize, action: Action) {
         let Some(live) = &mut self.hosts[i].live else { return };
         match action {
-            Action::Persist(records) => {
-                live.store.append(&records).expect("the fake disk works");
-                live.store.sync().expect("the fake disk works");
+            Action::Persist(mark, records) => {
+                live.writes.push_back((mark, Write::Records(records)));
+            }
+            Action::Compact(mark, base) => live.writes.push_back((mark, Write::Base(base))),
+            Action::Send { to, message } => {
+                self.check_promise(i, &to, &message);
+                self.wire.push((to, message));
             }
-            Action::Compact(base) => live.store.compact(&base).expect("the fake disk works"),
-            Action::Send { to, message } => self.wire.push((to, message)),
             Action::Apply(entry) => self.apply(i, &entry),
             Action::Install(snapshot) => {
                 live.applied = unpack(&snapshot.data);
@@ -279,11 +365,43 @@
         assert_eq!(entry.index, live.at + 1, "h{i} applies in order");
         live.at = entry.index;
         live.applied.extend(data(entry));
+        if !self.committed.contains_key(&entry.index) {
+            let held = |r: &_| {
+                let disk = self.synced.get(r);
+                disk.is_some_and(|s| s.holds(entry.index, Some(entry.term)))
+            };
+            let quorum = live.node.config().agree(held);
+            assert!(quorum, "h{i} commits entry {} that no quorum has on disk", entry.index);
+        }
         let first = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
         assert_eq!(first, entry, "h{i} applies another entry than was committed");
         self.check_prefix(i);
     }
 
+    /// What a host says is true of its disk.
+    fn check_promise(&self, i: usize, to: &Replica, message: &Message) {
+        let host = &self.hosts[i];
+        let (Some(live), Some(disk)) = (&host.live, self.synced.get(&host.id)) else { return };
+        let term = message.term;
+        match &message.body {
+            Body::Ask { pre: true, .. } | Body::Vote { pre: true, .. } => return,
+            Body::Vote { granted: true, .. } => {
+                let vote = HardState { term, vote: Some(to.clone()) };
+                assert_eq!(disk.hard, vote, "h{i} gives a vote that its disk does not hold");
+            }
+            Body::Appended { matched: true, index } => {
+                let (last, log) = (disk.log.last(), live.node.entries());
+                assert!(*index <= last, "h{i} acknowledges {index}, its disk ends at {last}");
+                for at in log.base() + 1..=*index {
+                    let holds = disk.holds(at, log.term(at));
+                    assert!(holds, "h{i} acknowledges entry {at} that its disk does not hold");
+                }
+            }
+            _ => {}
+        }
+        assert!(disk.hard.term >= term, "h{i} speaks in term {term} that its disk does not hold");
+    }
+
     /// What a host has applied is what was committed up to there.
     fn check_prefix(&mut self, i: usize) {
         let host = &self.hosts[i];
--- a/crates/wisteria-testkit/src/lib.rs
+++ b/crates/wisteria-testkit/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod cluster;
 pub mod disk;
+pub mod gate;
 pub mod keys;
 pub mod matrix;
 pub mod process;
--- a/src/wisteriahead/core/log/elect.rs
+++ b/src/wisteriahead/core/log/elect.rs
@@ -14,7 +14,8 @@
         let term = self.hard.term + 1;
         if !pre {
             self.hard = HardState { term, vote: Some(self.me.clone()) };
-            self.keep(Vec::new());
+            self.agreed = 0;
+            self.keep_hard();
         }
         self.leader = None;
         self.role = Role::Candidate { pre, votes: IndexSet::new() };
@@ -51,7 +52,7 @@
         let granted = complete && free;
         if granted && !pre {
             self.hard.vote = Some(from.clone());
-            self.keep(Vec::new());
+            self.keep_hard();
             self.wait(now);
         }
         let term = if granted { term } else { self.hard.term };
--- a/src/wisteriahead/core/log/follow.rs
+++ b/src/wisteriahead/core/log/follow.rs
@@ -20,7 +20,7 @@
         let (index, term) = prev;
         if index < self.log.base() {
             // All up to the commit matches any leader's log.
-            return self.send(&from, Body::Appended { matched: true, index: self.commit });
+            return self.acknowledge(&from, self.commit);
         }
         if self.log.term(index) != Some(term) {
             let hint = self.log.last().min(index.saturating_sub(1)).max(self.commit);
@@ -28,7 +28,21 @@
         }
         let end = self.take(index, entries);
         self.commit_to(commit.min(end));
-        self.send(&from, Body::Appended { matched: true, index: end });
+        self.agreed = self.agreed.max(end);
+        self.acknowledge(&from, end);
+    }
+
+    /// Tells the leader up to where the logs match, as far as that is durable.
+    fn acknowledge(&mut self, leader: &Replica, end: Index) {
+        let index = end.min(self.durable.index());
+        self.send(leader, Body::Appended { matched: true, index });
+    }
+
+    /// Tells the leader that more of the log is durable.
+    pub(super) fn confirm(&mut self) {
+        if let Some(leader) = self.leader.clone() {
+            self.acknowledge(&leader, self.agreed);
+        }
     }
 
     /// Puts new entries after `index` and returns the last position that matches.
@@ -43,6 +57,7 @@
             let known = new.is_empty() && self.log.term(end) == Some(entry.term);
             // What is committed is never replaced, whatever a message says.
             if !known && end > self.commit {
+                self.durable.cut(end - 1);
                 self.log.put(entry.clone());
                 new.push(entry);
             }
@@ -79,15 +94,15 @@
         }
         let (index, (offset, total)) = (part.index, place);
         if index <= self.commit {
-            return self.send(&from, Body::Appended { matched: true, index: self.commit });
+            return self.acknowledge(&from, self.commit);
         }
         let have = self.gather(offset, part);
         if have < total {
             return self.send(&from, Body::More { index, offset: have });
         }
         if let Some(Partial { index, term, data }) = self.partial.take() {
+            // It is acknowledged once it is durable.
             self.install(Snapshot { index, term, config, data });
-            self.send(&from, Body::Appended { matched: true, index });
         }
     }
 
@@ -108,14 +123,17 @@
 
     fn install(&mut self, snapshot: Snapshot) {
         let snapshot = Arc::new(snapshot);
+        self.agreed = self.agreed.max(snapshot.index);
         if self.log.term(snapshot.index) == Some(snapshot.term) {
             self.log.trim(snapshot.index, self.limits.trail);
         } else {
+            // Only what was committed is surely the same on disk.
+            self.durable.cut(self.commit);
             self.log = Entries::after(&snapshot);
         }
         self.commit = snapshot.index;
         self.snapshot = snapshot.clone();
-        self.out.push(Action::Compact(self.base()));
+        self.keep_base();
         self.out.push(Action::Install(snapshot));
     }
 }
--- a/src/wisteriahead/core/log/lead.rs
+++ b/src/wisteriahead/core/log/lead.rs
@@ -128,9 +128,12 @@
             p.next = index.saturating_add(1).min(p.next).max(p.matched + 1);
             return self.feed(from);
         }
-        p.matched = p.matched.max(index.min(last));
+        let matched = p.matched.max(index.min(last));
+        // An answer without progress is one to a heartbeat; the next heartbeat sends again.
+        let more = matched > p.matched && p.next <= last;
+        p.matched = matched;
         p.next = p.next.max(p.matched + 1);
-        if p.next <= last {
+        if more && p.next <= last {
             self.feed(from);
         }
         self.advance(now);
@@ -141,7 +144,8 @@
         let Role::Leader { others, .. } = &self.role else { return };
         let held = |r: &Replica| match others.get(r) {
             Some(p) => p.matched,
-            None if *r == self.me => self.log.last(),
+            // Its own copy counts like any other: once it is durable.
+            None if *r == self.me => self.durable.index(),
             None => 0,
         };
         let config = self.log.config();
--- a/src/wisteriahead/core/log/mod.rs
+++ b/src/wisteriahead/core/log/mod.rs
@@ -1,13 +1,17 @@
 //! A replicated log after Raft, as a pure state machine.
 //!
-//! [`Node`] takes events and returns actions, to be carried out in their order: what an
-//! action persists must be durable before the next one is begun, so nothing is sent or
-//! applied that a loss of power could take back.
+//! [`Node`] takes events and returns actions, to be carried out in their order. A write is
+//! begun by an action with a [`Mark`] and reported by [`Event::Synced`] once it is durable;
+//! the other actions do not wait for it. The node itself holds back what a loss of power
+//! could take back: it promises no term, vote or entry that is not durable, and a leader
+//! does not count its own copy of an entry before. So heartbeats and their answers go on
+//! while a disk is slow.
 //!
 //! A replica is named by its host and by the random identifier of its disk. A host that
 //! lost its disk comes back as another replica and has no vote until it was added, caught
 //! up and was promoted; messages for the old one do not reach it.
 
+mod durable;
 mod elect;
 mod entries;
 mod follow;
@@ -27,6 +31,8 @@
 pub type Index = u64;
 /// Number of an election; at most one leader has it.
 pub type Term = u64;
+/// Number of a write; writes become durable in their order.
+pub type Mark = u64;
 
 /// Time between two messages of an idle leader.
 pub const HEARTBEAT: Span = Span::millis(100);
@@ -278,6 +284,8 @@
         /// The change.
         change: Change,
     },
+    /// All writes up to this one are durable.
+    Synced(Mark),
     /// The state after the last applied entry, to take the place of the entries.
     Compact(Vec<u8>),
 }
@@ -285,10 +293,11 @@
 /// What a node wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Make records durable.
-    Persist(Vec<Record>),
-    /// Make all that the replica holds durable, in place of what is there.
-    Compact(Base),
+    /// Make records durable, then report the mark.
+    Persist(Mark, Vec<Record>),
+    /// Make all that the replica holds durable, in place of what is there, then report the
+    /// mark.
+    Compact(Mark, Base),
     /// Send a message; it may be lost.
     Send {
         /// To whom.
--- a/src/wisteriahead/core/log/node.rs
+++ b/src/wisteriahead/core/log/node.rs
@@ -1,9 +1,10 @@
 //! One replica of the log: its state, and which rule an event goes to.
 
+use super::durable::Durable;
 use super::lead::Progress;
 use super::{
     Action, Base, Body, Config, ELECTION_MIN, ELECTION_SPREAD, Entries, Event, HardState, Index,
-    Limits, Message, Record, Refused, Replica, Snapshot, Term,
+    Limits, Mark, Message, Record, Refused, Replica, Snapshot, Term,
 };
 use crate::prelude::*;
 
@@ -41,6 +42,9 @@
     /// When to begin an election or send heartbeats next.
     pub(super) due: Time,
     pub(super) partial: Option<Partial>,
+    pub(super) durable: Durable,
+    /// The log matches that of this term's leader up to here.
+    pub(super) agreed: Index,
     pub(super) out: Vec<Action>,
     pub(super) limits: Limits,
     seed: u64,
@@ -62,6 +66,8 @@
             heard: None,
             due: now,
             partial: None,
+            durable: Durable::new(0),
+            agreed: 0,
             out: Vec::new(),
             limits: Limits::default(),
             seed,
@@ -72,6 +78,7 @@
                 Record::Entry(entry) => node.log.put(entry),
             }
         }
+        node.durable = Durable::new(node.log.last());
         node.wait(now);
         if node.log.config().voters == [node.me.clone()] {
             // Nobody else can lead.
@@ -99,6 +106,7 @@
                 let at = self.change(now, change);
                 self.out.push(Action::Proposed { token, at });
             }
+            Event::Synced(mark) => self.synced(now, mark),
             Event::Compact(data) => self.compact(data),
         }
         std::mem::take(&mut self.out)
@@ -206,7 +214,8 @@
     pub(super) fn follow(&mut self, now: Time, term: Term, leader: Option<Replica>) {
         if term > self.hard.term {
             self.hard = HardState { term, vote: None };
-            self.keep(Vec::new());
+            self.agreed = 0;
+            self.keep_hard();
         }
         self.role = Role::Follower;
         self.leader = leader;
@@ -220,11 +229,32 @@
         self.due = now + ELECTION_MIN + Span::micros(spread);
     }
 
-    /// Makes the term, the vote and some entries durable.
+    /// Begins to make the last entries of the log durable.
     pub(super) fn keep(&mut self, entries: Vec<Arc<super::Entry>>) {
-        let hard = std::iter::once(Record::Hard(self.hard.clone()));
-        self.out
-            .push(Action::Persist(hard.chain(entries.into_iter().map(Record::Entry)).collect()));
+        let mark = self.durable.begin(self.log.last());
+        self.out.push(Action::Persist(mark, entries.into_iter().map(Record::Entry).collect()));
+    }
+
+    /// Begins to make a new term or vote durable.
+    pub(super) fn keep_hard(&mut self) {
+        let mark = self.durable.begin(self.durable.index());
+        self.durable.renew();
+        self.out.push(Action::Persist(mark, vec![Record::Hard(self.hard.clone())]));
+    }
+
+    /// All writes up to a mark are durable.
+    fn synced(&mut self, now: Time, mark: Mark) {
+        let before = self.durable.index();
+        let held = self.durable.finish(mark);
+        self.out.extend(held);
+        if self.durable.index() == before {
+            return;
+        }
+        match self.role {
+            Role::Leader { .. } => self.advance(now),
+            Role::Follower => self.confirm(),
+            Role::Candidate { .. } => {}
+        }
     }
 
     pub(super) fn send(&mut self, to: &Replica, body: Body) {
@@ -232,8 +262,15 @@
     }
 
     pub(super) fn send_at(&mut self, to: &Replica, term: Term, body: Body) {
+        // A pre-vote promises nothing.
+        let free = matches!(body, Body::Ask { pre: true, .. } | Body::Vote { pre: true, .. });
         let message = Message { term, from: self.me.clone(), body };
-        self.out.push(Action::Send { to: to.clone(), message });
+        let send = Action::Send { to: to.clone(), message };
+        if free || self.durable.is_hard() {
+            self.out.push(send);
+        } else {
+            self.durable.hold(send);
+        }
     }
 
     /// Commits up to a position and applies what it covers.
@@ -252,10 +289,17 @@
         let (index, config) = (self.commit, self.log.config_at(self.commit));
         self.snapshot = Arc::new(Snapshot { index, term, config, data });
         self.log.trim(index, self.limits.trail);
-        self.out.push(Action::Compact(self.base()));
+        self.keep_base();
+    }
+
+    /// Begins to make all that the replica holds durable.
+    pub(super) fn keep_base(&mut self) {
+        let mark = self.durable.begin(self.log.last());
+        let base = self.base();
+        self.out.push(Action::Compact(mark, base));
     }
 
-    pub(super) fn base(&self) -> Base {
+    fn base(&self) -> Base {
         Base {
             hard: self.hard.clone(),
             snapshot: self.snapshot.clone(),
--- a/src/wisteriahead/services/control/keeper.rs
+++ b/src/wisteriahead/services/control/keeper.rs
@@ -1,5 +1,5 @@
 //! What is in force at this host. Its revision never falls, and at a host with a disk it
-//! is durable before it is in force.
+//! is durable before it is in force. Readers do not wait for the disk.
 
 use super::wire::Mark;
 use crate::core::control::changes::InForce;
@@ -26,11 +26,14 @@
     held: Held,
     /// The document of the operators' text, without marks.
     document: Document,
-    journal: Option<Journal>,
 }
 
 /// Holds what is in force.
 pub struct Keeper {
+    /// Held by the one who changes the state, from its reading until it is durable; always
+    /// taken before `state`.
+    journal: Mutex<Option<Journal>>,
+    /// Held for moments only.
     state: Mutex<State>,
     accepted: watch::Sender<Accepted>,
 }
@@ -56,7 +59,8 @@
         let document = held.force.document().map_err(anyhow::Error::msg);
         let document = document.context("the document kept on disk is not valid here")?;
         let keeper = Self {
-            state: Mutex::new(State { held, document, journal }),
+            journal: Mutex::new(journal),
+            state: Mutex::new(State { held, document }),
             accepted: watch::channel(Accepted::default()).0,
         };
         keeper.publish(&keeper.state.lock());
@@ -85,8 +89,8 @@
 
     /// Puts a higher revision in force; a lower or the same one is left.
     pub fn adopt(&self, force: InForce) {
-        let mut state = self.state.lock();
-        if force.revision <= state.held.force.revision {
+        let mut journal = self.journal.lock();
+        if force.revision <= self.revision() {
             return;
         }
         let document = match force.document() {
@@ -94,51 +98,54 @@
             Err(e) => return log::error!("revision {} is not put in force: {e}", force.revision),
         };
         let revision = force.revision;
-        let mut marks = state.held.marks.clone();
+        let mut marks = self.marks();
         marks.retain(|m| !force.carried.contains(&m.id));
-        if self.put(&mut state, Held { force, marks }) {
-            state.document = document;
-            self.publish(&state);
+        if self.put(&mut journal, Held { force, marks }, Some(document)) {
             log::info!("revision {revision} is in force");
         }
     }
 
     /// Holds a zone out until the quorum is reached; false if the disk fails.
     pub fn mark(&self, mark: &Mark) -> bool {
-        let mut state = self.state.lock();
-        let known = state.held.marks.iter().any(|m| m.id == mark.id);
-        if known || state.held.force.carried.contains(&mark.id) {
+        let mut journal = self.journal.lock();
+        let mut held = self.state.lock().held.clone();
+        let known = held.marks.iter().any(|m| m.id == mark.id);
+        if known || held.force.carried.contains(&mark.id) {
             return true;
         }
-        let mut held = state.held.clone();
         held.marks.push(mark.clone());
-        let put = self.put(&mut state, held);
+        let put = self.put(&mut journal, held, None);
         if put {
             log::warn!("zone {} is out at this host, by `{}`", mark.zone, mark.operator);
-            self.publish(&state);
         }
         put
     }
 
     /// Drops a mark that the log has taken up or refused.
     pub fn unmark(&self, id: &str) {
-        let mut state = self.state.lock();
-        let mut held = state.held.clone();
+        let mut journal = self.journal.lock();
+        let mut held = self.state.lock().held.clone();
+        let before = held.marks.len();
         held.marks.retain(|m| m.id != id);
-        if held.marks.len() < state.held.marks.len() && self.put(&mut state, held) {
-            self.publish(&state);
+        if held.marks.len() < before {
+            self.put(&mut journal, held, None);
         }
     }
 
-    /// Makes a state durable and takes it.
-    fn put(&self, state: &mut State, held: Held) -> bool {
-        if let Some(journal) = &mut state.journal
+    /// Makes a state durable, then puts it in force; false if the disk fails.
+    fn put(&self, journal: &mut Option<Journal>, held: Held, document: Option<Document>) -> bool {
+        if let Some(journal) = journal
             && let Err(e) = write(journal, &held)
         {
             log::error!("what is in force could not be kept on disk: {e:#}");
             return false;
         }
+        let mut state = self.state.lock();
         state.held = held;
+        if let Some(document) = document {
+            state.document = document;
+        }
+        self.publish(&state);
         true
     }
 
--- a/src/wisteriahead/services/control/machine.rs
+++ b/src/wisteriahead/services/control/machine.rs
@@ -3,23 +3,48 @@
 use super::keeper::Keeper;
 use super::wire::{Ask, Note};
 use crate::core::control::State;
+use crate::core::control::changes::InForce;
 use crate::core::document::Revision;
 use crate::core::log::{Message, Replica};
 use crate::core::message::{Topic, decode, encode};
 use crate::prelude::*;
 use crate::services::Peers;
 use crate::services::replica::{Carrier, Machine};
+use std::sync::mpsc::{Receiver, Sender, channel};
 
 /// The state, and whom to tell when a revision is accepted.
 pub struct TierState {
-    /// The state.
-    pub state: State,
-    /// What is in force at this host.
-    pub keeper: Arc<Keeper>,
+    state: State,
     /// The other hosts.
-    pub peers: Arc<dyn Peers>,
+    peers: Arc<dyn Peers>,
     /// Last revision told.
-    pub told: Revision,
+    told: Revision,
+    /// What is to be in force at this host.
+    accepted: Sender<InForce>,
+}
+
+impl TierState {
+    /// The first state, before a kept one is read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no thread can be started.
+    pub fn new(keeper: Arc<Keeper>, peers: Arc<dyn Peers>) -> Result<Self> {
+        let (accepted, rx) = channel();
+        // The keeper writes to the disk, for which the log does not wait.
+        std::thread::Builder::new()
+            .name("in-force".to_owned())
+            .spawn(move || adopt(&keeper, &rx))
+            .context("could not start a thread")?;
+        Ok(Self { state: State::default(), peers, told: 0, accepted })
+    }
+}
+
+/// Puts in force what comes, the last of what waits only.
+fn adopt(keeper: &Keeper, accepted: &Receiver<InForce>) {
+    while let Ok(first) = accepted.recv() {
+        keeper.adopt(accepted.try_iter().last().unwrap_or(first));
+    }
 }
 
 impl Machine for TierState {
@@ -54,7 +79,8 @@
                 self.peers.send(&host, Topic::Control, body.clone());
             }
         }
-        self.keeper.adopt(force);
+        // The thread lives as long as this does.
+        let _ = self.accepted.send(force);
     }
 
     fn ask(&self, question: &[u8]) -> Vec<u8> {
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -22,7 +22,7 @@
 use self::machine::{GroupCarrier, TierState};
 use self::wire::{Ask, Founded, Hello, Here, Note, Submitted};
 use super::{Accepted, Admin, Change, Commands, Control, Handler, Peers};
-use crate::core::control::{Command, Reply, State};
+use crate::core::control::{Command, Reply};
 use crate::core::document::{Document, Revision};
 use crate::core::log::Replica;
 use crate::core::message::{Topic, decode, encode};
@@ -182,12 +182,7 @@
         }
         let kept = form::store(self, TIER, form::base(&me, &founded))?;
         identity.keep(TIER)?;
-        let machine = TierState {
-            state: State::default(),
-            keeper: self.keeper.clone(),
-            peers: self.peers.clone(),
-            told: 0,
-        };
+        let machine = TierState::new(self.keeper.clone(), self.peers.clone())?;
         let carrier =
             GroupCarrier { peers: self.peers.clone(), group: TIER.to_owned(), tier: founded.tier };
         let seed = rand::random();
@@ -246,13 +241,18 @@
             return Err(Refusal::may_have_run(Reason::Internal, "the reply is of another kind"));
         };
         let revision = done?;
-        let mut here = self.keeper.watch();
-        let reached = here.wait_for(|a| a.revision >= revision);
         // A host that is behind gets it later; the change itself is accepted.
-        let _ = timeout(CALL_TIMEOUT.to_std(), reached).await;
+        self.reaches(revision).await;
         Ok(revision)
     }
 
+    /// Waits until a revision is in force here; false if that takes too long.
+    async fn reaches(&self, revision: Revision) -> bool {
+        let mut here = self.keeper.watch();
+        let reached = here.wait_for(|a| a.revision >= revision);
+        matches!(timeout(CALL_TIMEOUT.to_std(), reached).await, Ok(Ok(_)))
+    }
+
     async fn edit(&self, change: Change) -> Result<Revision, Refusal> {
         check_id(&change.id)?;
         let new = Document::parse(&change.text);
--- a/src/wisteriahead/services/control/rounds.rs
+++ b/src/wisteriahead/services/control/rounds.rs
@@ -153,6 +153,8 @@
             let command =
                 Command::Zone { id: id.clone(), operator, zone, state: ZoneState::Out, base };
             match submit::submit(self, TIER, command, CARRY_MAX).await {
+                // The mark holds until what replaces it is in force here.
+                Ok(Reply::Change(Ok(revision))) if !self.reaches(revision).await => return,
                 Ok(Reply::Change(Ok(_))) => self.keeper.unmark(&id),
                 Ok(Reply::Change(Err(refusal))) => {
                     log::warn!("the mark of a zone is dropped: {refusal}");
--- a/src/wisteriahead/services/replica/driver.rs
+++ b/src/wisteriahead/services/replica/driver.rs
@@ -1,14 +1,14 @@
-//! The thread that runs one replica: it steps the node, keeps its journal, sends its
-//! messages and applies what is committed.
+//! The thread that runs one replica: it steps the node, sends its messages and applies
+//! what is committed.
 //!
-//! All events that wait are stepped together, so that their records are made durable
-//! by one sync. The order that the node asks for holds: everything that a batch persists is
-//! durable before anything of the batch is sent, applied or answered.
+//! Its journal is written by a thread of its own, which reports what is durable; the node
+//! holds back what must wait for that. A slow sync delays neither heartbeats nor answers.
 
-use super::{Kept, Store};
+use super::Kept;
+use super::writer::{Report, Write, Writer};
 use crate::core::log::{
-    Action, Base, Change, Config, Event, Index, Message, Node, Payload, Refused, Replica, Snapshot,
-    Term,
+    Action, Base, Change, Config, Event, Index, Mark, Message, Node, Payload, Refused, Replica,
+    Snapshot, Term,
 };
 use crate::prelude::*;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
@@ -72,6 +72,10 @@
     pub config: Config,
     /// Time since the quorum was heard.
     pub silent: Span,
+    /// Last position known to be committed.
+    pub commit: Index,
+    /// How long the last write to the disk took.
+    pub sync: Span,
     /// Learners that have caught up, as far as this replica leads.
     pub ready: Vec<Replica>,
 }
@@ -82,6 +86,7 @@
     Propose(Vec<u8>, oneshot::Sender<Result<Vec<u8>, Lost>>),
     Change(Change, oneshot::Sender<Result<Vec<u8>, Lost>>),
     Ask(Vec<u8>, oneshot::Sender<Vec<u8>>),
+    Report(Report),
     Stop,
 }
 
@@ -94,7 +99,13 @@
 
 struct Driver {
     node: Node,
-    store: Store,
+    writer: Writer,
+    /// The last compaction, while it is under way.
+    compacting: Option<Mark>,
+    /// Whether the journal should be compacted.
+    long: bool,
+    /// How long the last write took.
+    sync: Span,
     machine: Box<dyn Machine>,
     carrier: Box<dyn Carrier>,
     epoch: Instant,
@@ -123,9 +134,15 @@
         let node = Node::recover(me, base, records, seed, Time(0));
         let (tx, rx) = sync_channel(QUEUE_MAX);
         let (view, watch) = watch::channel(View::default());
-        let driver = Driver {
+        let reports = tx.clone();
+        let report = move |report| reports.send(Input::Report(report)).is_ok();
+        let (writer, thread) = Writer::start(store, report)?;
+        let mut driver = Driver {
             node,
-            store,
+            writer,
+            compacting: None,
+            long: false,
+            sync: Span::ZERO,
             machine,
             carrier,
             epoch: Instant::now(),
@@ -136,7 +153,12 @@
         };
         std::thread::Builder::new()
             .name("replica".to_owned())
-            .spawn(move || driver.run(&rx))
+            .spawn(move || {
+                driver.run(&rx);
+                // So that the journal is closed when this thread has ended.
+                drop((driver, rx));
+                let _ = thread.join();
+            })
             .context("could not start a thread")?;
         Ok(Self { tx, view: watch })
     }
@@ -201,7 +223,7 @@
 }
 
 impl Driver {
-    fn run(mut self, rx: &Receiver<Input>) {
+    fn run(&mut self, rx: &Receiver<Input>) {
         loop {
             let first = match rx.recv_timeout(TICK.to_std()) {
                 Ok(input) => Some(input),
@@ -231,6 +253,16 @@
         for input in inputs {
             let event = match input {
                 Input::Receive(message) => Event::Receive(message),
+                Input::Propose(_, reply) if self.writer.is_full() => {
+                    // Nobody waits any more if the send fails.
+                    let _ = reply.send(Err(Lost::Refused(Refused::NotLeader)));
+                    continue;
+                }
+                Input::Report(Report::Synced { mark, long, took }) => {
+                    self.synced(mark, long, took);
+                    Event::Synced(mark)
+                }
+                Input::Report(Report::Failed(e)) => return Err(e),
                 Input::Propose(data, reply) => Event::Propose { token: self.wait(reply), data },
                 Input::Change(change, reply) => Event::Change { token: self.wait(reply), change },
                 Input::Ask(question, reply) => {
@@ -244,7 +276,7 @@
         }
         actions.extend(self.node.step(now, Event::Tick));
         self.carry_out(actions)?;
-        if self.store.is_long() {
+        if std::mem::take(&mut self.long) {
             let state = self.machine.write();
             let actions = self.node.step(now, Event::Compact(state));
             self.carry_out(actions)?;
@@ -253,6 +285,13 @@
         Ok(())
     }
 
+    fn synced(&mut self, mark: Mark, long: bool, took: Span) {
+        self.writer.finish(mark);
+        self.sync = took;
+        self.compacting = self.compacting.filter(|&m| m > mark);
+        self.long = long && self.compacting.is_none();
+    }
+
     fn wait(&mut self, reply: oneshot::Sender<Result<Vec<u8>, Lost>>) -> u64 {
         self.token += 1;
         self.waiting.retain(|_, tx| !tx.is_closed());
@@ -261,20 +300,15 @@
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) -> Result<()> {
-        for action in &actions {
-            match action {
-                Action::Persist(records) => self.store.append(records)?,
-                Action::Compact(base) => self.store.compact(base)?,
-                // Noted first: a lone voter applies its proposal at once.
-                Action::Proposed { token, at } => self.place(*token, *at),
-                Action::Send { .. } | Action::Apply(_) | Action::Install(_) => {}
-            }
-        }
-        self.store.sync()?;
         let (mut applied, mut replies) = (false, Vec::new());
         for action in actions {
             match action {
-                Action::Persist(_) | Action::Compact(_) | Action::Proposed { .. } => {}
+                Action::Persist(mark, records) => self.writer.write(mark, Write::Records(records)),
+                Action::Compact(mark, base) => {
+                    self.compacting = Some(mark);
+                    self.writer.write(mark, Write::Base(base));
+                }
+                Action::Proposed { token, at } => self.place(token, at),
                 Action::Send { to, message } => self.carrier.send(&to, message),
                 Action::Apply(entry) => {
                     let reply = match &entry.payload {
@@ -340,6 +374,8 @@
             term: node.hard().term,
             config: node.config().clone(),
             silent: now.since(node.contact(now).unwrap_or(Time(1))),
+            commit: node.commit(),
+            sync: self.sync,
             ready: learners.filter(|r| node.caught_up(now, r)).cloned().collect(),
         };
         self.view.send_replace(view);
--- a/src/wisteriahead/services/replica/mod.rs
+++ b/src/wisteriahead/services/replica/mod.rs
@@ -2,6 +2,7 @@
 
 mod driver;
 mod store;
+mod writer;
 
 pub use driver::{Carrier, Group, Lost, Machine, View};
 pub use store::{Kept, Store};
--- a/tests/testsuite/changes.rs
+++ b/tests/testsuite/changes.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use wisteria_testkit::disk::FakeDisk;
+use wisteria_testkit::gate::Gate;
 use wisteriahead::core::control::changes::{Change, Changes, Done, IDS_MAX, InForce};
 use wisteriahead::core::control::{Command, Reply, Stamped, State};
 use wisteriahead::core::document::ZoneState;
@@ -139,3 +140,22 @@
     }
     assert_eq!(changes.revision, all);
 }
+
+#[test]
+fn readers_do_not_wait_for_the_disk() {
+    let gate = Arc::new(Gate::default());
+    let disk: Arc<dyn Disk> = gate.clone();
+    let keeper = Keeper::open(Some(&disk)).unwrap();
+    gate.shut();
+    std::thread::scope(|scope| {
+        scope.spawn(|| keeper.adopt(InForce { revision: 1, ..InForce::default() }));
+        while !gate.holds() {
+            std::thread::yield_now();
+        }
+        // These hang if they wait for the sync.
+        assert_eq!(keeper.revision(), 0, "not in force before it is durable");
+        assert_eq!(keeper.watch().borrow().revision, 0);
+        gate.open();
+    });
+    assert_eq!(keeper.revision(), 1);
+}
--- a/tests/testsuite/log.rs
+++ b/tests/testsuite/log.rs
@@ -25,6 +25,8 @@
     Heal,
     Lose(usize),
     Repair,
+    Slow(usize),
+    Sync(usize),
     Remove(usize),
     Compact(usize),
     Settle,
@@ -46,6 +48,8 @@
         3 => Just(Step::Heal),
         2 => host.clone().prop_map(Step::Lose),
         8 => Just(Step::Repair),
+        3 => host.clone().prop_map(Step::Slow),
+        12 => host.clone().prop_map(Step::Sync),
         1 => host.clone().prop_map(Step::Remove),
         3 => host.prop_map(Step::Compact),
         4 => Just(Step::Settle),
@@ -121,6 +125,8 @@
             Step::Lose(i) if may_lose(&cluster) => cluster.lose(i),
             Step::Lose(_) => {}
             Step::Repair => repair(&mut cluster),
+            Step::Slow(i) => cluster.hosts[i].slow ^= true,
+            Step::Sync(i) => cluster.sync(i),
             Step::Remove(i) => {
                 let id = cluster.hosts[i].id.clone();
                 let many = newest(&cluster).is_some_and(|c| c.voters.len() > 3);
@@ -148,6 +154,7 @@
         let mut cluster = run(steps, seed);
         cluster.heal();
         for i in 0..HOSTS {
+            cluster.hosts[i].slow = false;
             cluster.crash(i, seed);
             cluster.start(i);
         }
@@ -190,8 +197,17 @@
         lead
     }
 
+    /// Steps the node on a disk that syncs at once.
     fn step(&mut self, event: Event) -> Vec<Action> {
-        self.node.step(self.now, event)
+        let mut actions = self.node.step(self.now, event);
+        let mark = actions.iter().filter_map(|a| match a {
+            Action::Persist(mark, _) | Action::Compact(mark, _) => Some(*mark),
+            _ => None,
+        });
+        if let Some(mark) = mark.max() {
+            actions.extend(self.node.step(self.now, Event::Synced(mark)));
+        }
+        actions
     }
 
     fn receive(&mut self, from: u64, term: u64, body: Body) -> Vec<Action> {
@@ -281,6 +297,57 @@
     assert_eq!((cluster.leader(), term(&cluster)), (Some(leader), before));
 }
 
+proptest! {
+    #![proptest_config(config(64))]
+
+    /// With one slow disk, wherever it is, the leader goes on and commits.
+    #[test]
+    fn slow_disk_alone_starts_no_election(
+        seed in any::<u64>(),
+        slow in 0..3usize,
+        syncs in prop::collection::vec(0..8usize, 1..20),
+    ) {
+        let mut cluster = Cluster::new(3, 3, seed);
+        cluster.settle(60);
+        let leader = cluster.leader().unwrap();
+        let term = |c: &Cluster, i: usize| c.hosts[i].live.as_ref().unwrap().node.hard().term;
+        let before = term(&cluster, leader);
+        cluster.hosts[slow].slow = true;
+        for (n, &rounds) in syncs.iter().enumerate() {
+            let command = n as u64 + 1;
+            cluster.propose(leader, command);
+            // 50 ms each, so that many writes take longer than an election.
+            cluster.settle(rounds + 2);
+            let committed = cluster.committed();
+            let want = command.to_be_bytes().to_vec();
+            prop_assert_eq!(committed.last(), Some(&want), "{}", cluster.show());
+            cluster.sync(slow);
+        }
+        cluster.settle(60);
+        for i in 0..3 {
+            prop_assert_eq!(term(&cluster, i), before, "an election: {}", cluster.show());
+        }
+        prop_assert_eq!(cluster.leader(), Some(leader));
+    }
+}
+
+#[test]
+fn follower_acknowledges_what_its_disk_holds() {
+    let mut cluster = Cluster::new(3, 3, 5);
+    cluster.settle(60);
+    let leader = cluster.leader().unwrap();
+    for i in (0..3).filter(|&i| i != leader) {
+        cluster.hosts[i].slow = true;
+    }
+    cluster.propose(leader, 1);
+    cluster.settle(60);
+    assert_eq!(cluster.leader(), Some(leader), "its followers answer heartbeats");
+    assert_eq!(cluster.committed(), Vec::<Vec<u8>>::new(), "one disk of three is no quorum");
+    cluster.sync((leader + 1) % 3);
+    cluster.settle(2);
+    assert_eq!(cluster.committed(), [1u64.to_be_bytes().to_vec()]);
+}
+
 const FAULTS: [&str; 11] = [
     "leader loses power",
     "follower loses power",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod query;
 mod registry;
 mod renewal;
+mod replica;
 mod scripted;
 mod settings;
 mod sharing;
