Split the gathering of a query into modules of one job

core/query.rs had grown to 642 lines, and `send` and `hedge` opened an attempt by the same steps written twice.

--- /dev/null
+++ b/src/wisteriahead/core/query/answer.rs
@@ -0,0 +1,61 @@
+//! What a query has come to: its snapshot, coverage, verdict and hits.
+
+use super::{Coverage, Gather, Wait};
+use crate::core::hits::Hits;
+use crate::core::routes::{Snapshot, Target};
+use crate::core::time::Time;
+use crate::core::verdict::Verdict;
+use std::sync::Arc;
+
+impl Gather {
+    /// The snapshot that the answer is drawn from.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.snapshot
+    }
+
+    /// Replicas of the shards that wait for room.
+    pub fn waiting(&self) -> impl Iterator<Item = &Target> {
+        let shards = self.shards.iter().zip(&self.snapshot.shards);
+        shards.filter(|(s, _)| matches!(s.wait, Wait::Room { .. })).flat_map(|(_, r)| r)
+    }
+
+    /// The coverage so far.
+    pub fn coverage(&self) -> Coverage {
+        let missing: Vec<u32> =
+            (0u32..).zip(&self.shards).filter(|(_, s)| s.hits.is_none()).map(|(i, _)| i).collect();
+        let shards = self.shards.len() as u32;
+        Coverage { shards, answered: shards - missing.len() as u32, missing }
+    }
+
+    /// Whether it has been sent to its first shard alone so far.
+    pub fn is_alone(&self) -> bool {
+        self.lead.is_some()
+    }
+
+    /// Whether the query is quarantined: endpoints died with it in flight.
+    pub fn banned(&self) -> bool {
+        self.banned
+    }
+
+    /// When a shard last waited for room at an endpoint.
+    pub fn crowded(&self) -> Option<Time> {
+        self.crowded
+    }
+
+    /// The verdict of a refusal: "not run" when every attempt sent is proven not to have run.
+    pub fn verdict(&self) -> Verdict {
+        if self.proven == self.attempts.len() { Verdict::NotRun } else { Verdict::MayHaveRun }
+    }
+
+    /// Takes the hits of all shards that answered, each marked with its shard.
+    pub fn finish(self) -> Vec<Hits> {
+        (0u32..)
+            .zip(self.shards)
+            .filter_map(|(i, s)| {
+                let mut hits = s.hits?;
+                hits.0.iter_mut().for_each(|h| h.shard = i);
+                Some(hits)
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/wisteriahead/core/query/send.rs
@@ -0,0 +1,122 @@
+//! Sending attempts: the first of a shard, those after a failure, and hedges.
+
+use super::{Action, AttemptId, DEATH_WAIT, Fleet, Gather, Open, Step, Wait};
+use crate::core::quarantine::Trial;
+use crate::core::routes::Target;
+use crate::core::time::Span;
+use std::sync::Arc;
+
+/// Wait before a hedge without a free replica or budget is tried again.
+const HEDGE_WAIT: Span = Span::millis(5);
+
+/// What an attempt costs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cost {
+    /// Nothing.
+    Free,
+    /// One extra attempt of the budget.
+    Extra,
+}
+
+impl Gather {
+    /// Sends an attempt for a shard, or has it wait for room.
+    pub(super) fn send<F: Fleet>(&mut self, shard: usize, step: &mut Step<'_, F>) {
+        let s = &mut self.shards[shard];
+        if matches!(s.wait, Wait::Room { .. } | Wait::Later { .. }) {
+            self.crowded = Some(step.now);
+        }
+        s.wait = Wait::Nothing;
+        if !s.may_send(&self.snapshot.shards[shard]) || !self.may_try(shard, step) {
+            return;
+        }
+        if self.open(shard, Cost::Free, step) {
+            self.plan_hedge(shard, step);
+            return;
+        }
+        let s = &mut self.shards[shard];
+        let until = step.now + s.retry_wait();
+        s.wait = Wait::Room { until };
+        self.wake_at(until, step);
+    }
+
+    /// Whether a shard may be sent to, as far as endpoints died with it in flight.
+    fn may_try<F: Fleet>(&mut self, shard: usize, step: &mut Step<'_, F>) -> bool {
+        if self.shards[shard].deaths == 0 {
+            return true;
+        }
+        match step.fleet.try_again(step.now, self.lead.is_none().then_some(shard as u32)) {
+            Trial::Go => return true,
+            Trial::Wait => self.wait_later(shard, DEATH_WAIT, step),
+            Trial::Never => self.banned = true,
+        }
+        false
+    }
+
+    /// Has a shard hedged when its attempt stays open long and a replica is left.
+    fn plan_hedge<F: Fleet>(&mut self, shard: usize, step: &mut Step<'_, F>) {
+        let s = &mut self.shards[shard];
+        let replicas = &self.snapshot.shards[shard];
+        if s.deaths == 0
+            && s.tried.len() < replicas.len()
+            && let Some(delay) = step.fleet.hedge_delay(replicas)
+        {
+            s.wait = Wait::Hedge { until: step.now + delay };
+        }
+    }
+
+    /// Sends again after a failure; after one that may have run, within the budget.
+    pub(super) fn retry<F: Fleet>(&mut self, shard: usize, free: bool, step: &mut Step<'_, F>) {
+        let s = &mut self.shards[shard];
+        let replicas = &self.snapshot.shards[shard];
+        s.wait = Wait::Nothing;
+        if free || !s.may_send(replicas) || step.fleet.extra(replicas) {
+            self.send(shard, step);
+            return;
+        }
+        let until = step.now + s.retry_wait();
+        s.wait = Wait::Extra { until };
+        self.wake_at(until, step);
+    }
+
+    /// Sends a second attempt beside an open one.
+    pub(super) fn hedge<F: Fleet>(&mut self, shard: usize, step: &mut Step<'_, F>) {
+        let s = &mut self.shards[shard];
+        s.wait = Wait::Nothing;
+        if s.may_send(&self.snapshot.shards[shard]) && !self.open(shard, Cost::Extra, step) {
+            self.shards[shard].wait = Wait::Hedge { until: step.now + HEDGE_WAIT };
+        }
+    }
+
+    /// Opens an attempt for a shard where a replica has room; says whether it did.
+    fn open<F: Fleet>(&mut self, shard: usize, cost: Cost, step: &mut Step<'_, F>) -> bool {
+        let replicas = &self.snapshot.shards[shard];
+        let tried = &self.shards[shard].tried;
+        let Some((target, permit)) = step.fleet.acquire(step.now, replicas, tried) else {
+            return false;
+        };
+        // The right comes first: a hedge that finds no room costs no budget.
+        if cost == Cost::Extra && !step.fleet.extra(replicas) {
+            return false;
+        }
+        self.begin(shard, target, permit, step);
+        true
+    }
+
+    /// Notes an attempt as open and has it sent.
+    fn begin<F: Fleet>(
+        &mut self,
+        shard: usize,
+        target: Target,
+        permit: F::Permit,
+        step: &mut Step<'_, F>,
+    ) {
+        let attempt = AttemptId(self.attempts.len() as u32);
+        let s = &mut self.shards[shard];
+        s.tried.push(target.key);
+        s.sent += 1;
+        s.open.push(attempt);
+        self.attempts.push(Some(Open { shard: shard as u32, key: target.key }));
+        let snapshot = Arc::clone(&self.snapshot.name);
+        step.out.push(Action::Send { attempt, snapshot, shard: shard as u32, target, permit });
+    }
+}
