Send nothing whose permit is too old for the slot still to be held

Cause: an attempt's time was counted from when its connection was ready, not from when its permit was taken. An owner holds a silent borrower's slot for 3 s and 11 s more; a start at the end of the term, a wait of up to 1 s for a connection and 10 s of work left no margin, and a host stalled between permit and request sent it however late. So three requests could meet two slots. A request with less than 1 ms left was sent with a timeout of 0 ms, which an endpoint refuses as past its deadline.

Now a permit knows when it was taken; just before the write the time left is taken anew, at most 10 s from the permit, and with less than 1 ms the attempt ends `not-run` here.

Seen failing first: with the permit's age ignored, budget::request_of_a_stalled_host_ does_not_run_late fails with "leaf-0: 3 run", and transport::request_without_time_left_is_ not_sent gets an answer. The property test has the stall as a step; it does not find the fault in its 24 cases (it passed with the age ignored).

Not run: SIGSTOP of real processes in this gap.

--- a/src/wisteriahead/core/budget/mod.rs
+++ b/src/wisteriahead/core/budget/mod.rs
@@ -28,6 +28,8 @@
 pub const ATTEMPT_MAX: Span = Span::secs(10);
 /// Time after a borrower's term in which its last requests may still run.
 pub const HOLD: Span = Span(ATTEMPT_MAX.0 + ATTEMPT_MAX.0 / 10);
+/// Least time left for which an attempt is sent: endpoints count in whole milliseconds.
+const TIMEOUT_MIN: Span = Span::millis(1);
 /// Time for which a vote binds the voter.
 pub const VOTE_TERM: Span = Span::secs(2);
 /// Most by which the clocks of two hosts may drift apart, with a margin.
@@ -40,6 +42,16 @@
     Span(term.0 / 100 * (100 - DRIFT_PERCENT))
 }
 
+/// Time that an endpoint may still work on an attempt that has `waited` to be sent.
+///
+/// `age` is the time since its permit was taken. A host that was stalled, or that waited for
+/// a connection, sends nothing that could run after the owner has lent the slot on.
+pub fn time_left(timeout: Span, waited: Span, age: Span) -> Option<Span> {
+    let wanted = timeout.0.saturating_sub(waited.0);
+    let bound = ATTEMPT_MAX.0.saturating_sub(age.0);
+    Some(Span(wanted.min(bound))).filter(|left| *left >= TIMEOUT_MIN)
+}
+
 /// A set of buckets, one bit each.
 pub type BucketSet = u16;
 
--- a/src/wisteriahead/services/allowance.rs
+++ b/src/wisteriahead/services/allowance.rs
@@ -11,7 +11,7 @@
 use crate::prelude::*;
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time between two ticks of the state machine.
 const TICK: Duration = Duration::from_millis(5);
@@ -73,6 +73,8 @@
 
 impl Allowance for Permits {
     fn acquire(&self, to: &Target) -> Option<Permit> {
+        // Read first: a stall from here on makes the permit older, never younger.
+        let taken = Instant::now();
         let mut granted = false;
         self.0.act(|b, now| {
             granted = b.acquire(now, &to.name, to.incarnation);
@@ -90,7 +92,7 @@
         }
         let (lender, name) = (Arc::clone(&self.0), to.name.clone());
         self.0.state.lock().names.insert(to.key, name.clone());
-        Some(Permit::new(move || lender.release(&name)))
+        Some(Permit::since(taken, move || lender.release(&name)))
     }
 
     fn observe(&self, to: &Target, seen: Observation) {
--- a/src/wisteriahead/services/entry/search.rs
+++ b/src/wisteriahead/services/entry/search.rs
@@ -228,10 +228,7 @@
             body: self.body.query.clone(),
         };
         let (key, room) = (target.key, Arc::clone(&entry.room));
-        let permit = Permit::new(move || {
-            drop(permit);
-            room.freed(key);
-        });
+        let permit = permit.then(move || room.freed(key));
         let name = Arc::clone(&attempt.id);
         self.sent.insert(id, Sent { shard, target: target.clone(), name, at: now });
         self.open.push(Box::pin(async move {
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -18,6 +18,7 @@
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::time::Instant;
 use tokio::sync::watch;
 
 pub mod allowance;
@@ -299,18 +300,39 @@
 }
 
 /// The right to have one request in flight at an endpoint; dropping it gives it back.
-pub struct Permit(Option<Box<dyn FnOnce() + Send>>);
+pub struct Permit {
+    taken: Instant,
+    release: Option<Box<dyn FnOnce() + Send>>,
+}
 
 impl Permit {
-    /// A permit that calls `release` when dropped.
+    /// A permit taken now that calls `release` when dropped.
     pub fn new(release: impl FnOnce() + Send + 'static) -> Self {
-        Self(Some(Box::new(release)))
+        Self::since(Instant::now(), release)
+    }
+
+    /// A permit taken at `taken` that calls `release` when dropped.
+    pub fn since(taken: Instant, release: impl FnOnce() + Send + 'static) -> Self {
+        Self { taken, release: Some(Box::new(release)) }
+    }
+
+    /// The same permit, which calls `more` after its own release.
+    pub fn then(self, more: impl FnOnce() + Send + 'static) -> Self {
+        Self::since(self.taken, move || {
+            drop(self);
+            more();
+        })
+    }
+
+    /// Time since the permit was taken.
+    pub fn age(&self) -> Span {
+        self.taken.elapsed().into()
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        if let Some(release) = self.0.take() {
+        if let Some(release) = self.release.take() {
             release();
         }
     }
--- a/src/wisteriahead/services/transport/mod.rs
+++ b/src/wisteriahead/services/transport/mod.rs
@@ -11,7 +11,7 @@
 use self::exchange::Ended;
 use self::pool::{Lease, Pool};
 use super::{Allowance, Attempt, Observation, Permit, Transport};
-use crate::core::budget::ATTEMPT_MAX;
+use crate::core::budget::{ATTEMPT_MAX, time_left};
 use crate::core::routes::Target;
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
@@ -73,11 +73,19 @@
 async fn exchange(
     lease: Lease,
     to: Target,
-    attempt: Attempt,
+    mut attempt: Attempt,
+    asked: Instant,
     permit: Permit,
     allowance: Option<Arc<dyn Allowance>>,
 ) -> Result<Bytes, Refusal> {
     let begun = Instant::now();
+    let waited = Span::from(asked.elapsed());
+    // Owners of budgets rely on this bound when a borrower is lost.
+    let Some(left) = time_left(attempt.timeout, waited, permit.age()) else {
+        lease.give_back().await;
+        return Err(Refusal::not_run(Reason::Deadline, "no time was left to send the request"));
+    };
+    attempt.timeout = left;
     let bound = Span(attempt.timeout.0.saturating_add(GRACE.0)).to_std();
     let sent = exchange::run(lease, &attempt);
     let ended = tokio::time::timeout(bound, sent).await.unwrap_or_else(|_| no_answer().into());
@@ -97,14 +105,13 @@
     fn run<'a>(
         &'a self,
         to: &'a Target,
-        mut attempt: Attempt,
+        attempt: Attempt,
         permit: Permit,
     ) -> BoxFuture<'a, Result<Bytes, Refusal>> {
-        // Owners of budgets rely on this bound when a borrower is lost.
-        attempt.timeout = attempt.timeout.min(ATTEMPT_MAX);
+        let asked = Instant::now();
         let pool = self.pool(to);
         Box::pin(async move {
-            let timeout = attempt.timeout;
+            let timeout = attempt.timeout.min(ATTEMPT_MAX);
             let lease = match connect(pool, timeout).await {
                 Ok(lease) => lease,
                 Err(refusal) => {
@@ -117,7 +124,7 @@
             };
             // The exchange outlives its caller, so that a late answer still frees the connection.
             let allowance = self.allowance.clone();
-            let task = tokio::spawn(exchange(lease, to.clone(), attempt, permit, allowance));
+            let task = tokio::spawn(exchange(lease, to.clone(), attempt, asked, permit, allowance));
             match tokio::time::timeout(timeout.to_std(), task).await {
                 Ok(Ok(result)) => result,
                 Ok(Err(_)) => Err(Refusal::may_have_run(Reason::Internal, "the exchange stopped")),
--- a/tests/testsuite/budget.rs
+++ b/tests/testsuite/budget.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use wisteria_testkit::matrix::Matrix;
 use wisteriahead::core::budget::lender::Bearing;
-use wisteriahead::core::budget::{ATTEMPT_MAX, Budgets, Message};
+use wisteriahead::core::budget::{ATTEMPT_MAX, Budgets, Message, time_left};
 use wisteriahead::core::member::{Health, Member};
 use wisteriahead::core::time::{Span, Time};
 
@@ -32,6 +32,16 @@
     current: bool,
 }
 
+/// A permit that was taken for a request that is not sent yet.
+struct Held {
+    host: usize,
+    endpoint: usize,
+    /// When it was taken, by the host's own clock.
+    taken: Time,
+    timeout: Span,
+    incarnation: u64,
+}
+
 struct Host {
     budgets: Option<Budgets>,
     rate: f64,
@@ -64,6 +74,8 @@
     pressure: f64,
     /// Messages for frozen hosts, which get them when they wake.
     held_up: Vec<(usize, usize, Message)>,
+    /// Requests that frozen hosts send when they wake.
+    unsent: Vec<Held>,
     started: u64,
     /// Slot time used, by endpoint.
     used: Vec<u64>,
@@ -110,6 +122,7 @@
             work: Span::millis(5),
             pressure: 0.0,
             held_up: Vec::new(),
+            unsent: Vec::new(),
             started: 0,
             used: vec![0; points],
         };
@@ -128,6 +141,7 @@
         self.hosts[i].budgets = Some(Budgets::new(now, host(i), zone(i, zones), self.boots));
         self.hosts[i].frozen = false;
         self.runs.retain(|r| r.host != i);
+        self.unsent.retain(|h| h.host != i);
         self.show(i, zones);
     }
 
@@ -248,19 +262,58 @@
 
     /// Starts a request if the host's own slots allow it.
     fn try_start(&mut self, i: usize, p: usize, length: Span) -> bool {
+        if !self.acquire(i, p) {
+            return false;
+        }
+        self.start(i, p, length);
+        true
+    }
+
+    fn acquire(&mut self, i: usize, p: usize) -> bool {
         let (now, incarnation) = (self.local(i), self.points[p].bearing.incarnation);
         let h = &mut self.hosts[i];
         let Some(b) = h.budgets.as_mut().filter(|_| !h.frozen) else { return false };
-        if !b.acquire(now, &point(p), incarnation) {
+        let taken = b.acquire(now, &point(p), incarnation);
+        if !taken {
             self.on(i, Budgets::due);
-            return false;
         }
+        taken
+    }
+
+    /// Stalls a host between the taking of a permit and the sending of its request.
+    fn stall(&mut self, i: usize, p: usize, timeout: Span) {
+        let taken = self.local(i);
+        if self.acquire(i, p) {
+            let incarnation = self.points[p].bearing.incarnation;
+            self.unsent.push(Held { host: i, endpoint: p, taken, timeout, incarnation });
+            self.hosts[i].frozen = true;
+        }
+    }
+
+    /// Sends what a host that wakes took permits for, as its transport does.
+    fn send_unsent(&mut self, i: usize) {
+        let (mine, others) =
+            std::mem::take(&mut self.unsent).into_iter().partition(|h| h.host == i);
+        self.unsent = others;
+        for h in mine {
+            let age = self.local(i).since(h.taken);
+            // A connection to an earlier process of the endpoint is closed.
+            let open = self.points[h.endpoint].bearing.incarnation == h.incarnation;
+            match time_left(h.timeout, age, age).filter(|_| open) {
+                Some(left) => self.start(i, h.endpoint, left),
+                None => {
+                    self.hosts[i].budgets.iter_mut().for_each(|b| b.release(&point(h.endpoint)))
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, i: usize, p: usize, length: Span) {
         self.started += 1;
         self.used[p] += length.0;
         let ends = self.now + length;
         self.runs.push(Run { host: i, endpoint: p, ends, current: true });
         self.check(p);
-        true
     }
 
     fn check(&self, p: usize) {
@@ -285,6 +338,8 @@
     Isolate(usize),
     Heal,
     Freeze(usize),
+    /// The host stalls between a permit for the endpoint and its request.
+    Stall(usize, usize),
     Thaw(usize),
     Restart(usize),
     RestartAll,
@@ -316,6 +371,7 @@
             }
             Step::Heal => self.cuts.clear(),
             Step::Freeze(i) => self.hosts[i % n].frozen = true,
+            Step::Stall(i, p) => self.stall(i % n, p % m, ATTEMPT_MAX),
             Step::Thaw(i) => self.thaw(i % n),
             Step::Restart(i) => self.boot(i % n, zones),
             Step::RestartAll => (0..n).for_each(|i| self.boot(i, zones)),
@@ -336,6 +392,7 @@
 
     fn thaw(&mut self, i: usize) {
         self.hosts[i].frozen = false;
+        self.send_unsent(i);
         let (woken, still) =
             std::mem::take(&mut self.held_up).into_iter().partition(|(_, to, _)| *to == i);
         self.held_up = still;
@@ -370,6 +427,7 @@
         1 => i().prop_map(Step::Isolate),
         2 => Just(Step::Heal),
         2 => i().prop_map(Step::Freeze),
+        2 => (i(), i()).prop_map(|(a, p)| Step::Stall(a, p)),
         2 => i().prop_map(Step::Thaw),
         1 => i().prop_map(Step::Restart),
         1 => Just(Step::RestartAll),
@@ -409,6 +467,33 @@
     }
 }
 
+/// A host that stalls between permit and request sends nothing into a slot that was lent on.
+#[test]
+fn request_of_a_stalled_host_does_not_run_late() {
+    let lent_on = 20;
+    for stall in [1, 5, 11, 13, 15, lent_on] {
+        let mut world = World::new(9, 3, 1, 1, 2);
+        world.advance(Span::secs(5));
+        load(&mut world, Span::millis(200), &[0.0, 400.0, 0.0]);
+        while world.unsent.is_empty() {
+            world.advance(TICK);
+            world.apply(&Step::Stall(1, 0), 1);
+        }
+        for i in [0, 2] {
+            world.apply(&Step::See(i, 1, Health::Lost), 1);
+        }
+        world.advance(Span::secs(stall));
+        load(&mut world, Span::millis(500), &[400.0, 0.0, 400.0]);
+        for _ in 0..400 {
+            world.try_start(0, 0, ATTEMPT_MAX);
+            world.try_start(2, 0, ATTEMPT_MAX);
+            world.advance(TICK);
+        }
+        assert!(stall < lent_on || world.runs.len() == 2, "nothing was lent on");
+        world.apply(&Step::Thaw(1), 1);
+    }
+}
+
 /// Offers load in requests a second for each host; returns the share of slot time used.
 fn load(world: &mut World, span: Span, demand: &[f64]) -> f64 {
     let end = world.now + span;
--- a/tests/testsuite/transport.rs
+++ b/tests/testsuite/transport.rs
@@ -7,11 +7,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 use wisteria_leaf::{Fault, Group, Holding, Kind, Latency, Outcome, Profile};
+use wisteriahead::core::budget::ATTEMPT_MAX;
 use wisteriahead::core::routes::Target;
 use wisteriahead::prelude::*;
 use wisteriahead::services::transport::Connections;
@@ -194,6 +195,24 @@
     bench.healthy(2).await;
 }
 
+/// A request that cannot be answered in time, or whose permit is too old since its host was
+/// stalled, is not sent: the endpoint's owner may have lent the slot on.
+#[tokio::test]
+async fn request_without_time_left_is_not_sent() {
+    let (group, bench) = leaf(QUICK).await;
+    bench.healthy(0).await;
+    let old = Instant::now().checked_sub(ATTEMPT_MAX.to_std()).unwrap();
+    for (timeout, taken) in [(Span::micros(900), Instant::now()), (Span::secs(30), old)] {
+        let attempt = bench.attempt(1, timeout);
+        let permit = Permit::since(taken, || ());
+        let refusal = bench.transport.run(&bench.target, attempt, permit).await.unwrap_err();
+        assert_eq!((refusal.verdict, refusal.reason), (Verdict::NotRun, Reason::Deadline));
+    }
+    bench.healthy(2).await;
+    let counted = group.executions();
+    assert_eq!((counted.total, counted.leaves["leaf"].refused), (2, 0));
+}
+
 /// An endpoint that answers each request twice: the second answer meets no other request.
 #[tokio::test]
 async fn doubled_answer_reaches_nobody() {
