Name the number of shards in each attempt, so that partitionings never mix

What a query lost is a partitioning, not a name, so it restarts on the new one of the same name.

Shown: transport::answer_of_another_partitioning_reaches_nobody fails without the check of the answer, endpoint_of_another_partitioning_is_asked_for_nothing ran the request before; query::repartitioned_snapshot_restarts_whole. Changed tests: the raw endpoint of transport.rs echoes the new header, and the fakes of Fleet compare partitionings instead of names.

--- a/crates/wisteria-leaf/src/leaf/state.rs
+++ b/crates/wisteria-leaf/src/leaf/state.rs
@@ -82,7 +82,8 @@
 
     fn holds(&self, run: &RunRequest) -> bool {
         self.holdings.iter().any(|h| {
-            h.collection == run.collection && h.snapshot == run.snapshot && h.shard == run.shard
+            let same = h.collection == run.collection && h.snapshot == run.snapshot;
+            same && (h.shard, h.shards) == (run.shard, run.shards)
         })
     }
 
--- a/crates/wisteria-leaf/src/message.rs
+++ b/crates/wisteria-leaf/src/message.rs
@@ -26,6 +26,7 @@
     pub(crate) collection: String,
     pub(crate) snapshot: String,
     pub(crate) shard: u32,
+    pub(crate) shards: u32,
     pub(crate) timeout: Option<Duration>,
     pub(crate) key: Option<String>,
     pub(crate) body: Bytes,
@@ -42,13 +43,14 @@
         let timeout = text(headers, "wisteria-timeout-ms")
             .map(|value| value.parse().map_err(|_| "wisteria-timeout-ms"))
             .transpose()?;
-        let shard = required(headers, "wisteria-shard")?;
+        let number = |name| required(headers, name)?.parse().map_err(|_| name);
         Ok(Self {
             attempt: required(headers, "wisteria-attempt")?,
             order,
             collection: required(headers, "wisteria-collection")?,
             snapshot: required(headers, "wisteria-snapshot")?,
-            shard: shard.parse().map_err(|_| "wisteria-shard")?,
+            shard: number("wisteria-shard")?,
+            shards: number("wisteria-shards")?,
             timeout: timeout.map(Duration::from_millis),
             key: text(headers, "idempotency-key").map(str::to_owned),
             body,
@@ -134,6 +136,7 @@
     pub(crate) attempt: String,
     pub(crate) snapshot: String,
     pub(crate) shard: u32,
+    pub(crate) shards: u32,
     pub(crate) body: Bytes,
 }
 
@@ -146,6 +149,7 @@
         attempt: &answer.attempt,
         snapshot: &answer.snapshot,
         shard: answer.shard,
+        shards: answer.shards,
         incarnation,
         verdict: "ran",
     };
@@ -162,6 +166,7 @@
         attempt: &run.attempt,
         snapshot: &run.snapshot,
         shard: run.shard,
+        shards: run.shards,
         incarnation,
         verdict: refusal.verdict(),
     };
@@ -190,6 +195,7 @@
     attempt: &'a str,
     snapshot: &'a str,
     shard: u32,
+    shards: u32,
     incarnation: u64,
     verdict: &'a str,
 }
@@ -199,6 +205,7 @@
         set(headers, "wisteria-attempt", self.attempt);
         set(headers, "wisteria-snapshot", self.snapshot);
         set(headers, "wisteria-shard", &self.shard.to_string());
+        set(headers, "wisteria-shards", &self.shards.to_string());
         set(headers, "wisteria-incarnation", &self.incarnation.to_string());
         set(headers, "wisteria-verdict", self.verdict);
         set(headers, "content-type", "application/json");
--- a/crates/wisteria-leaf/src/run.rs
+++ b/crates/wisteria-leaf/src/run.rs
@@ -101,6 +101,7 @@
         attempt: run.attempt.clone(),
         snapshot: run.snapshot.clone(),
         shard: run.shard,
+        shards: run.shards,
         body: Bytes::from(body.unwrap_or_default()),
     }
 }
--- a/crates/wisteria-leaf/tests/testsuite/support.rs
+++ b/crates/wisteria-leaf/tests/testsuite/support.rs
@@ -82,6 +82,7 @@
         .header("wisteria-collection", "kits")
         .header("wisteria-snapshot", "s1")
         .header("wisteria-shard", "3")
+        .header("wisteria-shards", "4")
         .body(Full::new(Bytes::from(body.to_string())))
         .expect("a well-formed request")
 }
--- a/src/wisteriahead/core/order.rs
+++ b/src/wisteriahead/core/order.rs
@@ -78,7 +78,7 @@
     /// Send one attempt; its end is fed back as [`Event::Done`].
     Send {
         /// Snapshot to run on.
-        snapshot: Arc<str>,
+        snapshot: Arc<Snapshot>,
         /// Shard to run on.
         shard: u32,
         /// Endpoint to send to.
@@ -196,7 +196,7 @@
         for target in replicas {
             if let Some(permit) = places.acquire(target) {
                 self.state = State::Sending(target.key);
-                let snapshot = Arc::clone(&snapshot.name);
+                let snapshot = Arc::clone(&snapshot);
                 return Action::Send { snapshot, shard, target: target.clone(), permit };
             }
         }
--- a/src/wisteriahead/core/query/fleet.rs
+++ b/src/wisteriahead/core/query/fleet.rs
@@ -25,8 +25,8 @@
     /// Time after which an attempt at one of `replicas` is hedged.
     fn hedge_delay(&self, replicas: &[Target]) -> Option<Span>;
 
-    /// The best snapshot of the collection now, without those named in `lost`.
-    fn plan(&self, lost: &[Arc<str>]) -> Option<Arc<Snapshot>>;
+    /// The best snapshot of the collection now, without those in `lost`.
+    fn plan(&self, lost: &[Arc<Snapshot>]) -> Option<Arc<Snapshot>>;
 
     /// Whether this query may run again on a shard where an endpoint died with it in flight; no
     /// shard means that it ran nowhere else.
--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -54,7 +54,7 @@
         /// The attempt.
         attempt: AttemptId,
         /// Snapshot to run on.
-        snapshot: Arc<str>,
+        snapshot: Arc<Snapshot>,
         /// Shard to run on.
         shard: u32,
         /// Endpoint to send to.
@@ -74,7 +74,7 @@
 #[derive(Debug)]
 pub struct Gather {
     snapshot: Arc<Snapshot>,
-    lost: Vec<Arc<str>>,
+    lost: Vec<Arc<Snapshot>>,
     deadline: Time,
     least: f64,
     shards: Vec<Shard>,
--- a/src/wisteriahead/core/query/restart.rs
+++ b/src/wisteriahead/core/query/restart.rs
@@ -24,7 +24,7 @@
             return false;
         }
         let mut lost = self.lost.clone();
-        lost.push(Arc::clone(&self.snapshot.name));
+        lost.push(Arc::clone(&self.snapshot));
         let better = |s: &Snapshot| s.held() * self.shards.len() > reachable * s.shards.len();
         if let Some(next) = step.fleet.plan(&lost).filter(|s| better(s)) {
             self.lost = lost;
--- a/src/wisteriahead/core/query/send.rs
+++ b/src/wisteriahead/core/query/send.rs
@@ -116,7 +116,7 @@
         s.sent += 1;
         s.open.push(attempt);
         self.attempts.push(Some(Open { shard: shard as u32, key: target.key }));
-        let snapshot = Arc::clone(&self.snapshot.name);
+        let snapshot = Arc::clone(&self.snapshot);
         step.out.push(Action::Send { attempt, snapshot, shard: shard as u32, target, permit });
     }
 }
--- a/src/wisteriahead/core/routes.rs
+++ b/src/wisteriahead/core/routes.rs
@@ -55,6 +55,16 @@
         self.shards.iter().filter(|r| !r.is_empty()).count()
     }
 
+    /// Number of shards, as endpoints announce it.
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.shards.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether both have one name and one partitioning; who holds their shards may differ.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.name == other.name && self.shards.len() == other.shards.len()
+    }
+
     /// Number of replicas over all shards.
     pub fn replicas(&self) -> usize {
         self.shards.iter().map(Vec::len).sum()
@@ -74,9 +84,9 @@
         self.best_without(&[])
     }
 
-    /// As [`Collection::best`], without the snapshots named in `lost`.
-    pub fn best_without(&self, lost: &[Arc<str>]) -> Option<Arc<Snapshot>> {
-        let left = || self.snapshots.iter().filter(|s| !lost.contains(&s.name));
+    /// As [`Collection::best`], without the snapshots in `lost`.
+    pub fn best_without(&self, lost: &[Arc<Snapshot>]) -> Option<Arc<Snapshot>> {
+        let left = || self.snapshots.iter().filter(|s| !lost.iter().any(|l| l.is_same(s)));
         let full = left().find(|s| s.held() == s.shards.len());
         let share = |s: &Snapshot| s.held() * 1_000_000 / s.shards.len().max(1);
         full.or_else(|| left().rev().max_by_key(|s| share(s))).cloned()
--- a/src/wisteriahead/services/entry/orders.rs
+++ b/src/wisteriahead/services/entry/orders.rs
@@ -128,7 +128,7 @@
 
     async fn send(
         &self,
-        snapshot: Arc<str>,
+        snapshot: Arc<Snapshot>,
         shard: u32,
         target: &Target,
         permit: Permit,
@@ -138,8 +138,9 @@
             idempotent: false,
             key: Some(Arc::clone(&self.key)),
             collection: Arc::clone(&self.body.collection),
-            snapshot,
+            snapshot: Arc::clone(&snapshot.name),
             shard,
+            shards: snapshot.count(),
             timeout: self.deadline.since(self.entry.ctx.now()),
             body: self.body.order.clone(),
         };
--- a/src/wisteriahead/services/entry/search.rs
+++ b/src/wisteriahead/services/entry/search.rs
@@ -52,7 +52,7 @@
         self.entry.learned.hedge_delay(replicas)
     }
 
-    fn plan(&self, lost: &[Arc<str>]) -> Option<Arc<Snapshot>> {
+    fn plan(&self, lost: &[Arc<Snapshot>]) -> Option<Arc<Snapshot>> {
         self.entry.endpoints.routes().collections.get(self.collection)?.best_without(lost)
     }
 
@@ -211,7 +211,7 @@
     fn send(
         &mut self,
         id: AttemptId,
-        snapshot: Arc<str>,
+        snapshot: Arc<Snapshot>,
         shard: u32,
         target: Target,
         permit: Permit,
@@ -222,8 +222,9 @@
             idempotent: true,
             key: None,
             collection: Arc::clone(&self.body.collection),
-            snapshot,
+            snapshot: Arc::clone(&snapshot.name),
             shard,
+            shards: snapshot.count(),
             timeout: self.deadline.since(now),
             body: self.body.query.clone(),
         };
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -250,6 +250,8 @@
     pub snapshot: Arc<str>,
     /// Shard to run on.
     pub shard: u32,
+    /// Number of shards that the snapshot is partitioned into.
+    pub shards: u32,
     /// Time that is left for the answer.
     pub timeout: Span,
     /// Body, as the caller sent it.
--- a/src/wisteriahead/services/transport/exchange.rs
+++ b/src/wisteriahead/services/transport/exchange.rs
@@ -22,6 +22,7 @@
 const COLLECTION: HeaderName = HeaderName::from_static("wisteria-collection");
 const SNAPSHOT: HeaderName = HeaderName::from_static("wisteria-snapshot");
 const SHARD: HeaderName = HeaderName::from_static("wisteria-shard");
+const SHARDS: HeaderName = HeaderName::from_static("wisteria-shards");
 const TIMEOUT: HeaderName = HeaderName::from_static("wisteria-timeout-ms");
 const INCARNATION: HeaderName = HeaderName::from_static("wisteria-incarnation");
 const VERDICT: HeaderName = HeaderName::from_static("wisteria-verdict");
@@ -83,6 +84,7 @@
         .header(COLLECTION, &*a.collection)
         .header(SNAPSHOT, &*a.snapshot)
         .header(SHARD, a.shard)
+        .header(SHARDS, a.shards)
         .header(TIMEOUT, a.timeout.as_millis())
         .body(Full::new(a.body.clone()))
         .map_err(|e| Refusal::not_run(Reason::BadRequest, format!("cannot be sent: {e}")))
@@ -115,7 +117,8 @@
 fn check(headers: &HeaderMap, a: &Attempt) -> Result<(), Refusal> {
     let same = text(headers, &ATTEMPT) == &*a.id
         && text(headers, &SNAPSHOT) == &*a.snapshot
-        && text(headers, &SHARD).parse() == Ok(a.shard);
+        && text(headers, &SHARD).parse() == Ok(a.shard)
+        && text(headers, &SHARDS).parse() == Ok(a.shards);
     if same {
         return Ok(());
     }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -126,7 +126,7 @@
         }
     }
 
-    fn plan(&self, _: &[Arc<str>]) -> Option<Arc<Snapshot>> {
+    fn plan(&self, _: &[Arc<Snapshot>]) -> Option<Arc<Snapshot>> {
         None
     }
 
--- a/tests/testsuite/query.rs
+++ b/tests/testsuite/query.rs
@@ -52,8 +52,8 @@
         Some(DELAY)
     }
 
-    fn plan(&self, lost: &[Arc<str>]) -> Option<Arc<Snapshot>> {
-        self.snapshots.iter().find(|s| !lost.contains(&s.name)).cloned()
+    fn plan(&self, lost: &[Arc<Snapshot>]) -> Option<Arc<Snapshot>> {
+        self.snapshots.iter().find(|s| !lost.iter().any(|l| l.is_same(s))).cloned()
     }
 
     fn try_again(&mut self, _: Time, _: Option<u32>) -> Trial {
@@ -116,7 +116,7 @@
             assert!(!self.finished, "{action:?} after the finish");
             match action {
                 Action::Send { attempt, snapshot, shard, target, .. } => {
-                    self.sent(attempt, snapshot, shard, &target);
+                    self.sent(attempt, Arc::clone(&snapshot.name), shard, &target);
                 }
                 Action::Cancel(id) => {
                     let a = &mut self.attempts[id.0 as usize];
@@ -309,6 +309,20 @@
     run.finish();
 }
 
+/// The shards that were answered of two are none of the three, although the name is the same.
+#[test]
+fn repartitioned_snapshot_restarts_whole() {
+    let mut run = run_on(&[("s1", &[1, 1]), ("s1", &[1, 1, 1])], 0.0);
+    run.done(0, End::Hits);
+    run.done(1, refused(Reason::WrongSnapshot));
+    assert_eq!(run.gather.snapshot().count(), 3);
+    for id in 2..5 {
+        run.done(id, End::Hits);
+    }
+    assert!(run.finished);
+    assert_eq!((run.gather.coverage().answered, run.gather.coverage().shards), (3, 3));
+}
+
 #[test]
 fn vanished_snapshot_without_another_names_its_missing_shards() {
     let mut run = run_on(&[("s2", &[1, 1])], 0.0);
--- a/tests/testsuite/transport.rs
+++ b/tests/testsuite/transport.rs
@@ -61,6 +61,7 @@
             collection: "kits".into(),
             snapshot: "s1".into(),
             shard,
+            shards: 4,
             timeout,
             body: Bytes::from_static(b"{}"),
         }
@@ -132,6 +133,34 @@
     assert!(matches!(bench.seen.0.lock()[1], Observation::Failed));
 }
 
+/// Shard 1 of eight is another part of the snapshot than shard 1 of four.
+#[tokio::test]
+async fn endpoint_of_another_partitioning_is_asked_for_nothing() {
+    let (group, bench) = leaf(QUICK).await;
+    let other = Attempt { shards: 8, ..bench.attempt(1, Span::secs(30)) };
+    let refusal = bench.run(other).await.unwrap_err();
+    assert_eq!((refusal.verdict, refusal.reason), (Verdict::NotRun, Reason::WrongSnapshot));
+    bench.healthy(1).await;
+    assert_eq!(group.executions().total, 1);
+}
+
+/// An endpoint that passes over the number of shards answers from another part.
+#[tokio::test]
+async fn answer_of_another_partitioning_reaches_nobody() {
+    let listener = TcpListener::bind(ANY).await.unwrap();
+    let bench = Bench::new(listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = vec![0; 4096];
+        let n = stream.read(&mut head).await.unwrap();
+        let answer = echo(&String::from_utf8_lossy(&head[..n]));
+        stream.write_all(answer.as_bytes()).await.unwrap();
+    });
+    let other = Attempt { shards: 8, ..bench.attempt(1, Span::secs(30)) };
+    let refusal = bench.run(other).await.unwrap_err();
+    assert_eq!((refusal.verdict, refusal.reason), (Verdict::MayHaveRun, Reason::Mismatch));
+}
+
 #[tokio::test]
 async fn late_answer_reaches_nobody() {
     let (group, bench) = leaf(QUICK).await;
@@ -257,7 +286,7 @@
     let body = format!("kits-s1-{shard}-");
     format!(
         "HTTP/1.1 200 OK\r\nwisteria-attempt: {attempt}\r\nwisteria-snapshot: s1\r\n\
-         wisteria-shard: {shard}\r\nwisteria-verdict: ran\r\ncontent-length: {}\r\n\r\n{body}",
+         wisteria-shard: {shard}\r\nwisteria-shards: 4\r\nwisteria-verdict: ran\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     )
 }
