Join what stood twice in tests, stand-ins and experiments

Left, since only their shape is the same: Announcement of the stand-in and of the daemon, which are two sides of one protocol; lists of exit statuses in tests; the two fake endpoints of the transport's tests, whose answers differ. The cold and zone experiments share no more than the plot.

--- a/crates/wisteria-experiment/src/experiments/cold.rs
+++ b/crates/wisteria-experiment/src/experiments/cold.rs
@@ -13,7 +13,6 @@
 use super::{Output, Plan};
 use crate::lab::{Lab, Shape, counters, inject};
 use crate::page::{Findings, Table};
-use crate::plot::Plot;
 use crate::stats::Spread;
 use crate::timeline::{self, Phase};
 
@@ -95,12 +94,8 @@
             excess.median()
         ),
     };
-    let plot = Plot {
-        title: format!("Complete answers; endpoint cold from {from:.0} s to {to:.0} s"),
-        across: "seconds",
-        up: "per cent of requests",
-        series: vec![timeline::complete_over_time("all seeds", &samples)],
-    };
+    let title = format!("Complete answers; endpoint cold from {from:.0} s to {to:.0} s");
+    let plot = timeline::plot(title, &samples);
     Ok(Output { findings, plot })
 }
 
--- a/crates/wisteria-experiment/src/experiments/hosts.rs
+++ b/crates/wisteria-experiment/src/experiments/hosts.rs
@@ -10,7 +10,6 @@
 use super::{Output, Plan};
 use crate::lab::{Lab, Shape};
 use crate::page::Findings;
-use crate::plot::Plot;
 use crate::timeline::{self, Phase};
 
 const HOSTS: usize = 6;
@@ -58,12 +57,8 @@
         tables: vec![timeline::table(&runs, &phases)?],
         verdict: loss.verdict(&runs, (from, to)),
     };
-    let plot = Plot {
-        title: format!("Complete answers; fault from {from:.0} s to {to:.0} s"),
-        across: "seconds",
-        up: "per cent of requests",
-        series: vec![timeline::complete_over_time("all seeds", &runs)],
-    };
+    let title = format!("Complete answers; fault from {from:.0} s to {to:.0} s");
+    let plot = timeline::plot(title, &runs);
     Ok(Output { findings, plot })
 }
 
--- a/crates/wisteria-experiment/src/experiments/zone.rs
+++ b/crates/wisteria-experiment/src/experiments/zone.rs
@@ -10,7 +10,6 @@
 use super::{Output, Plan};
 use crate::lab::{Lab, Shape, counters};
 use crate::page::{Findings, Table};
-use crate::plot::Plot;
 use crate::stats::Spread;
 use crate::timeline::{self, Phase};
 
@@ -85,12 +84,8 @@
             if late == 0 { "met" } else { "missed" }
         ),
     };
-    let plot = Plot {
-        title: format!("Complete answers; zone out at {out:.0} s, back at {back:.0} s"),
-        across: "seconds",
-        up: "per cent of requests",
-        series: vec![timeline::complete_over_time("all seeds", &samples)],
-    };
+    let title = format!("Complete answers; zone out at {out:.0} s, back at {back:.0} s");
+    let plot = timeline::plot(title, &samples);
     Ok(Output { findings, plot })
 }
 
--- a/crates/wisteria-experiment/src/main.rs
+++ b/crates/wisteria-experiment/src/main.rs
@@ -14,12 +14,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use bpaf::{Args, Bpaf};
-
-/// Exit status for settings that don't hold.
-const BAD_SETTINGS: u8 = 2;
-/// Columns of the usage text.
-const USAGE_WIDTH: usize = 100;
+use bpaf::Bpaf;
+use wisteria_leaf::program;
 
 /// What to run and where to write.
 #[derive(Clone, Debug, Bpaf)]
@@ -47,13 +43,9 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let settings = match settings().run_inner(Args::current_args()) {
+    let settings = match program::read(settings()) {
         Ok(settings) => settings,
-        Err(failure) => {
-            failure.print_message(USAGE_WIDTH);
-            let failed = failure.exit_code() != 0;
-            return ExitCode::from(if failed { BAD_SETTINGS } else { 0 });
-        }
+        Err(status) => return status,
     };
     match experiments::run(&settings).await {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/wisteria-experiment/src/timeline.rs
+++ b/crates/wisteria-experiment/src/timeline.rs
@@ -6,7 +6,7 @@
 use wisteria_load::{Report, Sample};
 
 use crate::page::Table;
-use crate::plot::Series;
+use crate::plot::{Plot, Series};
 use crate::stats::Spread;
 
 /// Width of a point in a plot over time.
@@ -75,8 +75,18 @@
     if shown.is_empty() { "none".to_owned() } else { shown.join(", ") }
 }
 
+/// A plot of the share of complete answers over the time of all runs.
+pub(crate) fn plot(title: String, runs: &[Vec<Sample>]) -> Plot {
+    Plot {
+        title,
+        across: "seconds",
+        up: "per cent of requests",
+        series: vec![complete_over_time("all seeds", runs)],
+    }
+}
+
 /// The share of requests with a complete answer over time, in per cent.
-pub(crate) fn complete_over_time(name: &str, runs: &[Vec<Sample>]) -> Series {
+fn complete_over_time(name: &str, runs: &[Vec<Sample>]) -> Series {
     let all: Vec<&Sample> = runs.iter().flatten().collect();
     let end = all.iter().map(|s| s.arrival.as_secs_f64()).fold(0.0, f64::max);
     let steps = (end / STEP) as usize;
--- a/crates/wisteria-leaf/src/lib.rs
+++ b/crates/wisteria-leaf/src/lib.rs
@@ -15,6 +15,7 @@
 mod leaf;
 mod message;
 mod profile;
+pub mod program;
 mod run;
 mod server;
 mod settings;
--- a/crates/wisteria-leaf/src/main.rs
+++ b/crates/wisteria-leaf/src/main.rs
@@ -1,27 +1,17 @@
 //! Runs stand-in leaves until the process is told to stop.
 
-use std::io::stderr;
 use std::process::ExitCode;
 
 use anyhow::Result;
-use bpaf::Args;
 use tokio::signal::unix::{SignalKind, signal};
+use wisteria_leaf::program::{self, BAD_SETTINGS};
 use wisteria_leaf::{Group, Settings, settings};
 
-/// Exit status for settings that don't hold.
-const BAD_SETTINGS: u8 = 2;
-/// Columns of the usage text.
-const USAGE_WIDTH: usize = 100;
-
 #[tokio::main]
 async fn main() -> ExitCode {
-    let settings = match settings().run_inner(Args::current_args()) {
+    let settings = match program::read(settings()) {
         Ok(settings) => settings,
-        Err(failure) => {
-            failure.print_message(USAGE_WIDTH);
-            let failed = failure.exit_code() != 0;
-            return ExitCode::from(if failed { BAD_SETTINGS } else { 0 });
-        }
+        Err(status) => return status,
     };
     match start(settings).await {
         Ok(code) => code,
@@ -33,13 +23,7 @@
 }
 
 async fn start(settings: Settings) -> Result<ExitCode> {
-    fern::Dispatch::new()
-        .level(log::LevelFilter::Info)
-        .format(|out, message, record| {
-            out.finish(format_args!("{} {message}", record.level()));
-        })
-        .chain(stderr())
-        .apply()?;
+    program::log_to_stderr()?;
     let profiles = match settings.profiles() {
         Ok(profiles) => profiles,
         Err(fault) => {
--- a/crates/wisteria-load/src/main.rs
+++ b/crates/wisteria-load/src/main.rs
@@ -1,28 +1,18 @@
 //! Sends open-loop load and prints the report.
 
 use std::fmt::Display;
-use std::io::stderr;
 use std::process::ExitCode;
 
 use anyhow::Result;
-use bpaf::Args;
 use serde::Serialize;
+use wisteria_leaf::program;
 use wisteria_load::{Settings, run, run_orders, settings};
 
-/// Exit status for settings that don't hold.
-const BAD_SETTINGS: u8 = 2;
-/// Columns of the usage text.
-const USAGE_WIDTH: usize = 100;
-
 #[tokio::main]
 async fn main() -> ExitCode {
-    let settings = match settings().run_inner(Args::current_args()) {
+    let settings = match program::read(settings()) {
         Ok(settings) => settings,
-        Err(failure) => {
-            failure.print_message(USAGE_WIDTH);
-            let failed = failure.exit_code() != 0;
-            return ExitCode::from(if failed { BAD_SETTINGS } else { 0 });
-        }
+        Err(status) => return status,
     };
     match report(&settings).await {
         Ok(()) => ExitCode::SUCCESS,
@@ -34,13 +24,7 @@
 }
 
 async fn report(settings: &Settings) -> Result<()> {
-    fern::Dispatch::new()
-        .level(log::LevelFilter::Info)
-        .format(|out, message, record| {
-            out.finish(format_args!("{} {message}", record.level()));
-        })
-        .chain(stderr())
-        .apply()?;
+    program::log_to_stderr()?;
     if settings.orders {
         show(settings, &run_orders(settings).await?)
     } else {
--- a/tests/testsuite/promises.rs
+++ b/tests/testsuite/promises.rs
@@ -120,13 +120,8 @@
     assert!(rests().await, "new work came after it had ended");
 }
 
-/// The answers that do not cover all shards.
-fn partial(answers: &[Value], shards: u64) -> Vec<&Value> {
-    answers.iter().filter(|a| a["coverage"]["answered"] != shards).collect()
-}
-
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn zone_taken_out_gets_no_new_work_until_it_is_back() {
+/// A tier under load, and the control port of its southern endpoints, which are at work.
+async fn loaded() -> (Tier, Load, SocketAddr) {
     let tier = tier(2).await;
     for daemon in 0..3 {
         tier.known(daemon, 4).await.unwrap();
@@ -135,6 +130,17 @@
     let load = Load::start(&tier);
     let south = tier.leaves[1].control;
     work_comes(south).await;
+    (tier, load, south)
+}
+
+/// The answers that do not cover all shards.
+fn partial(answers: &[Value], shards: u64) -> Vec<&Value> {
+    answers.iter().filter(|a| a["coverage"]["answered"] != shards).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn zone_taken_out_gets_no_new_work_until_it_is_back() {
+    let (tier, load, south) = loaded().await;
     let out = ADMIT_ANY.replace("\"south\"\n", "\"south\"\nstate = \"out\"\n");
     tier.apply(0, &out).await.unwrap();
     let is_out = |z: &Value| z["zone"] == "south" && z["state"] == "out";
@@ -148,14 +154,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn leaving_endpoint_gets_no_new_work() {
-    let tier = tier(2).await;
-    for daemon in 0..3 {
-        tier.known(daemon, 4).await.unwrap();
-        tier.covered(daemon, "kits", 2).await.unwrap();
-    }
-    let load = Load::start(&tier);
-    let south = tier.leaves[1].control;
-    work_comes(south).await;
+    let (tier, load, south) = loaded().await;
     fault(south, json!({"leaf": null, "kind": "drain"})).await;
     let leaves = |e: &Value| e["zone"] != "south" || e["state"] == "draining";
     shown(&tier, "endpoints", |all| all.iter().all(leaves)).await;
