--- a/tests/testsuite/docs.rs
+++ b/tests/testsuite/docs.rs
@@ -258,6 +258,15 @@
     }
 }
 
+#[test]
+fn every_page_for_operators_is_linked() {
+    let operators = read("docs/OPERATORS.md");
+    for entry in fs::read_dir(root().join("docs/operators")).unwrap() {
+        let name = entry.unwrap().file_name().into_string().unwrap();
+        assert!(operators.contains(&format!("](operators/{name})")), "{name} is not linked");
+    }
+}
+
 #[test]
 fn metrics_are_those_of_the_code() {
     let mut sent = BTreeSet::new();
