Add a fault matrix for changes of the configuration

Checked in every cell: one outcome for a change however often it is sent, one winner of two with the same base, no revision with two documents, no host that goes back while it has its disk, trails that agree and name a change once, and a tier that takes the next change. Copies of old pushes come late in every cell.

Seen failing by hand: outcomes forgotten, bases not compared, a keeper that takes any revision, a keeper that does not sync, unsynced entries acknowledged.

The cluster of the kit stops a replica whose disk is full, as the driver does; before, it ended the test.

--- a/crates/wisteria-testkit/src/cluster.rs
+++ b/crates/wisteria-testkit/src/cluster.rs
@@ -157,17 +157,19 @@
         let host = &mut self.hosts[i];
         let Some(live) = &mut host.live else { return };
         let Some((mark, write)) = live.writes.pop_front() else { return };
+        let done = match &write {
+            Write::Records(records) => live.store.append(records).and_then(|()| live.store.sync()),
+            Write::Base(base) => live.store.compact(base),
+        };
+        if done.is_err() {
+            // The disk is full; the replica stops, as the driver does.
+            host.live = None;
+            return;
+        }
         let synced = self.synced.get_mut(&host.id).expect("it was noted at the start");
         match write {
-            Write::Records(records) => {
-                live.store.append(&records).expect("the fake disk works");
-                live.store.sync().expect("the fake disk works");
-                synced.add(&records);
-            }
-            Write::Base(base) => {
-                live.store.compact(&base).expect("the fake disk works");
-                *synced = Synced::read(&base, &[]);
-            }
+            Write::Records(records) => synced.add(&records),
+            Write::Base(base) => *synced = Synced::read(&base, &[]),
         }
         self.event(i, Event::Synced(mark));
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod changes;
 mod claims;
 mod control;
+mod control_faults;
 mod ctl;
 mod ctl_changes;
 mod ctl_views;
