Shut out hosts that the inventory calls retired

Cause: the hosts' port asked only for a certificate that holds, and nobody told it of the inventory, so a retired host with its old certificate came in and kept its connections.

Now the document in force names who is shut out: open connections, both ways, are closed, new ones refused, and the host is no longer among the others. An edit that puts it back lets it in again. An edit that would leave fewer voters than a quorum, or no host of the tier, is refused with the hosts, the numbers and what to do first; so is the removal of a voter beside retired ones. The check is made where the edit is taken, against the leader's voters; without a leader an edit that retires hosts is refused. Two changes at the same instant, one of the document and one of the voters, are not checked against each other.

Tests at the level of services (QUIC on loopback, three hosts in one process). Seen failing: open connections left alone, new ones let in, the edit not checked. The removal of a voter beside retired ones is tested only as the pure rule (changes::hosts_are_not_retired_when_too_few_would_be_left).

--- a/src/wisteriahead/core/control/mod.rs
+++ b/src/wisteriahead/core/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod audit;
 pub mod changes;
 pub mod claims;
+pub mod lockout;
 
 use self::audit::{Asked, Trail};
 use self::changes::{Change, Changes, Done};
--- a/src/wisteriahead/services/control/admin.rs
+++ b/src/wisteriahead/services/control/admin.rs
@@ -6,8 +6,9 @@
 use super::{CHANGE_MAX, Shared, check_id};
 use crate::core::control::Command;
 use crate::core::control::audit::AuditEntry;
+use crate::core::control::lockout::{lockout, retired};
 use crate::core::document::{Revision, ZoneState};
-use crate::core::log::Change;
+use crate::core::log::{Change, Config};
 use crate::core::message::{decode, encode};
 use crate::prelude::*;
 use crate::services::{Admin, HostRevision, VoterChange, ZoneChange, ZoneDone};
@@ -85,7 +86,7 @@
         entries.ok_or_else(no_leader)
     }
 
-    async fn all_voters(&self) -> Result<Voters, Refusal> {
+    pub(super) async fn all_voters(&self) -> Result<Voters, Refusal> {
         match (self.group(TIER), self.leader(TIER)) {
             (Some(_), _) => Ok(self.local_voters()),
             (None, Some(leader)) => self.call(&leader, &Ask::Voters).await.map_err(|_| no_leader()),
@@ -112,6 +113,9 @@
             return Submitted::Refused("this host holds no log".to_owned());
         };
         let config = group.view().config;
+        if !add && let Some(why) = self.strands(&config, host) {
+            return Submitted::Refused(why);
+        }
         let change = if add {
             let mine = self.me.clone();
             let known = self.disks().into_iter().chain(mine).find(|r| r.host == host);
@@ -126,6 +130,14 @@
         finish(group.change(change).await)
     }
 
+    /// Why a voter may not be taken out beside those that the document retires.
+    fn strands(&self, config: &Config, host: &str) -> Option<String> {
+        let retired = retired(&self.keeper.force().document().ok()?);
+        let others = config.voters.iter().map(|v| &v.host).filter(|name| *name != host);
+        let others: Vec<String> = others.cloned().collect();
+        lockout(&retired, &others, &[])
+    }
+
     async fn set_voters(&self, change: VoterChange) -> Result<Revision, Refusal> {
         check_id(&change.id)?;
         let VoterChange { id, operator, host, add } = change;
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -22,6 +22,7 @@
 use self::machine::{GroupCarrier, TierState};
 use self::wire::{Ask, Founded, Hello, Here, Note, Submitted};
 use super::{Accepted, Admin, Change, Commands, Control, Handler, Peers};
+use crate::core::control::lockout::{lockout, retired};
 use crate::core::control::{Command, Reply};
 use crate::core::document::{Document, Revision};
 use crate::core::log::Replica;
@@ -258,13 +259,28 @@
         let new = Document::parse(&change.text);
         let old = self.keeper.force().document().unwrap_or_default();
         let zones = new.as_ref().map_or_else(|_| Vec::new(), |new| edited(&old, new));
-        let fault = new.err();
+        let fault = match &new {
+            Ok(new) => self.lockout(new).await?,
+            Err(fault) => Some(fault.clone()),
+        };
         // A document that is too long is refused without a trace in the log.
         let text = if fault.is_some() { String::new() } else { change.text };
         let change = Change { text, ..change };
         self.change(Command::Edit { change, fault, zones }, CHANGE_MAX).await
     }
 
+    /// Why a document may not be put in force by the hosts that it retires.
+    async fn lockout(&self, document: &Document) -> Result<Option<String>, Refusal> {
+        let retired = retired(document);
+        if retired.is_empty() {
+            return Ok(None);
+        }
+        let voters = self.all_voters().await?.voters;
+        let mine = std::iter::once(self.peers.host().to_owned());
+        let hosts: Vec<String> = mine.chain(self.peers.others()).collect();
+        Ok(lockout(&retired, &voters, &hosts))
+    }
+
     fn note(&self, from: &str, note: Note) {
         match note {
             Note::Log { group, tier, to, message } => self.log_message(&group, tier, to, message),
--- a/src/wisteriahead/services/control/rounds.rs
+++ b/src/wisteriahead/services/control/rounds.rs
@@ -5,6 +5,7 @@
 use super::submit;
 use super::wire::{Here, Mark, Note};
 use super::{Seen, Shared};
+use crate::core::control::lockout::retired;
 use crate::core::control::{Command, Reply};
 use crate::core::document::ZoneState;
 use crate::core::log::{Replica, repair};
@@ -37,6 +38,7 @@
         () = join(&shared) => {}
         () = told(&shared) => {}
         () = mended(&shared) => {}
+        () = barred(&shared) => {}
     }
 }
 
@@ -65,6 +67,18 @@
     }
 }
 
+/// Shuts out the hosts that the document in force retires.
+async fn barred(shared: &Shared) {
+    let mut accepted = shared.keeper.watch();
+    loop {
+        let retired = retired(&accepted.borrow_and_update().document);
+        shared.peers.bar(retired);
+        if accepted.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 impl Shared {
     pub(super) fn standing(&self) -> Here {
         let view = self.group(TIER).map(|g| g.view());
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -69,6 +69,12 @@
         let _ = (host, address);
     }
 
+    /// Shuts exactly these hosts out: their connections are closed and refused, and they
+    /// are no longer among the others.
+    fn bar(&self, hosts: IndexSet<String>) {
+        drop(hosts);
+    }
+
     /// Sets the handler of a topic.
     fn handle(&self, topic: Topic, handler: Arc<dyn Handler>);
 
--- a/src/wisteriahead/services/peers/accept.rs
+++ b/src/wisteriahead/services/peers/accept.rs
@@ -1,6 +1,6 @@
 //! Lets other hosts in and hands their messages and calls to the handlers.
 
-use super::hub::Hub;
+use super::hub::{Guest, Hub};
 use super::wire::{Answer, HELLO_MAX_BYTES, Hello};
 use super::{HANDSHAKE_TIMEOUT, holder};
 use crate::core::message::{self, ENVELOPE_MAX_BYTES, Envelope};
@@ -17,7 +17,7 @@
 /// Time allowed to receive one message.
 const RECEIVE_TIMEOUT: Span = Span::secs(5);
 /// Code of a connection closed because its holder may not come in.
-const CODE_REFUSED: u32 = 1;
+pub const CODE_REFUSED: u32 = 1;
 
 /// Takes connections until the socket closes.
 pub async fn listen(hub: Arc<Hub>, endpoint: Endpoint) {
@@ -42,7 +42,7 @@
         .await
         .context("the handshake took too long")??;
     match timeout(HANDSHAKE_TIMEOUT.to_std(), greet(&hub, &link)).await.context("no hello") {
-        Ok(Ok(name)) => serve(hub, link, name.into()).await,
+        Ok(Ok((name, _guest))) => serve(hub, link, name.into()).await,
         Ok(Err(e)) | Err(e) => {
             link.close(CODE_REFUSED.into(), e.to_string().as_bytes());
             Err(e.context(format!("{} is not let in", link.remote_address())))
@@ -51,17 +51,19 @@
 }
 
 /// Exchanges hellos and returns the name of the other host.
-async fn greet(hub: &Arc<Hub>, link: &Connection) -> Result<String> {
+async fn greet(hub: &Arc<Hub>, link: &Connection) -> Result<(String, Guest)> {
     let id = holder(link)?;
     if id.name == hub.settings.host {
         bail!("`{}` is the name of this host; each host needs its own", id.name);
     }
+    // Noted before the check in `meet`, so that a host retired meanwhile is not missed.
+    let guest = hub.admit(&id.name, link);
     let (mut tx, mut rx) = link.accept_bi().await?;
     let hello = Hello::read(&rx.read_to_end(HELLO_MAX_BYTES).await?)?;
     hub.meet(&id, hello, link.remote_address())?;
     tx.write_all(&message::encode(&hub.hello())).await?;
     tx.finish()?;
-    Ok(id.name)
+    Ok((id.name, guest))
 }
 
 async fn serve(hub: Arc<Hub>, link: Connection, name: Arc<str>) -> Result<()> {
--- a/src/wisteriahead/services/peers/dial.rs
+++ b/src/wisteriahead/services/peers/dial.rs
@@ -32,7 +32,7 @@
         match connect(&hub, address).await {
             Ok(Some((peer, link))) => {
                 backoff = BACKOFF_MIN;
-                hold(&peer, link).await;
+                hold(&hub, &peer, link).await;
                 known = Some(peer);
                 continue;
             }
@@ -45,9 +45,11 @@
 }
 
 /// Offers the connection to senders until it closes.
-async fn hold(peer: &Peer, link: Connection) {
+async fn hold(hub: &Hub, peer: &Peer, link: Connection) {
     let id = link.stable_id();
     peer.link.send_replace(Some(link.clone()));
+    // It may have been shut out since it said hello.
+    hub.part();
     let cause = link.closed().await;
     log::debug!("connection to {} closed: {cause}", link.remote_address());
     peer.link.send_if_modified(|l| l.take_if(|l| l.stable_id() == id).is_some());
--- a/src/wisteriahead/services/peers/hub.rs
+++ b/src/wisteriahead/services/peers/hub.rs
@@ -86,6 +86,10 @@
     handlers: RwLock<IndexMap<Topic, Arc<dyn Handler>>>,
     peers: RwLock<IndexMap<String, Arc<Peer>>>,
     dials: Mutex<IndexSet<SocketAddr>>,
+    /// Hosts that are shut out.
+    barred: RwLock<IndexSet<String>>,
+    /// Connections that others opened, by their numbers.
+    guests: Mutex<IndexMap<usize, (String, Connection)>>,
     stop: watch::Sender<bool>,
     me: Weak<Self>,
 }
@@ -100,6 +104,8 @@
             handlers: RwLock::default(),
             peers: RwLock::default(),
             dials: Mutex::default(),
+            barred: RwLock::default(),
+            guests: Mutex::default(),
             stop: watch::channel(false).0,
         })
     }
@@ -170,7 +176,42 @@
         Ok(peer)
     }
 
+    /// Whether a host may be spoken to.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host is shut out.
+    pub fn check(&self, name: &str) -> Result<()> {
+        if self.barred.read().contains(name) {
+            bail!("host `{name}` is retired by the inventory in force");
+        }
+        Ok(())
+    }
+
+    /// Notes a connection that another host opened, until the guard is dropped.
+    pub fn admit(self: &Arc<Self>, name: &str, link: &Connection) -> Guest {
+        let id = link.stable_id();
+        self.guests.lock().insert(id, (name.to_owned(), link.clone()));
+        Guest { hub: self.clone(), id }
+    }
+
+    /// Closes all connections with hosts that are shut out.
+    pub fn part(&self) {
+        let barred = self.barred.read();
+        let guests = self.guests.lock();
+        let theirs = guests.values().filter(|(name, _)| barred.contains(name));
+        theirs.for_each(|(_, link)| close(link));
+        let peers = self.peers.read();
+        let mine = barred.iter().filter_map(|name| peers.get(name));
+        for peer in mine {
+            if let Some(link) = &*peer.link.borrow() {
+                close(link);
+            }
+        }
+    }
+
     fn remember(&self, name: &str, listen: SocketAddr) -> Result<Arc<Peer>> {
+        self.check(name)?;
         let mut peers = self.peers.write();
         if let Some(peer) = peers.get(name) {
             *peer.address.lock() = listen;
@@ -218,6 +259,9 @@
 
     /// A host by name.
     pub fn peer(&self, name: &str) -> Option<Arc<Peer>> {
+        if self.check(name).is_err() {
+            return None;
+        }
         self.peers.read().get(name).cloned()
     }
 
@@ -244,7 +288,8 @@
     }
 
     fn others(&self) -> Vec<String> {
-        self.peers.read().keys().cloned().collect()
+        let barred = self.barred.read();
+        self.peers.read().keys().filter(|name| !barred.contains(*name)).cloned().collect()
     }
 
     fn listens(&self) -> Option<SocketAddr> {
@@ -262,6 +307,12 @@
         }
     }
 
+    fn bar(&self, hosts: IndexSet<String>) {
+        let new = hosts.into_iter().filter(|name| *name != self.settings.host).collect();
+        *self.barred.write() = new;
+        self.part();
+    }
+
     fn handle(&self, topic: Topic, handler: Arc<dyn Handler>) {
         self.handlers.write().insert(topic, handler);
     }
@@ -295,6 +346,22 @@
     }
 }
 
+/// A connection that another host opened; forgotten when this is dropped.
+pub struct Guest {
+    hub: Arc<Hub>,
+    id: usize,
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        self.hub.guests.lock().swap_remove(&self.id);
+    }
+}
+
+fn close(link: &Connection) {
+    link.close(accept::CODE_REFUSED.into(), b"the host is retired");
+}
+
 async fn exchange(peer: &Peer, bytes: &[u8]) -> Result<Answer> {
     let (mut tx, mut rx) = peer.connected().await?.open_bi().await?;
     tx.write_all(bytes).await?;
--- a/tests/testsuite/changes.rs
+++ b/tests/testsuite/changes.rs
@@ -5,6 +5,7 @@
 use wisteria_testkit::disk::FakeDisk;
 use wisteria_testkit::gate::Gate;
 use wisteriahead::core::control::changes::{Change, Changes, Done, IDS_MAX, InForce};
+use wisteriahead::core::control::lockout::lockout;
 use wisteriahead::core::control::{Command, Reply, Stamped, State};
 use wisteriahead::core::document::ZoneState;
 use wisteriahead::core::message::encode;
@@ -159,3 +160,19 @@
     });
     assert_eq!(keeper.revision(), 1);
 }
+
+#[test]
+fn hosts_are_not_retired_when_too_few_would_be_left() {
+    let names = |list: &[&str]| list.iter().map(|&n| n.to_owned()).collect::<Vec<_>>();
+    let held = |gone: &[&str], voters: &[&str], hosts: &[&str]| {
+        lockout(&names(gone).into_iter().collect(), &names(voters), &names(hosts))
+    };
+    let hosts = ["a", "b", "c", "d"];
+    assert_eq!(held(&["d"], &["a", "b", "c"], &hosts), None);
+    assert_eq!(held(&["c", "leaf"], &["a", "b", "c"], &hosts), None);
+    let why = held(&["b", "c"], &["a", "b", "c"], &hosts).unwrap();
+    assert!(why.contains("`b`, `c` may not be retired: of the 3 voters 1 would be left"), "{why}");
+    assert!(held(&["b"], &["a", "b"], &hosts).is_some(), "one of two is no quorum");
+    assert!(held(&["a", "b"], &[], &["a", "b"]).unwrap().contains("no host"));
+    assert_eq!(held(&["leaf"], &["a"], &["a"]), None);
+}
--- a/tests/testsuite/peers.rs
+++ b/tests/testsuite/peers.rs
@@ -7,7 +7,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::time::timeout;
+use wisteriahead::core::control::changes::Change;
 use wisteriahead::core::message::{ENVELOPE_MAX_BYTES, Envelope, Topic, VERSION, encode};
+use wisteriahead::core::verdict::{Reason, Refusal, Verdict};
 use wisteriahead::kernel::Kernel;
 use wisteriahead::services::Handler;
 use wisteriahead::services::peers::queue::{QUEUE_MAX, QUEUE_MAX_BYTES, Queue};
@@ -226,3 +228,69 @@
     queue.push(vec![0; QUEUE_MAX_BYTES]);
     assert_eq!(queue.pop().await.len(), QUEUE_MAX_BYTES);
 }
+
+/// Waits until a call is answered.
+async fn answered(from: &Host, to: &str) {
+    let called = async { while from.peers.call(to, Topic::Member, Vec::new()).await.is_err() {} };
+    timeout(PATIENCE, called).await.unwrap();
+}
+
+/// Puts a document in force that lists hosts with these states.
+async fn list(host: &Host, base: u64, states: &[(&str, &str)]) -> Result<u64, Refusal> {
+    let mut text = format!("[[zone]]\nname = \"{ZONE}\"\n");
+    for (name, state) in states {
+        text += &format!("[[host]]\nname = \"{name}\"\nzone = \"{ZONE}\"\nstate = \"{state}\"\n");
+    }
+    let id = format!("{base} {states:?}");
+    host.control.propose(Change { id, operator: "ann".into(), base, text }).await
+}
+
+#[tokio::test]
+async fn retired_host_is_shut_out_until_it_serves_again() {
+    let ca = Authority::new();
+    let (a, _) = start(&ca, "a", &[]).await;
+    let (b, _) = start(&ca, "b", &[a.address]).await;
+    let (c, echo) = start(&ca, "c", &[a.address]).await;
+    for (from, to) in [(&a, "c"), (&b, "c"), (&c, "a"), (&c, "b")] {
+        answered(from, to).await;
+    }
+    let open = connect(&ca.paths("c"), a.address).await.unwrap();
+    exchange(&open, &hello("c")).await.unwrap();
+    assert_eq!(list(&a, 0, &[("c", "retired")]).await.unwrap(), 1);
+    for (host, left) in [(&a, "b"), (&b, "a")] {
+        until("the retired host is gone", || host.peers.others() == [left]).await;
+        assert!(host.peers.call("c", Topic::Member, Vec::new()).await.is_err());
+    }
+    let closed = timeout(PATIENCE, open.closed()).await.unwrap();
+    assert!(matches!(closed, ConnectionError::ApplicationClosed(_)), "{closed}");
+    let again = connect(&ca.paths("c"), b.address).await.unwrap();
+    assert!(exchange(&again, &hello("c")).await.is_err());
+    assert!(c.peers.call("a", Topic::Member, Vec::new()).await.is_err());
+    assert!(c.peers.call("b", Topic::Member, Vec::new()).await.is_err());
+    let before = echo.seen.lock().len();
+    a.peers.send("c", Topic::Member, Vec::new());
+    assert_eq!(list(&a, 1, &[("c", "serving")]).await.unwrap(), 2);
+    for (from, to) in [(&c, "a"), (&c, "b"), (&a, "c"), (&b, "c")] {
+        answered(from, to).await;
+    }
+    assert_eq!(echo.seen.lock().len(), before, "a message for a retired host is lost");
+}
+
+#[tokio::test]
+async fn edit_that_would_lock_the_tier_out_is_refused() {
+    let ca = Authority::new();
+    let (a, _) = start(&ca, "a", &[]).await;
+    let (b, _) = start(&ca, "b", &[a.address]).await;
+    until("b", || a.peers.others() == ["b"]).await;
+    let wait = async { while list(&b, 0, &[("b", "serving")]).await.is_err() {} };
+    timeout(PATIENCE, wait).await.unwrap();
+    // `a` is the only voter.
+    for host in [&a, &b] {
+        let refusal = list(host, 1, &[("a", "retired")]).await.unwrap_err();
+        assert_eq!((refusal.verdict, refusal.reason), (Verdict::NotRun, Reason::BadRequest));
+        assert!(refusal.detail.contains("`a` may not be retired"), "{refusal}");
+        assert!(refusal.detail.contains("1 voters 0 would be left"), "{refusal}");
+    }
+    assert_eq!(b.peers.others(), ["a"]);
+    assert_eq!(list(&b, 1, &[("b", "retired")]).await.unwrap(), 2);
+}
