Refuse harmful rules, and answer old resends from the trail

Rules: `timeout_ms = 0` and more than 60 s, `concurrency = 0` and `slots = 0` were accepted, though each refuses or stops what it names. A new document with them is refused with line, reason and range; for a cap of none it says how endpoints are taken out instead. Only a new document is checked so: an accepted one is read without these limits (also by `wisteriactl rules` and `diff`), since a host with stricter limits would otherwise not start or not put in force what the log holds.

Resends: a change of a zone carries the revision of the host that takes the call, so a resend of one whose outcome was among the 1,024 forgotten came with a new base and was carried out a second time: a zone that had been put back was taken out again. So was a refused edit judged anew. Both are now looked up in the replicated trail (20,000 entries): an accepted one gets its first revision, a refused one `may-have-run` with what the trail says. Beyond the trail a change of a zone is still taken as new.

Seen failing: trail not asked, accepted documents read with the limits, limits one wider.

--- a/src/bin/wisteriactl/commands/show.rs
+++ b/src/bin/wisteriactl/commands/show.rs
@@ -46,7 +46,7 @@
 /// Shows the rules in force.
 pub fn rules(remote: &Remote) -> Result<String, Failure> {
     let inventory = block_on(get(&GetOptions { server: remote.server() }))?;
-    let document = Document::parse(&inventory.text)
+    let document = Document::read(&inventory.text)
         .map_err(|e| anyhow!("the inventory in force cannot be read by this wisteriactl: {e}"))?;
     let shown = RulesInForce { revision: inventory.revision, rules: document.rules };
     if remote.json {
--- a/src/wisteriahead/core/control/audit.rs
+++ b/src/wisteriahead/core/control/audit.rs
@@ -69,6 +69,12 @@
         self.entries.iter().filter(|e| e.seq > seq).take(limit).cloned().collect()
     }
 
+    /// The first entry of a change of the document or of a zone.
+    pub fn find(&self, id: &str) -> Option<&AuditEntry> {
+        // Changes of the voters are noted under their identifiers, not decided by them.
+        self.entries.iter().find(|e| e.asked.id == id && !e.asked.what.starts_with("voters "))
+    }
+
     /// Checks that every entry follows from the one before.
     ///
     /// # Errors
--- a/src/wisteriahead/core/control/changes.rs
+++ b/src/wisteriahead/core/control/changes.rs
@@ -65,7 +65,7 @@
     ///
     /// Fails when the document is faulty, which a host of another version may have let in.
     pub fn document(&self) -> Result<Document, String> {
-        let mut document = Document::parse(&self.text)?;
+        let mut document = Document::read(&self.text)?;
         for zone in &mut document.zones {
             if let Some(&state) = self.zones.get(&zone.name) {
                 zone.state = state;
--- a/src/wisteriahead/core/control/mod.rs
+++ b/src/wisteriahead/core/control/mod.rs
@@ -18,6 +18,9 @@
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 
+/// Result of an accepted change in the trail.
+const ACCEPTED: &str = "accepted";
+
 /// A command with the time at the host that took it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Stamped {
@@ -127,7 +130,7 @@
                 self.zone(change, state)
             }
             Command::Voters { id, operator, what, fault } => {
-                let result = fault.unwrap_or_else(|| "accepted".to_owned());
+                let result = fault.unwrap_or_else(|| ACCEPTED.to_owned());
                 let base = self.changes.revision;
                 self.note(Asked { operator, id, what, base }, base, result);
                 Reply::Noted
@@ -168,6 +171,9 @@
             what: "inventory".to_owned(),
             base: change.base,
         };
+        if let Some(done) = self.told(&change.id) {
+            return Reply::Change(done.into());
+        }
         let known = self.changes.known(&change.id);
         let done = self.changes.edit(change, fault, zones);
         self.finish(asked, known, done)
@@ -181,16 +187,34 @@
             what: format!("zone {} {verb}", change.text),
             base: change.base,
         };
+        if let Some(done) = self.told(&change.id) {
+            return Reply::Change(done.into());
+        }
         let known = self.changes.known(&change.id);
         let done = self.changes.zone(change, state);
         self.finish(asked, known, done)
     }
 
+    /// The outcome of a change that is remembered by the trail alone.
+    fn told(&self, id: &str) -> Option<Done> {
+        if self.changes.known(id) {
+            return None;
+        }
+        let entry = self.audit.find(id)?;
+        Some(if entry.result == ACCEPTED {
+            Done::Accepted(entry.revision)
+        } else {
+            let detail =
+                format!("as entry {} of the audit trail says: {}", entry.seq, entry.result);
+            Done::Refused(Refusal::may_have_run(Reason::Conflict, detail))
+        })
+    }
+
     /// Notes a change unless it is a resend of one that stands in the trail.
     fn finish(&mut self, asked: Asked, known: bool, done: Done) -> Reply {
         if !known {
             let result = match &done {
-                Done::Accepted(_) => "accepted".to_owned(),
+                Done::Accepted(_) => ACCEPTED.to_owned(),
                 Done::Refused(refusal) => refusal.to_string(),
             };
             self.note(asked, self.changes.revision, result);
--- a/src/wisteriahead/core/document.rs
+++ b/src/wisteriahead/core/document.rs
@@ -4,6 +4,7 @@
 //! everything that operators decide. It is written in TOML.
 
 use super::endpoint::check_name;
+use super::limits;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
@@ -139,12 +140,23 @@
 }
 
 impl Document {
-    /// Reads a document and checks it whole.
+    /// Reads a new document and checks it whole.
     ///
     /// # Errors
     ///
     /// Returns the first fault with its line or entry and what is allowed.
     pub fn parse(text: &str) -> Result<Self, String> {
+        let doc = Self::read(text)?;
+        limits::check(text)?;
+        Ok(doc)
+    }
+
+    /// Reads a document that was accepted, perhaps by a host of a version that allowed more.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault with its line or entry and what is allowed.
+    pub fn read(text: &str) -> Result<Self, String> {
         if text.len() > DOCUMENT_MAX_BYTES {
             return Err(format!(
                 "the document has {} bytes; at most {DOCUMENT_MAX_BYTES} are allowed",
--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod hedge;
 pub mod hits;
 pub mod latency;
+pub mod limits;
 pub mod log;
 pub mod member;
 pub mod message;
--- a/src/wisteriahead/ops/diff.rs
+++ b/src/wisteriahead/ops/diff.rs
@@ -42,7 +42,7 @@
 pub async fn diff(opts: &DiffOptions) -> Result<Difference, Failure> {
     let new = check(&CheckOptions { file: opts.file.clone() })?;
     let old = get(&GetOptions { server: opts.server.clone() }).await?;
-    let known = Document::parse(&old.text)
+    let known = Document::read(&old.text)
         .map_err(|e| anyhow!("the inventory in force cannot be read by this wisteriactl: {e}"))?;
     Ok(compare(old.revision, &known.render(), &new.render()))
 }
--- a/tests/testsuite/changes.rs
+++ b/tests/testsuite/changes.rs
@@ -176,3 +176,53 @@
     assert!(held(&["a", "b"], &[], &["a", "b"]).unwrap().contains("no host"));
     assert_eq!(held(&["leaf"], &["a"], &["a"]), None);
 }
+
+fn applied(state: &mut State, command: Command) -> Reply {
+    state.apply(&encode(&Stamped { time_ms: 1, command })).unwrap()
+}
+
+fn zone(id: &str, state: ZoneState, base: u64) -> Command {
+    let (id, operator, zone) = (id.to_owned(), "ann".to_owned(), "z".to_owned());
+    Command::Zone { id, operator, zone, state, base }
+}
+
+/// The host fills in the base of a change of a zone, so that a resend has a newer one.
+#[test]
+fn resend_older_than_the_outcomes_kept_is_not_taken_as_new() {
+    let mut state = State::default();
+    let first = applied(&mut state, zone("first", ZoneState::Out, 0));
+    assert_eq!(first, Reply::Change(Ok(1)));
+    for n in 1..=IDS_MAX as u64 + 1 {
+        let back = applied(&mut state, zone(&format!("c{n}"), ZoneState::In, n));
+        assert_eq!(back, Reply::Change(Ok(n + 1)));
+    }
+    assert!(!state.changes.known("first"));
+    let revision = state.changes.revision;
+    assert_eq!(applied(&mut state, zone("first", ZoneState::Out, revision)), first);
+    assert_eq!(state.changes.revision, revision, "the zone was taken out a second time");
+    assert_eq!(state.changes.in_force().zones["z"], ZoneState::In);
+    let trail = state.audit.after(0, usize::MAX);
+    assert_eq!(trail.iter().filter(|e| e.asked.id == "first").count(), 1);
+}
+
+#[test]
+fn refused_change_that_only_the_trail_remembers_is_not_taken_as_new() {
+    let mut state = State::default();
+    let change =
+        Change { id: "first".into(), operator: "ann".into(), base: 0, text: String::new() };
+    let edit = |fault: Option<&str>| Command::Edit {
+        change: change.clone(),
+        fault: fault.map(str::to_owned),
+        zones: Vec::new(),
+    };
+    assert!(matches!(applied(&mut state, edit(Some("line 1"))), Reply::Change(Err(_))));
+    for n in 0..=IDS_MAX {
+        let other = Change { id: format!("c{n}"), ..change.clone() };
+        let fault = Some("line 1".to_owned());
+        applied(&mut state, Command::Edit { change: other, fault, zones: Vec::new() });
+    }
+    let Reply::Change(Err(refusal)) = applied(&mut state, edit(None)) else { panic!() };
+    assert_eq!((refusal.verdict, refusal.reason), (Verdict::MayHaveRun, Reason::Conflict));
+    assert!(refusal.detail.contains("entry 1 of the audit trail"), "{refusal}");
+    assert_eq!(state.changes.revision, 0);
+}
--- /dev/null
+++ b/tests/testsuite/document.rs
@@ -0,0 +1,38 @@
+use wisteriahead::core::control::changes::InForce;
+use wisteriahead::core::document::Document;
+use yare::parameterized;
+
+#[parameterized(
+    no_time = { "[[rules.class]]\nname = \"a\"\npriority = 1\ntimeout_ms = 0\n", "line 4: class `a` has timeout_ms = 0" },
+    long_time = { "[[rules.class]]\nname = \"a\"\npriority = 1\ntimeout_ms = 60001\n", "1 to 60000 is allowed" },
+    no_concurrency = { "# note\n[[rules.class]]\nname = \"a\"\nconcurrency = 0\npriority = 1\n", "line 4: class `a` has concurrency = 0" },
+    second_class = {
+        "[[rules.class]]\nname = \"a\"\npriority = 1\nconcurrency = 1\n[[rules.class]]\nname = \"b\"\npriority = 1\nconcurrency = 0\n",
+        "line 8: class `b`"
+    },
+    inline = { "[rules]\n\nclass = [{ name = \"a\", priority = 1, timeout_ms = 0 }]\n", "line 3: class `a`" },
+    no_slots = { "[[rules.cap]]\nservice = \"s\"\nslots = 0\n", "line 3: cap of `s` has slots = 0" },
+    slots_reason = { "[[rules.cap]]\nservice = \"s\"\nslots = 0\n", "set their hosts to `leaving` or their zone to `out`" },
+)]
+fn harmful_value_is_refused_with_its_line_and_reason(text: &str, want: &str) {
+    let fault = Document::parse(text).unwrap_err();
+    assert!(fault.contains(want), "{fault}");
+}
+
+#[parameterized(
+    least = { "[[rules.class]]\nname = \"a\"\npriority = 0\ntimeout_ms = 1\nconcurrency = 1\n" },
+    most = { "[[rules.class]]\nname = \"a\"\npriority = 0\ntimeout_ms = 60000\n" },
+    slot = { "[[rules.cap]]\nservice = \"s\"\nslots = 1\n" },
+    none = { "" },
+)]
+fn allowed_value_is_taken(text: &str) {
+    Document::parse(text).unwrap();
+}
+
+#[test]
+fn what_was_accepted_stays_in_force_under_stricter_limits() {
+    let text = "[[rules.cap]]\nservice = \"s\"\nslots = 0\n";
+    assert!(Document::parse(text).is_err());
+    let force = InForce { revision: 1, text: text.into(), ..InForce::default() };
+    assert_eq!(force.document().unwrap().rules.caps[0].slots, 0);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod ctl_changes;
 mod ctl_views;
 mod docs;
+mod document;
 mod fleet;
 mod hedge;
 mod keys;
