Tell a disk without a vote how long the quorum is silent

Cause: `silence` asked the replica of the log at each host with a data folder. A host that the log was never given to has heard no leader there, so it showed its whole uptime in `silent_ms` as if it were cut off. It now goes by what other hosts say of the leader, as hosts without a disk do.

`control::` passes (5 tests, within a run of 65 tests of the modules concerned, 65 passed).

--- a/src/wisteriahead/services/control/admin.rs
+++ b/src/wisteriahead/services/control/admin.rs
@@ -10,6 +10,7 @@
 use crate::core::log::Change;
 use crate::core::message::{decode, encode};
 use crate::prelude::*;
+use crate::services::replica::View;
 use crate::services::{Admin, HostRevision, VoterChange, ZoneChange, ZoneDone};
 use futures::future::{BoxFuture, join_all};
 
@@ -160,8 +161,11 @@
     }
 
     fn silence(&self) -> Span {
-        if let Some(group) = self.group(TIER) {
-            return group.view().silent;
+        let view = self.group(TIER).map(|g| g.view());
+        // A host with a disk that the log was never given to hears of it as others do.
+        let holds = |v: &View| v.config.all().any(|r| Some(r) == self.me.as_ref());
+        if let Some(view) = view.filter(holds) {
+            return view.silent;
         }
         let leader = self.leader(TIER);
         let seen = self.seen.lock();
