--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod document;
 mod fleet;
 mod hedge;
+mod homes;
 mod keys;
 mod log;
 mod member;
