Wake waiting queries when a slot is lent, and ask no more than once for it

A try that failed sent an ask, an ask voids the grants on their way, any wake tried every waiting shard again, and a grant woke nobody.

Now `Allowance::acquire` only takes; `ask` asks, in one message to each owner, once the query stands in the queues, and not again within 20 ms; `listen` tells of each slot that is lent or comes back; `Event::Room` tries the shards of that endpoint alone. The grants for one host go in one message. Also in these lines: one lock for a permit in place of three, one for a choice in place of two, and the names of endpoints follow the routes. core/budget gets a look at the free slots (`free`) and no other change.

--- a/src/wisteriahead/core/budget/borrower.rs
+++ b/src/wisteriahead/core/budget/borrower.rs
@@ -47,6 +47,12 @@
         self.running
     }
 
+    /// Slots that are free now for requests to an incarnation.
+    pub fn free(&self, now: Time, incarnation: u64, allowed: u32) -> u32 {
+        let lent = now < self.until && self.incarnation == incarnation;
+        if lent { self.limit.min(allowed).saturating_sub(self.running) } else { 0 }
+    }
+
     /// Takes one slot; notes the demand when there is none.
     pub fn acquire(&mut self, now: Time, incarnation: u64, allowed: u32) -> bool {
         self.used = now;
--- a/src/wisteriahead/core/budget/host.rs
+++ b/src/wisteriahead/core/budget/host.rs
@@ -113,6 +113,12 @@
         self.zones.keys().min().unwrap_or(zone).clone()
     }
 
+    /// Slots of an endpoint that are free at this host now.
+    pub fn free(&self, now: Time, endpoint: &str, incarnation: u64) -> u32 {
+        let allowed = self.known.get(endpoint).map_or(0, |k| k.bearing.allowed);
+        self.leases.get(endpoint).map_or(0, |l| l.free(now, incarnation, allowed))
+    }
+
     /// Takes the right to have one request in flight at an endpoint.
     pub fn acquire(&mut self, now: Time, endpoint: &Arc<str>, incarnation: u64) -> bool {
         let Some(allowed) = self.known.get(endpoint).map(|k| k.bearing.allowed) else {
--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -20,6 +20,7 @@
 
 use self::lead::Lead;
 use self::shard::{Open, Shard, Wait};
+use super::endpoint::EndpointKey;
 use super::hits::Hits;
 use super::quarantine::DEATHS_MAX;
 use super::routes::{Snapshot, Target};
@@ -42,8 +43,10 @@
     Start,
     /// An attempt ended.
     Done(AttemptId, Result<Hits, Refusal>),
-    /// The time asked for by [`Action::Wake`] has come, or an endpoint has room again.
+    /// The time asked for by [`Action::Wake`] has come.
     Wake,
+    /// Endpoints of [`Gather::waiting`] have room.
+    Room(Vec<EndpointKey>),
 }
 
 /// What the driver is to do.
@@ -145,6 +148,7 @@
             Event::Start => self.start(&mut step),
             Event::Done(id, result) => self.done(id, result, &mut step),
             Event::Wake => self.wake(&mut step),
+            Event::Room(at) => self.room(&at, &mut step),
         }
         self.follow(&mut step);
         self.close_if_over(&mut step);
@@ -249,9 +253,9 @@
         }
         for shard in 0..self.shards.len() {
             match self.shards[shard].wait {
-                // Room may come before the wait is over.
-                Wait::Room { .. } => self.send(shard, step),
-                Wait::Later { until } if until <= now => self.send(shard, step),
+                Wait::Room { until } | Wait::Later { until } if until <= now => {
+                    self.send(shard, step);
+                }
                 Wait::Extra { until } if until <= now => self.retry(shard, false, step),
                 Wait::Hedge { until } if until <= now => self.hedge(shard, step),
                 _ => {}
@@ -260,6 +264,21 @@
         self.settle(step);
     }
 
+    /// Sends to the shards that wait for room at the endpoints; the others' waits go on, since each
+    /// try that fails asks for a slot anew.
+    fn room<F: Fleet>(&mut self, at: &[EndpointKey], step: &mut Step<'_, F>) {
+        if step.now >= self.deadline {
+            return;
+        }
+        for shard in 0..self.shards.len() {
+            let waits = matches!(self.shards[shard].wait, Wait::Room { .. });
+            if waits && self.snapshot.shards[shard].iter().any(|r| at.contains(&r.key)) {
+                self.send(shard, step);
+            }
+        }
+        self.settle(step);
+    }
+
     /// Asks to be woken at a time, at the latest at the deadline.
     fn wake_at<F: Fleet>(&self, at: Time, step: &mut Step<'_, F>) {
         step.out.push(Action::Wake(at.min(self.deadline)));
@@ -281,6 +300,9 @@
             return;
         }
         self.finished = true;
+        if self.shards.iter().any(|s| matches!(s.wait, Wait::Room { .. })) {
+            self.crowded = Some(step.now);
+        }
         self.cancel_all(step);
         step.out.push(Action::Finish);
     }
--- a/src/wisteriahead/core/query/send.rs
+++ b/src/wisteriahead/core/query/send.rs
@@ -6,6 +6,8 @@
 use crate::core::time::Span;
 use std::sync::Arc;
 
+/// Wait before a shard that waits for room is tried again without word of room.
+const ROOM_WAIT: Span = Span::millis(50);
 /// Wait before a hedge without a free replica or budget is tried again.
 const HEDGE_WAIT: Span = Span::millis(5);
 
@@ -33,9 +35,8 @@
             self.plan_hedge(shard, step);
             return;
         }
-        let s = &mut self.shards[shard];
-        let until = step.now + s.retry_wait();
-        s.wait = Wait::Room { until };
+        let until = step.now + ROOM_WAIT;
+        self.shards[shard].wait = Wait::Room { until };
         self.wake_at(until, step);
     }
 
--- a/src/wisteriahead/core/query/shard.rs
+++ b/src/wisteriahead/core/query/shard.rs
@@ -6,7 +6,7 @@
 use crate::core::routes::Target;
 use crate::core::time::{Span, Time};
 
-/// First wait before a shard without a free replica is tried again; it doubles each time.
+/// First wait before a shard whose endpoint was busy is tried again; it doubles each time.
 const BUSY_WAIT: Span = Span::millis(2);
 /// Most doublings of [`BUSY_WAIT`].
 const DOUBLINGS_MAX: u32 = 5;
--- a/src/wisteriahead/core/room.rs
+++ b/src/wisteriahead/core/room.rs
@@ -43,6 +43,11 @@
         first
     }
 
+    /// Whether a query waits for an endpoint.
+    pub fn is_waited_for(&self, at: EndpointKey) -> bool {
+        self.queues.contains_key(&at)
+    }
+
     /// Endpoints that are waited for.
     pub fn len(&self) -> usize {
         self.queues.len()
--- a/src/wisteriahead/services/allowance.rs
+++ b/src/wisteriahead/services/allowance.rs
@@ -1,9 +1,9 @@
 //! Drives the budgets: grants permits from the slots lent to this host, and lends the
 //! slots of the endpoints that this host owns.
 
-use super::{Allowance, Endpoints, Handler, Members, Observation, Peers, Permit};
+use super::{Allowance, Endpoints, Handler, Members, Observation, Peers, Permit, RoomListener};
 use crate::core::budget::lender::Bearing;
-use crate::core::budget::{Budgets, Message};
+use crate::core::budget::{Budgets, Grant, Message};
 use crate::core::endpoint::EndpointKey;
 use crate::core::message::{Topic, decode, encode};
 use crate::core::routes::{Routes, Target};
@@ -11,56 +11,135 @@
 use crate::prelude::*;
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
+use slotmap::SecondaryMap;
+use std::collections::VecDeque;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 /// Time between two ticks of the state machine.
 const TICK: Duration = Duration::from_millis(5);
 
+/// Time in which an endpoint's owner is not asked again: an ask voids the grants on their way.
+const ASK_GAP: Span = Span::millis(20);
+
 /// Permits of this host, and slots that it lends.
 pub struct Lender {
     ctx: Context,
     peers: Arc<dyn Peers>,
     host: Arc<str>,
     state: Mutex<State>,
+    listener: OnceLock<RoomListener>,
 }
 
 struct State {
     budgets: Budgets,
-    names: IndexMap<EndpointKey, Arc<str>>,
+    routes: Arc<Routes>,
+    names: SecondaryMap<EndpointKey, Arc<str>>,
+    /// When an endpoint's owner was asked for a slot that has not come yet.
+    asked: IndexMap<Arc<str>, Time>,
+    /// Endpoints with room of which the listener is to be told.
+    gained: Vec<EndpointKey>,
+}
+
+impl State {
+    fn new(budgets: Budgets) -> Self {
+        Self {
+            budgets,
+            routes: Arc::default(),
+            names: SecondaryMap::new(),
+            asked: IndexMap::new(),
+            gained: Vec::new(),
+        }
+    }
+
+    fn set_routes(&mut self, now: Time, routes: Arc<Routes>) -> Vec<(Arc<str>, Message)> {
+        self.names = routes.targets.values().map(|t| (t.key, t.name.clone())).collect();
+        self.asked.retain(|name, _| routes.targets.contains_key(name));
+        self.routes = routes;
+        self.set_endpoints(now)
+    }
+
+    fn set_endpoints(&mut self, now: Time) -> Vec<(Arc<str>, Message)> {
+        let targets = self.routes.targets.values();
+        let all = targets.map(|t| (t.name.clone(), t.zone.clone(), bearing(t)));
+        self.budgets.set_endpoints(now, all)
+    }
+
+    /// Notes that the listener is to be told of the free slots of an endpoint.
+    fn look(&mut self, now: Time, endpoint: &str) {
+        let Some(target) = self.routes.targets.get(endpoint) else { return };
+        let free = self.budgets.free(now, endpoint, target.incarnation);
+        if free > 0 {
+            self.asked.swap_remove(endpoint);
+        }
+        self.gained.extend((0..free).map(|_| target.key));
+    }
+
+    /// Notes the demand for a slot, unless the owner was asked for one just now.
+    fn want(&mut self, now: Time, at: &Target) {
+        if self.budgets.free(now, &at.name, at.incarnation) > 0 {
+            self.gained.push(at.key);
+            return;
+        }
+        if self.asked.get(&at.name).is_none_or(|t| now.since(*t) >= ASK_GAP) {
+            self.budgets.acquire(now, &at.name, at.incarnation);
+            self.asked.insert(at.name.clone(), now);
+        }
+    }
+
+    fn receive(
+        &mut self,
+        now: Time,
+        from: &Arc<str>,
+        message: Message,
+    ) -> Vec<(Arc<str>, Message)> {
+        let granted: Vec<_> = match &message {
+            Message::Grants(grants) => grants.iter().map(|g| g.endpoint.clone()).collect(),
+            _ => Vec::new(),
+        };
+        let out = self.budgets.receive(now, from, message);
+        granted.iter().for_each(|name| self.look(now, name));
+        out
+    }
 }
 
 impl Lender {
-    fn act(&self, change: impl FnOnce(&mut Budgets, Time) -> Vec<(Arc<str>, Message)>) {
+    fn act(&self, change: impl FnOnce(&mut State, Time) -> Vec<(Arc<str>, Message)>) {
         let mut state = self.state.lock();
-        let out = change(&mut state.budgets, self.ctx.now());
+        let out = change(&mut state, self.ctx.now());
         self.carry(&mut state, out);
+        let gained = std::mem::take(&mut state.gained);
+        drop(state);
+        if let Some(listener) = self.listener.get() {
+            gained.into_iter().for_each(listener);
+        }
     }
 
     /// Sends messages, those to this host itself without the network.
     fn carry(&self, state: &mut State, out: Vec<(Arc<str>, Message)>) {
-        let mut out = std::collections::VecDeque::from(out);
+        let mut out = VecDeque::from(out);
+        let mut grants: IndexMap<Arc<str>, Vec<Grant>> = IndexMap::new();
         while let Some((to, message)) = out.pop_front() {
-            if to == self.host {
-                out.extend(state.budgets.receive(self.ctx.now(), &self.host, message));
-            } else {
-                self.peers.send(&to, Topic::Allowance, encode(&message));
+            match message {
+                message if to == self.host => {
+                    out.extend(state.receive(self.ctx.now(), &self.host, message));
+                }
+                Message::Grants(some) => grants.entry(to).or_default().extend(some),
+                message => self.peers.send(&to, Topic::Allowance, encode(&message)),
             }
         }
+        for (to, grants) in grants {
+            self.peers.send(&to, Topic::Allowance, encode(&Message::Grants(grants)));
+        }
     }
 
     fn release(&self, endpoint: &str) {
-        self.act(|b, now| {
-            b.release(endpoint);
-            b.due(now)
+        self.act(|s, now| {
+            s.budgets.release(endpoint);
+            s.look(now, endpoint);
+            s.budgets.due(now)
         });
     }
-
-    fn set_endpoints(&self, routes: &Routes) {
-        let mut state = self.state.lock();
-        let all = routes.targets.values().map(|t| (t.name.clone(), t.zone.clone(), bearing(t)));
-        let out = state.budgets.set_endpoints(self.ctx.now(), all);
-        self.carry(&mut state, out);
-    }
 }
 
 fn bearing(t: &Target) -> Bearing {
@@ -73,48 +152,53 @@
 
 impl Allowance for Permits {
     fn acquire(&self, to: &Target) -> Option<Permit> {
-        let mut granted = false;
-        self.0.act(|b, now| {
-            granted = b.acquire(now, &to.name, to.incarnation);
-            // Slots of this host's own endpoints may come with the answer to the ask.
-            if granted { Vec::new() } else { b.due(now) }
-        });
-        if !granted {
-            self.0.act(|b, now| {
-                granted = b.acquire(now, &to.name, to.incarnation);
-                Vec::new()
-            });
-        }
-        if !granted {
+        let mut state = self.0.state.lock();
+        let now = self.0.ctx.now();
+        let free = state.budgets.free(now, &to.name, to.incarnation) > 0;
+        if !free || !state.budgets.acquire(now, &to.name, to.incarnation) {
             return None;
         }
         let (lender, name) = (Arc::clone(&self.0), to.name.clone());
-        self.0.state.lock().names.insert(to.key, name.clone());
         Some(Permit::new(move || lender.release(&name)))
     }
 
+    fn ask(&self, at: &[Target]) {
+        self.0.act(|s, now| {
+            at.iter().for_each(|t| s.want(now, t));
+            s.budgets.due(now)
+        });
+    }
+
+    fn listen(&self, listener: RoomListener) {
+        if self.0.listener.set(listener).is_err() {
+            log::warn!("a second listener for room at endpoints was dropped");
+        }
+    }
+
     fn observe(&self, to: &Target, seen: Observation) {
-        self.0.act(|b, now| {
+        self.0.act(|s, now| {
             match seen {
-                Observation::Answered(took) => b.answered(&to.name, took),
-                Observation::Refused(Reason::Busy) | Observation::Failed => b.chilled(&to.name),
-                Observation::Restarted(_) => b.chilled(&to.name),
+                Observation::Answered(took) => s.budgets.answered(&to.name, took),
+                Observation::Refused(Reason::Busy) | Observation::Failed => {
+                    s.budgets.chilled(&to.name);
+                }
+                Observation::Restarted(_) => s.budgets.chilled(&to.name),
                 Observation::Refused(_) => {}
             }
-            b.due(now)
+            s.budgets.due(now)
         });
     }
 
     fn in_flight(&self, to: EndpointKey) -> u32 {
         let state = self.0.state.lock();
-        state.names.get(&to).map_or(0, |name| state.budgets.running(name))
+        state.names.get(to).map_or(0, |name| state.budgets.running(name))
     }
 }
 
 impl Handler for Lender {
     fn receive(&self, from: &str, body: &[u8]) {
         match decode::<Message>(body) {
-            Ok(message) => self.act(|b, now| b.receive(now, &from.into(), message)),
+            Ok(message) => self.act(|s, now| s.receive(now, &from.into(), message)),
             Err(e) => log::warn!("budget message of host `{from}` dropped: {e}"),
         }
     }
@@ -144,9 +228,10 @@
             let endpoints = ctx.find::<dyn Endpoints>(<dyn Endpoints>::NAME)?;
             let host: Arc<str> = peers.host().into();
             let budgets = Budgets::new(ctx.now(), host.clone(), peers.zone().into(), self.boot);
-            let state = State { budgets, names: IndexMap::new() };
-            let state = Mutex::new(state);
-            let lender = Arc::new(Lender { ctx: ctx.clone(), peers, host, state });
+            let state = Mutex::new(State::new(budgets));
+            let listener = OnceLock::new();
+            let lender = Lender { ctx: ctx.clone(), peers, host, state, listener };
+            let lender = Arc::new(lender);
             lender.peers.handle(Topic::Allowance, lender.clone());
             ctx.publish::<dyn Allowance>(<dyn Allowance>::NAME, Arc::new(Permits(lender.clone())));
             tokio::spawn(keep(lender, members, endpoints));
@@ -163,7 +248,6 @@
 async fn keep(lender: Arc<Lender>, members: Arc<dyn Members>, endpoints: Arc<dyn Endpoints>) {
     let mut members = members.watch();
     members.mark_changed();
-    let mut routes = Arc::<Routes>::default();
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stopped = std::pin::pin!(lender.ctx.stopped());
@@ -174,14 +258,19 @@
         }
         if members.has_changed().unwrap_or(false) {
             let now = members.borrow_and_update().clone();
-            lender.state.lock().budgets.set_members(&now);
-            lender.set_endpoints(&routes);
+            lender.act(|s, t| {
+                s.budgets.set_members(&now);
+                s.set_endpoints(t)
+            });
         }
         let latest = endpoints.routes();
-        if !Arc::ptr_eq(&latest, &routes) {
-            routes = latest;
-            lender.set_endpoints(&routes);
-        }
-        lender.act(Budgets::tick);
+        lender.act(|s, t| {
+            let mut out = Vec::new();
+            if !Arc::ptr_eq(&latest, &s.routes) {
+                out = s.set_routes(t, latest);
+            }
+            out.extend(s.budgets.tick(t));
+            out
+        });
     }
 }
--- a/src/wisteriahead/services/entry/learned.rs
+++ b/src/wisteriahead/services/entry/learned.rs
@@ -25,6 +25,15 @@
     serial: u64,
 }
 
+impl State {
+    fn service(&mut self, name: &Arc<str>) -> &mut Service {
+        if !self.services.contains_key(name) {
+            self.services.insert(Arc::clone(name), Service::default());
+        }
+        &mut self.services[name]
+    }
+}
+
 /// What one host has learnt.
 pub struct Learned {
     zone: Arc<str>,
@@ -45,18 +54,15 @@
         tried: &[EndpointKey],
         allowance: &dyn Allowance,
     ) -> Option<(Target, Permit)> {
-        let order = {
-            let mut s = self.state.lock();
-            s.serial += 1;
-            let in_flight = |key| allowance.in_flight(key);
-            let here = Here { zone: &self.zone, in_flight: &in_flight, seed: s.serial };
-            s.latencies.order(now, replicas, tried, &here)
-        };
-        let first = order.first().copied()?;
+        let mut s = self.state.lock();
+        s.serial += 1;
+        let in_flight = |key| allowance.in_flight(key);
+        let here = Here { zone: &self.zone, in_flight: &in_flight, seed: s.serial };
+        let order = s.latencies.order(now, replicas, tried, &here);
         let found = order.into_iter().find_map(|t| Some((t.clone(), allowance.acquire(t)?)));
         // No slot is no refusal: slots are lent on demand, so the first try often finds none.
-        if found.is_some() && tried.is_empty() {
-            self.with(&first.service, |s| s.extras.earn(1));
+        if let Some((to, _)) = found.as_ref().filter(|_| tried.is_empty()) {
+            s.service(&to.service).extras.earn(1);
         }
         found
     }
@@ -101,10 +107,6 @@
     }
 
     fn with<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut Service) -> T) -> T {
-        let mut state = self.state.lock();
-        match state.services.get_mut(service) {
-            Some(found) => f(found),
-            None => f(state.services.entry(Arc::clone(service)).or_default()),
-        }
+        f(self.state.lock().service(service))
     }
 }
--- a/src/wisteriahead/services/entry/mod.rs
+++ b/src/wisteriahead/services/entry/mod.rs
@@ -234,6 +234,8 @@
                 accepted: control.map(|c| c.watch()),
                 metrics: self.metrics.clone(),
             };
+            let room = Arc::clone(&entry.room);
+            entry.allowance.listen(Box::new(move |at| room.freed(at)));
             let routes = Callers(Arc::new(entry));
             let listener = http::bind(self.listen).await?;
             *self.server.lock() = Some(Arc::new(Server::start(listener, Arc::new(routes))?));
--- a/src/wisteriahead/services/entry/orders.rs
+++ b/src/wisteriahead/services/entry/orders.rs
@@ -37,7 +37,11 @@
     }
 
     fn acquire(&mut self, to: &Target) -> Option<Permit> {
-        self.entry.allowance.acquire(to)
+        let permit = self.entry.allowance.acquire(to);
+        if permit.is_none() {
+            self.entry.allowance.ask(std::slice::from_ref(to));
+        }
+        permit
     }
 }
 
--- a/src/wisteriahead/services/entry/room.rs
+++ b/src/wisteriahead/services/entry/room.rs
@@ -54,6 +54,11 @@
         self.waiting.store(s.order.len(), Ordering::Release);
     }
 
+    /// Whether a query waits for an endpoint.
+    pub fn is_waited_for(&self, at: EndpointKey) -> bool {
+        self.waiting.load(Ordering::Acquire) > 0 && self.state.lock().order.is_waited_for(at)
+    }
+
     /// Forgets a query that is over.
     pub fn leave(&self, query: Urgency) {
         self.state.lock().waiters.swap_remove(&query.serial);
--- a/src/wisteriahead/services/entry/search.rs
+++ b/src/wisteriahead/services/entry/search.rs
@@ -30,6 +30,7 @@
     collection: &'a str,
     digest: Digest,
     trials: &'a mut IndexSet<Fingerprint>,
+    wanted: &'a mut Vec<Target>,
 }
 
 impl Fleet for Replicas<'_> {
@@ -41,7 +42,12 @@
         replicas: &[Target],
         tried: &[EndpointKey],
     ) -> Option<(Target, Permit)> {
-        self.entry.learned.acquire(now, replicas, tried, &*self.entry.allowance)
+        let found = self.entry.learned.acquire(now, replicas, tried, &*self.entry.allowance);
+        if found.is_none() {
+            let left = replicas.iter().filter(|t| !tried.contains(&t.key));
+            self.wanted.extend(left.cloned());
+        }
+        found
     }
 
     fn extra(&mut self, replicas: &[Target]) -> bool {
@@ -88,6 +94,10 @@
     urgency: Urgency,
     waiter: Arc<Waiter>,
     waits: IndexSet<EndpointKey>,
+    /// Endpoints where room was passed to this query, which it has not used yet.
+    freed: Vec<EndpointKey>,
+    /// Endpoints where more room is to be asked for.
+    wanted: Vec<Target>,
     digest: Digest,
     trials: IndexSet<Fingerprint>,
     /// The last attempt with which an endpoint died, until it is reported.
@@ -125,6 +135,8 @@
         urgency: turn.query(),
         waiter: Arc::default(),
         waits: IndexSet::new(),
+        freed: Vec::new(),
+        wanted: Vec::new(),
         digest,
         trials: IndexSet::new(),
         dead: None,
@@ -180,13 +192,15 @@
             self.report_death(&gather);
             let (entry, collection) = (self.entry, &*self.body.collection);
             let (digest, trials) = (self.digest, &mut self.trials);
-            let mut fleet = Replicas { entry, collection, digest, trials };
+            let wanted = &mut self.wanted;
+            let mut fleet = Replicas { entry, collection, digest, trials, wanted };
             let actions = gather.step(entry.ctx.now(), event, &mut fleet);
             if self.carry_out(actions) {
                 self.report_end(&gather);
                 return gather;
             }
             self.wait_for_room(&gather);
+            self.ask_for_room();
             event = self.next().await;
         }
     }
@@ -197,7 +211,7 @@
         for action in actions {
             match action {
                 Action::Send { attempt, snapshot, shard, target, permit } => {
-                    self.waits.swap_remove(&target.key);
+                    self.use_room(&target);
                     self.send(attempt, snapshot, shard, target, permit);
                 }
                 Action::Cancel(id) => self.cancel(id),
@@ -227,11 +241,6 @@
             timeout: self.deadline.since(now),
             body: self.body.query.clone(),
         };
-        let (key, room) = (target.key, Arc::clone(&entry.room));
-        let permit = Permit::new(move || {
-            drop(permit);
-            room.freed(key);
-        });
         let name = Arc::clone(&attempt.id);
         self.sent.insert(id, Sent { shard, target: target.clone(), name, at: now });
         self.open.push(Box::pin(async move {
@@ -287,9 +296,28 @@
         }
     }
 
+    /// Notes that room at an endpoint is used; more is asked for when other queries wait there.
+    fn use_room(&mut self, at: &Target) {
+        self.waits.swap_remove(&at.key);
+        if let Some(i) = self.freed.iter().position(|k| *k == at.key) {
+            self.freed.swap_remove(i);
+        }
+        if self.entry.room.is_waited_for(at.key) {
+            self.wanted.push(at.clone());
+        }
+    }
+
+    /// Asks for the room that was not found, after this query has its place in the queues.
+    fn ask_for_room(&mut self) {
+        if !self.wanted.is_empty() {
+            self.entry.allowance.ask(&self.wanted);
+            self.wanted.clear();
+        }
+    }
+
     /// Waits at all replicas of the shards without room, and passes on room not used.
     fn wait_for_room(&mut self, gather: &Gather) {
-        let freed = self.waiter.freed();
+        let freed = std::mem::take(&mut self.freed);
         let now: IndexSet<EndpointKey> = gather.waiting().map(|t| t.key).collect();
         for &key in now.difference(&self.waits) {
             self.entry.room.wait(key, self.urgency, &self.waiter);
@@ -316,7 +344,10 @@
                 self.learn(&ended);
                 Event::Done(ended.id, ended.result)
             }
-            () = waiter.woken() => Event::Wake,
+            () = waiter.woken() => {
+                self.freed = waiter.freed();
+                Event::Room(self.freed.clone())
+            }
             () = tokio::time::sleep(wait) => {
                 self.wake = self.deadline;
                 Event::Wake
@@ -334,7 +365,7 @@
         for request in &self.trials {
             self.entry.suspicion.end(request);
         }
-        for key in self.waiter.freed() {
+        for key in self.freed.drain(..).chain(self.waiter.freed()) {
             self.entry.room.freed(key);
         }
         // A caller that went away leaves attempts behind: they are cancelled.
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -281,11 +281,25 @@
     pub const NAME: &'static str = "transport";
 }
 
+/// Called with an endpoint at which this host may send one request more.
+pub type RoomListener = Box<dyn Fn(EndpointKey) + Send + Sync>;
+
 /// Grants the right to send to endpoints, so that no endpoint is sent more than it can bear.
 pub trait Allowance: Send + Sync {
-    /// Takes the right to have one request in flight at an endpoint.
+    /// Takes the right to have one request in flight at an endpoint, if there is one now.
     fn acquire(&self, to: &Target) -> Option<Permit>;
 
+    /// Asks for one right more at each of the endpoints; the listener is told when one comes.
+    fn ask(&self, at: &[Target]) {
+        let _ = at;
+    }
+
+    /// Sets the listener that is told of each endpoint with room: a permit came back there, or a
+    /// slot was lent to this host.
+    fn listen(&self, listener: RoomListener) {
+        let _ = listener;
+    }
+
     /// Takes note of what an attempt showed; it can lower what is granted at once.
     fn observe(&self, to: &Target, seen: Observation);
 
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -141,7 +141,7 @@
     Late,
     Turn,
     Done(AttemptId),
-    Room,
+    Room(EndpointKey),
     Wake,
 }
 
@@ -350,7 +350,8 @@
                 query.wake = Time(u64::MAX);
                 Event::Wake
             }
-            _ => Event::Wake,
+            Kind::Room(at) => Event::Room(vec![at]),
+            Kind::Arrive | Kind::Late => Event::Wake,
         };
         let before = query.sent.len();
         for action in query.gather.step(now, event, self) {
@@ -391,7 +392,7 @@
         self.times.record(now.since(*at));
         self.latencies.answered(now, target.key, now.since(*at));
         if let Some(next) = self.room.freed(target.key) {
-            self.push(now, next.serial as usize, Kind::Room);
+            self.push(now, next.serial as usize, Kind::Room(target.key));
         }
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod admission;
+mod allowance;
 mod audit;
 mod bad_clients;
 mod bad_input;
--- a/tests/testsuite/query.rs
+++ b/tests/testsuite/query.rs
@@ -10,22 +10,25 @@
 use wisteriahead::core::routes::{Snapshot, Target};
 use wisteriahead::prelude::*;
 
-const DEADLINE: Time = Time(100_000);
+pub const DEADLINE: Time = Time(100_000);
 const LEAD: Span = Span::millis(1);
 const DELAY: Span = Span::millis(5);
 
 /// Endpoints whose room, budget and snapshots the test sets.
-struct World {
-    full: BTreeSet<EndpointKey>,
-    extras: usize,
+pub struct World {
+    pub full: BTreeSet<EndpointKey>,
+    pub extras: usize,
     spent: usize,
     snapshots: Vec<Arc<Snapshot>>,
     trial: Trial,
+    /// Times that room was asked for.
+    tries: usize,
 }
 
 impl World {
-    fn new(snapshots: Vec<Arc<Snapshot>>) -> Self {
-        Self { full: BTreeSet::new(), extras: 0, spent: 0, snapshots, trial: Trial::Go }
+    pub fn new(snapshots: Vec<Arc<Snapshot>>) -> Self {
+        let full = BTreeSet::new();
+        Self { full, extras: 0, spent: 0, snapshots, trial: Trial::Go, tries: 0 }
     }
 }
 
@@ -38,6 +41,7 @@
         replicas: &[Target],
         tried: &[EndpointKey],
     ) -> Option<(Target, ())> {
+        self.tries += 1;
         let free = |t: &&Target| !tried.contains(&t.key) && !self.full.contains(&t.key);
         replicas.iter().find(free).map(|t| (t.clone(), ()))
     }
@@ -62,11 +66,11 @@
 }
 
 #[derive(Clone, Debug)]
-struct Attempt {
+pub struct Attempt {
     snapshot: Arc<str>,
     shard: u32,
     key: EndpointKey,
-    open: bool,
+    pub open: bool,
     not_run: bool,
     dead: bool,
     /// Whether it was sent before all other shards.
@@ -74,12 +78,12 @@
 }
 
 /// Runs a query and checks each of its actions.
-struct Run {
-    gather: Gather,
-    world: World,
-    now: Time,
-    attempts: Vec<Attempt>,
-    finished: bool,
+pub struct Run {
+    pub gather: Gather,
+    pub world: World,
+    pub now: Time,
+    pub attempts: Vec<Attempt>,
+    pub finished: bool,
     /// Hits that count: the first answer of an attempt that was still open.
     accepted: BTreeMap<(Arc<str>, u32), String>,
     firsts: usize,
@@ -92,7 +96,7 @@
     }
 
     /// A query that goes to the shard `lead` first, if there is one.
-    fn with(world: World, least: f64, lead: Option<u32>) -> Self {
+    pub fn with(world: World, least: f64, lead: Option<u32>) -> Self {
         let mut gather = Gather::new(Arc::clone(&world.snapshots[0]), DEADLINE, least);
         if let Some(shard) = lead {
             gather = gather.with_lead(shard, LEAD);
@@ -111,7 +115,7 @@
         run
     }
 
-    fn step(&mut self, event: Event) {
+    pub fn step(&mut self, event: Event) {
         for action in self.gather.step(self.now, event, &mut self.world) {
             assert!(!self.finished, "{action:?} after the finish");
             match action {
@@ -152,7 +156,7 @@
     }
 
     /// Feeds the end of any attempt, also one that has ended, was cancelled or never was.
-    fn done(&mut self, id: usize, end: End) {
+    pub fn done(&mut self, id: usize, end: End) {
         let result = match (end, self.attempts.get_mut(id)) {
             (End::Hits, Some(a)) => {
                 let text = format!("{}/{}/{id}", a.snapshot, a.shard);
@@ -177,13 +181,19 @@
         self.step(Event::Done(AttemptId(id as u32), result));
     }
 
-    fn wake(&mut self, after: Span) {
+    pub fn wake(&mut self, after: Span) {
         self.now += after;
         self.step(Event::Wake);
     }
 
+    /// Gives an endpoint room and tells the query.
+    fn room(&mut self, at: EndpointKey) {
+        self.world.full.remove(&at);
+        self.step(Event::Room(vec![at]));
+    }
+
     /// Runs to the deadline and checks the answer.
-    fn finish(mut self) {
+    pub fn finish(mut self) {
         self.now = self.now.max(DEADLINE);
         self.step(Event::Wake);
         assert!(self.finished, "the deadline passed without a finish");
@@ -207,7 +217,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum End {
+pub enum End {
     Hits,
     Refused(Refusal),
 }
@@ -217,6 +227,7 @@
     Done(usize, End),
     Wake(u64),
     Full(usize, bool),
+    Room(usize),
     Extras(usize),
     Trial(Trial),
 }
@@ -241,6 +252,7 @@
         6 => (0usize..12, end()).prop_map(|(i, e)| Op::Done(i, e)),
         3 => (0u64..12_000).prop_map(Op::Wake),
         1 => (0usize..16, any::<bool>()).prop_map(|(i, full)| Op::Full(i, full)),
+        1 => (0usize..16).prop_map(Op::Room),
         1 => (0usize..4).prop_map(Op::Extras),
         1 => prop::sample::select(vec![Trial::Go, Trial::Go, Trial::Wait, Trial::Never])
             .prop_map(Op::Trial),
@@ -277,6 +289,7 @@
                 Op::Wake(after) => run.wake(Span(after)),
                 Op::Full(i, true) => drop(run.world.full.insert(keys[i % keys.len()])),
                 Op::Full(i, false) => drop(run.world.full.remove(&keys[i % keys.len()])),
+                Op::Room(i) => run.room(keys[i % keys.len()]),
                 Op::Extras(n) => run.world.extras += n,
                 Op::Trial(trial) => run.world.trial = trial,
             }
@@ -285,7 +298,7 @@
     }
 }
 
-fn refused(reason: Reason) -> End {
+pub fn refused(reason: Reason) -> End {
     End::Refused(Refusal::not_run(reason, ""))
 }
 
@@ -359,6 +372,26 @@
     run.finish();
 }
 
+/// Each try that fails asks for a slot anew, which voids the grants on their way.
+#[test]
+fn room_at_one_endpoint_is_tried_by_its_shard_alone() {
+    let mut endpoints = Endpoints::default();
+    let snapshot = endpoints.snapshot("s1", &[1, 2, 1]);
+    let mut world = World::new(vec![Arc::clone(&snapshot)]);
+    world.full = snapshot.shards.iter().flatten().map(|t| t.key).collect();
+    let mut run = Run::new(world, 0.0);
+    assert_eq!((run.world.tries, run.attempts.len()), (3, 0));
+    run.wake(Span::millis(10));
+    assert_eq!(run.world.tries, 3, "tried again without word of room");
+    run.room(snapshot.shards[1][1].key);
+    assert_eq!((run.world.tries, run.attempts.len()), (4, 1));
+    assert_eq!(run.attempts[0].key, snapshot.shards[1][1].key);
+    run.world.full.clear();
+    run.wake(Span::millis(45));
+    assert_eq!(run.attempts.len(), 3, "word of room that is lost must not hold a shard up");
+    run.finish();
+}
+
 #[test]
 fn hedge_without_budget_is_not_sent() {
     let mut run = run_on(&[("s1", &[2])], 0.0);
@@ -382,7 +415,7 @@
     run.finish();
 }
 
-fn death() -> End {
+pub fn death() -> End {
     End::Refused(Refusal::may_have_run(Reason::Connection, ""))
 }
 
