Prove the gathering of a query with every fault at every step

The state machine is struck with and without full coverage asked for; the caller that goes away strikes an entry host with fakes for endpoints, slots and transport, as cancelling is the driver's part.

Ruled out: real processes for each cell; the order of events could not be fixed, and tests/testsuite/transport.rs runs the faults of an answer over real connections.

--- /dev/null
+++ b/tests/testsuite/gathering.rs
@@ -0,0 +1,298 @@
+//! Fault matrix of the gathering of a query: every fault at every step.
+//!
+//! All faults but a caller that goes away strike the state machine. That one strikes an entry
+//! host whose endpoints, slots and transport are fakes, since cancelling is the driver's part.
+
+use crate::props::Endpoints as Targets;
+use crate::query::{DEADLINE, End, Run, World, death, refused};
+use crate::support::{ANY, until};
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use hyper::Method;
+use parking_lot::Mutex;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use wisteria_testkit::client;
+use wisteria_testkit::matrix::Matrix;
+use wisteriahead::core::routes::{Collection, Routes, Snapshot, Target};
+use wisteriahead::kernel::{Kernel, Service};
+use wisteriahead::prelude::*;
+use wisteriahead::services::entry::EntryService;
+use wisteriahead::services::{
+    Allowance, Attempt, Endpoints, Observation, Permit, RoomListener, Transport,
+};
+use wisteriahead::util::metrics::Metrics;
+
+const CALLER_GONE: &str = "caller gone";
+const FAULTS: [&str; 9] = [
+    "refusal",
+    "answer lost",
+    "answer late",
+    "answer crossed",
+    "snapshot gone",
+    "endpoint lost",
+    "deadline",
+    CALLER_GONE,
+    "slot not granted",
+];
+const STEPS: [&str; 6] =
+    ["planned", "waiting for a slot", "sent", "hedged", "partly answered", "restarted"];
+
+/// Searches that teach a host when to hedge.
+const LESSONS: usize = 60;
+
+#[tokio::test]
+async fn every_fault_at_every_step() {
+    let invariant = "the answer is drawn from one snapshot, holds the hits of its own attempts \
+                     alone and states truly which shards it covers; a `not-run` is true; no \
+                     attempt stays open and no permit is kept";
+    let mut matrix = Matrix::new("gathering", invariant, &FAULTS, &STEPS);
+    for step in STEPS {
+        for fault in FAULTS {
+            if fault == CALLER_GONE {
+                caller_goes_away(step).await;
+            } else {
+                for least in [0.0, 1.0] {
+                    strike(fault, step, least);
+                }
+            }
+            matrix.held(fault, step);
+        }
+    }
+    matrix.finish();
+}
+
+fn snapshots() -> Vec<Arc<Snapshot>> {
+    let mut targets = Targets::default();
+    vec![targets.snapshot("s2", &[2, 2, 2]), targets.snapshot("s1", &[2, 2, 2])]
+}
+
+/// A query that has come to a step.
+fn at(step: &str, least: f64) -> Run {
+    let snapshots = snapshots();
+    let second = snapshots[0].shards[1].iter().map(|t| t.key).collect();
+    let mut world = World::new(snapshots);
+    world.extras = 2;
+    if step == "waiting for a slot" {
+        world.full = second;
+    }
+    let lead = (step == "planned").then_some(1);
+    let mut run = Run::with(world, least, lead);
+    match step {
+        "planned" => assert_eq!(run.attempts.len(), 1),
+        "waiting for a slot" => assert_eq!(run.attempts.len(), 2),
+        "hedged" => {
+            run.wake(Span::millis(6));
+            assert_eq!(run.attempts.len(), 5);
+        }
+        "partly answered" => run.done(0, End::Hits),
+        "restarted" => {
+            run.done(1, refused(Reason::WrongSnapshot));
+            run.done(3, refused(Reason::WrongSnapshot));
+            assert_eq!(&*run.gather.snapshot().name, "s1");
+        }
+        _ => {}
+    }
+    run
+}
+
+fn open(run: &Run) -> Vec<usize> {
+    (0..run.attempts.len()).filter(|i| run.attempts[*i].open).collect()
+}
+
+/// Brings a fault about at a step, then lets everything else be answered.
+fn strike(fault: &str, step: &str, least: f64) {
+    let mut run = at(step, least);
+    let victim = open(&run)[0];
+    let may = |reason| End::Refused(Refusal::may_have_run(reason, ""));
+    match fault {
+        "refusal" => run.done(victim, refused(Reason::Draining)),
+        "answer lost" => run.done(victim, may(Reason::Deadline)),
+        "answer late" => {
+            run.done(victim, may(Reason::Deadline));
+            run.done(victim, End::Hits);
+        }
+        "answer crossed" => run.done(victim, may(Reason::Mismatch)),
+        "snapshot gone" => run.done(victim, refused(Reason::WrongSnapshot)),
+        "endpoint lost" => run.done(victim, death()),
+        "deadline" => {
+            run.now = DEADLINE;
+            run.step(wisteriahead::core::query::Event::Wake);
+            assert!(run.finished, "{fault} at {step}: not finished");
+        }
+        "slot not granted" => {
+            let snapshot = Arc::clone(run.gather.snapshot());
+            run.world.full = snapshot.shards.iter().flatten().map(|t| t.key).collect();
+            run.done(victim, refused(Reason::Busy));
+            run.wake(Span::millis(3));
+        }
+        other => panic!("unknown fault {other}"),
+    }
+    while !run.finished && run.now < DEADLINE {
+        open(&run).into_iter().for_each(|id| run.done(id, End::Hits));
+        if !run.finished {
+            run.wake(Span::millis(10));
+        }
+    }
+    let whole = run.gather.coverage().missing.is_empty();
+    let curable = !["deadline", "slot not granted"].contains(&fault);
+    assert!(whole || !curable || step == "waiting for a slot", "{fault} at {step}: not whole");
+    run.finish();
+}
+
+/// An attempt that the fake transport was given.
+#[derive(Clone)]
+struct Sent {
+    id: Arc<str>,
+    snapshot: Arc<str>,
+    shard: u32,
+}
+
+/// Endpoints, slots and transport of a host under test.
+#[derive(Default)]
+struct Fakes {
+    routes: Arc<Routes>,
+    /// Whether attempts are answered; otherwise they stay open.
+    answers: Mutex<bool>,
+    /// Whether snapshot `s2` is gone.
+    moved: bool,
+    /// Shard that has no slot.
+    full: Option<EndpointKey>,
+    /// Shard that is answered while the others stay open.
+    quick: Option<u32>,
+    sent: Mutex<Vec<Sent>>,
+    cancelled: Mutex<BTreeSet<Arc<str>>>,
+    asked: Mutex<usize>,
+    permits: Arc<Mutex<usize>>,
+}
+
+impl Endpoints for Fakes {
+    fn routes(&self) -> Arc<Routes> {
+        self.routes.clone()
+    }
+}
+
+impl Allowance for Fakes {
+    fn acquire(&self, to: &Target) -> Option<Permit> {
+        if self.full == Some(to.key) {
+            return None;
+        }
+        let permits = self.permits.clone();
+        *permits.lock() += 1;
+        Some(Permit::new(move || *permits.lock() -= 1))
+    }
+
+    fn ask(&self, at: &[Target]) {
+        *self.asked.lock() += at.len();
+    }
+
+    fn listen(&self, _: RoomListener) {}
+
+    fn observe(&self, _: &Target, _: Observation) {}
+
+    fn in_flight(&self, _: EndpointKey) -> u32 {
+        0
+    }
+}
+
+impl Transport for Fakes {
+    fn run<'a>(
+        &'a self,
+        _: &'a Target,
+        attempt: Attempt,
+        permit: Permit,
+    ) -> BoxFuture<'a, Result<Bytes, Refusal>> {
+        let Attempt { id, snapshot, shard, .. } = attempt;
+        let gone = self.moved && &*snapshot == "s2";
+        let answered = *self.answers.lock() || self.quick == Some(shard);
+        self.sent.lock().push(Sent { id, snapshot, shard });
+        Box::pin(async move {
+            let _permit = permit;
+            if gone {
+                return Err(Refusal::not_run(Reason::WrongSnapshot, ""));
+            }
+            if !answered {
+                std::future::pending::<()>().await;
+            }
+            Ok(Bytes::from_static(br#"{"hits":[]}"#))
+        })
+    }
+
+    fn cancel(&self, _: &Target, id: Arc<str>) {
+        self.cancelled.lock().insert(id);
+    }
+}
+
+impl Fakes {
+    fn new(step: &str) -> Self {
+        let snapshots = match step {
+            "waiting for a slot" => vec![Targets::default().snapshot("s2", &[1, 1])],
+            "restarted" => {
+                let mut targets = Targets::default();
+                vec![targets.snapshot("s2", &[1, 1]), targets.snapshot("s1", &[1, 1])]
+            }
+            _ => vec![Targets::default().snapshot("s2", &[2, 2])],
+        };
+        let full = (step == "waiting for a slot").then(|| snapshots[0].shards[1][0].key);
+        let collections = [("kits".to_owned(), Collection { snapshots })].into_iter().collect();
+        let routes = Arc::new(Routes { collections, ..Routes::default() });
+        let quick = (step == "partly answered").then_some(0);
+        Self { routes, full, quick, moved: step == "restarted", ..Self::default() }
+    }
+
+    /// Whether the query of the caller that goes away has come to the step.
+    fn is_at(&self, step: &str) -> bool {
+        let sent = self.sent.lock();
+        let at = |shard| sent.iter().filter(|s| s.shard == shard).count();
+        match step {
+            "planned" => !sent.is_empty(),
+            "waiting for a slot" => *self.asked.lock() > 0,
+            "hedged" => at(0) > 1 || at(1) > 1,
+            "restarted" => sent.iter().any(|s| &*s.snapshot == "s1"),
+            _ => at(0) > 0 && at(1) > 0,
+        }
+    }
+
+    /// Attempts that nothing ended.
+    fn left(&self) -> usize {
+        let ended = |s: &&Sent| {
+            let gone = self.moved && &*s.snapshot == "s2";
+            gone || self.quick == Some(s.shard) || self.cancelled.lock().contains(&s.id)
+        };
+        self.sent.lock().iter().filter(|s| !ended(s)).count()
+    }
+}
+
+async fn search(callers: std::net::SocketAddr, n: usize) {
+    let body = format!(r#"{{"collection":"kits","query":{{"text":"cord {n}"}}}}"#);
+    let headers = [("wisteria-timeout-ms", "60000")];
+    let answer = client::send(callers, Method::POST, "/v1/search", &headers, body).await.unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
+async fn caller_goes_away(step: &str) {
+    let fakes = Arc::new(Fakes::new(step));
+    let mut kernel = Kernel::default();
+    let ctx = kernel.context();
+    ctx.publish::<dyn Endpoints>(<dyn Endpoints>::NAME, fakes.clone());
+    ctx.publish::<dyn Allowance>(<dyn Allowance>::NAME, fakes.clone());
+    ctx.publish::<dyn Transport>(<dyn Transport>::NAME, fakes.clone());
+    let metrics = Metrics::new(None).unwrap();
+    let entry = Arc::new(EntryService::new(ANY, "a".into(), 1, metrics));
+    kernel.start(entry.clone() as Arc<dyn Service>).await.unwrap();
+    let callers = entry.address().unwrap();
+    if step == "hedged" {
+        *fakes.answers.lock() = true;
+        for n in 0..LESSONS {
+            search(callers, n).await;
+        }
+        *fakes.answers.lock() = false;
+        fakes.sent.lock().clear();
+    }
+    let sent = tokio::spawn(search(callers, LESSONS));
+    until(step, || fakes.is_at(step)).await;
+    sent.abort();
+    until("the cancellation of all attempts", || fakes.left() == 0).await;
+    until("the return of all permits", || *fakes.permits.lock() == 0).await;
+    kernel.stop(Span::secs(5)).await;
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod ctl_views;
 mod docs;
 mod fleet;
+mod gathering;
 mod hedge;
 mod keys;
 mod log;
