Ask one replica of a shard for a slot, not all at once

A shard without room asked both of its replicas, and took a slot at each: of four slots and three hosts the others were left with none at that shard, and took them back by the same means at their next query.

gathering::shard_without_room_asks_its_replicas_one_after_the_other is new and was seen failing with all replicas asked. gathering, query, whole, docs and sharing pass (33 passed, 0 failed).

--- a/src/wisteriahead/services/entry/learned.rs
+++ b/src/wisteriahead/services/entry/learned.rs
@@ -47,24 +47,28 @@
     }
 
     /// Chooses a replica that is not in `tried` and has room.
+    ///
+    /// # Errors
+    ///
+    /// Gives the replicas without room, the best first.
     pub fn acquire(
         &self,
         now: Time,
         replicas: &[Target],
         tried: &[EndpointKey],
         allowance: &dyn Allowance,
-    ) -> Option<(Target, Permit)> {
+    ) -> Result<(Target, Permit), Vec<Target>> {
         let mut s = self.state.lock();
         s.serial += 1;
         let in_flight = |key| allowance.in_flight(key);
         let here = Here { zone: &self.zone, in_flight: &in_flight, seed: s.serial };
         let order = s.latencies.order(now, replicas, tried, &here);
-        let found = order.into_iter().find_map(|t| Some((t.clone(), allowance.acquire(t)?)));
+        let found = order.iter().find_map(|t| Some(((*t).clone(), allowance.acquire(t)?)));
         // No slot is no refusal: slots are lent on demand, so the first try often finds none.
         if let Some((to, _)) = found.as_ref().filter(|_| tried.is_empty()) {
             s.service(&to.service).extras.earn(1);
         }
-        found
+        found.ok_or_else(|| order.into_iter().cloned().collect())
     }
 
     /// Takes one extra attempt from the budget of the replicas' service.
--- a/src/wisteriahead/services/entry/search.rs
+++ b/src/wisteriahead/services/entry/search.rs
@@ -30,7 +30,28 @@
     collection: &'a str,
     digest: Digest,
     trials: &'a mut IndexSet<Fingerprint>,
-    wanted: &'a mut Vec<Target>,
+    wanted: &'a mut Wanted,
+}
+
+/// Room that a query asks for.
+#[derive(Default)]
+struct Wanted {
+    now: Vec<Target>,
+    before: IndexSet<EndpointKey>,
+}
+
+impl Wanted {
+    /// Asks for room at one of the replicas, each in its turn: a slot at a second one would be taken
+    /// from a host that may need it.
+    fn one_of(&mut self, replicas: Vec<Target>) {
+        if replicas.iter().all(|t| self.before.contains(&t.key)) {
+            self.before.retain(|key| replicas.iter().all(|t| t.key != *key));
+        }
+        if let Some(next) = replicas.into_iter().find(|t| !self.before.contains(&t.key)) {
+            self.before.insert(next.key);
+            self.now.push(next);
+        }
+    }
 }
 
 impl Fleet for Replicas<'_> {
@@ -43,11 +64,7 @@
         tried: &[EndpointKey],
     ) -> Option<(Target, Permit)> {
         let found = self.entry.learned.acquire(now, replicas, tried, &*self.entry.allowance);
-        if found.is_none() {
-            let left = replicas.iter().filter(|t| !tried.contains(&t.key));
-            self.wanted.extend(left.cloned());
-        }
-        found
+        found.map_err(|full| self.wanted.one_of(full)).ok()
     }
 
     fn extra(&mut self, replicas: &[Target]) -> bool {
@@ -97,7 +114,7 @@
     /// Endpoints where room was passed to this query, which it has not used yet.
     freed: Vec<EndpointKey>,
     /// Endpoints where more room is to be asked for.
-    wanted: Vec<Target>,
+    wanted: Wanted,
     digest: Digest,
     trials: IndexSet<Fingerprint>,
     /// The last attempt with which an endpoint died, until it is reported.
@@ -136,7 +153,7 @@
         waiter: Arc::default(),
         waits: IndexSet::new(),
         freed: Vec::new(),
-        wanted: Vec::new(),
+        wanted: Wanted::default(),
         digest,
         trials: IndexSet::new(),
         dead: None,
@@ -303,15 +320,15 @@
             self.freed.swap_remove(i);
         }
         if self.entry.room.is_waited_for(at.key) {
-            self.wanted.push(at.clone());
+            self.wanted.now.push(at.clone());
         }
     }
 
     /// Asks for the room that was not found, after this query has its place in the queues.
     fn ask_for_room(&mut self) {
-        if !self.wanted.is_empty() {
-            self.entry.allowance.ask(&self.wanted);
-            self.wanted.clear();
+        if !self.wanted.now.is_empty() {
+            self.entry.allowance.ask(&self.wanted.now);
+            self.wanted.now.clear();
         }
     }
 
--- a/tests/testsuite/gathering.rs
+++ b/tests/testsuite/gathering.rs
@@ -11,6 +11,7 @@
 use hyper::Method;
 use parking_lot::Mutex;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use wisteria_testkit::client;
 use wisteria_testkit::matrix::Matrix;
@@ -156,13 +157,14 @@
     answers: Mutex<bool>,
     /// Whether snapshot `s2` is gone.
     moved: bool,
-    /// Shard that has no slot.
-    full: Option<EndpointKey>,
+    /// Endpoints without a slot.
+    full: BTreeSet<EndpointKey>,
     /// Shard that is answered while the others stay open.
     quick: Option<u32>,
     sent: Mutex<Vec<Sent>>,
     cancelled: Mutex<BTreeSet<Arc<str>>>,
-    asked: Mutex<usize>,
+    /// Endpoints that were asked for a slot, by call.
+    asked: Mutex<Vec<Vec<EndpointKey>>>,
     permits: Arc<Mutex<usize>>,
 }
 
@@ -174,7 +176,7 @@
 
 impl Allowance for Fakes {
     fn acquire(&self, to: &Target) -> Option<Permit> {
-        if self.full == Some(to.key) {
+        if self.full.contains(&to.key) {
             return None;
         }
         let permits = self.permits.clone();
@@ -183,7 +185,7 @@
     }
 
     fn ask(&self, at: &[Target]) {
-        *self.asked.lock() += at.len();
+        self.asked.lock().push(at.iter().map(|t| t.key).collect());
     }
 
     fn listen(&self, _: RoomListener) {}
@@ -233,7 +235,8 @@
             }
             _ => vec![Targets::default().snapshot("s2", &[2, 2])],
         };
-        let full = (step == "waiting for a slot").then(|| snapshots[0].shards[1][0].key);
+        let waits = step == "waiting for a slot";
+        let full = waits.then(|| snapshots[0].shards[1][0].key).into_iter().collect();
         let collections = [("kits".to_owned(), Collection { snapshots })].into_iter().collect();
         let routes = Arc::new(Routes { collections, ..Routes::default() });
         let quick = (step == "partly answered").then_some(0);
@@ -246,7 +249,7 @@
         let at = |shard| sent.iter().filter(|s| s.shard == shard).count();
         match step {
             "planned" => !sent.is_empty(),
-            "waiting for a slot" => *self.asked.lock() > 0,
+            "waiting for a slot" => !self.asked.lock().is_empty(),
             "hedged" => at(0) > 1 || at(1) > 1,
             "restarted" => sent.iter().any(|s| &*s.snapshot == "s1"),
             _ => at(0) > 0 && at(1) > 0,
@@ -263,15 +266,15 @@
     }
 }
 
-async fn search(callers: std::net::SocketAddr, n: usize) {
+async fn search(callers: SocketAddr, n: usize) {
     let body = format!(r#"{{"collection":"kits","query":{{"text":"cord {n}"}}}}"#);
     let headers = [("wisteria-timeout-ms", "60000")];
     let answer = client::send(callers, Method::POST, "/v1/search", &headers, body).await.unwrap();
     assert_eq!(answer.status, 200, "{}", answer.body);
 }
 
-async fn caller_goes_away(step: &str) {
-    let fakes = Arc::new(Fakes::new(step));
+/// An entry host with the fakes around it, and its address for callers.
+async fn start(fakes: &Arc<Fakes>) -> (Kernel, SocketAddr) {
     let mut kernel = Kernel::default();
     let ctx = kernel.context();
     ctx.publish::<dyn Endpoints>(<dyn Endpoints>::NAME, fakes.clone());
@@ -280,7 +283,12 @@
     let metrics = Metrics::new(None).unwrap();
     let entry = Arc::new(EntryService::new(ANY, "a".into(), 1, metrics));
     kernel.start(entry.clone() as Arc<dyn Service>).await.unwrap();
-    let callers = entry.address().unwrap();
+    (kernel, entry.address().unwrap())
+}
+
+async fn caller_goes_away(step: &str) {
+    let fakes = Arc::new(Fakes::new(step));
+    let (mut kernel, callers) = start(&fakes).await;
     if step == "hedged" {
         *fakes.answers.lock() = true;
         for n in 0..LESSONS {
@@ -296,3 +304,22 @@
     until("the return of all permits", || *fakes.permits.lock() == 0).await;
     kernel.stop(Span::secs(5)).await;
 }
+
+/// A slot at a second replica would be taken from a host that may need it.
+#[tokio::test]
+async fn shard_without_room_asks_its_replicas_one_after_the_other() {
+    let snapshot = Targets::default().snapshot("s1", &[2]);
+    let full: BTreeSet<_> = snapshot.shards[0].iter().map(|t| t.key).collect();
+    let collection = Collection { snapshots: vec![snapshot] };
+    let collections = [("kits".to_owned(), collection)].into_iter().collect();
+    let routes = Arc::new(Routes { collections, ..Routes::default() });
+    let fakes = Arc::new(Fakes { routes, full: full.clone(), ..Fakes::default() });
+    let (mut kernel, callers) = start(&fakes).await;
+    let sent = tokio::spawn(search(callers, 0));
+    until("both replicas are asked", || fakes.asked.lock().len() > 1).await;
+    sent.abort();
+    let asked = fakes.asked.lock().clone();
+    assert!(asked.iter().all(|at| at.len() == 1), "{asked:?}");
+    assert_eq!(asked[..2].concat().into_iter().collect::<BTreeSet<_>>(), full);
+    kernel.stop(Span::secs(5)).await;
+}
