Look for due asks after a release only when no slot is free

Each permit that came back went through the leases of all endpoints for asks that are due, 190 times a query. A lease is due at a release only when its slot was asked back, and then no slot of it is free; else the next tick, 5 ms later, is soon enough.

Ruled out: the same for answers.

--- a/src/wisteriahead/services/allowance.rs
+++ b/src/wisteriahead/services/allowance.rs
@@ -65,14 +65,15 @@
         self.budgets.set_endpoints(now, all)
     }
 
-    /// Notes that the listener is to be told of the free slots of an endpoint.
-    fn look(&mut self, now: Time, endpoint: &str) {
-        let Some(target) = self.routes.targets.get(endpoint) else { return };
+    /// Notes that the listener is to be told of the free slots of an endpoint; says if there are.
+    fn look(&mut self, now: Time, endpoint: &str) -> bool {
+        let Some(target) = self.routes.targets.get(endpoint) else { return false };
         let free = self.budgets.free(now, endpoint, target.incarnation);
         if free > 0 {
             self.asked.swap_remove(endpoint);
         }
         self.gained.extend((0..free).map(|_| target.key));
+        free > 0
     }
 
     /// Notes the demand for a slot, unless the owner was asked for one just now.
@@ -98,7 +99,9 @@
             _ => Vec::new(),
         };
         let out = self.budgets.receive(now, from, message);
-        granted.iter().for_each(|name| self.look(now, name));
+        for name in &granted {
+            self.look(now, name);
+        }
         out
     }
 }
@@ -136,8 +139,8 @@
     fn release(&self, endpoint: &str) {
         self.act(|s, now| {
             s.budgets.release(endpoint);
-            s.look(now, endpoint);
-            s.budgets.due(now)
+            // A slot that is free here was not asked back.
+            if s.look(now, endpoint) { Vec::new() } else { s.budgets.due(now) }
         });
     }
 }
