Shrink the window of admission by how long queries waited

Now the window shrinks by the ratio of the tolerated wait to the wait, by a tenth at the least and a half at the most.

admission::window_shrinks_by_how_long_queries_waited is new and was seen failing with the least ratio at 0.9 (28 for 16).

--- a/src/wisteriahead/core/admission.rs
+++ b/src/wisteriahead/core/admission.rs
@@ -19,8 +19,10 @@
 const WINDOW_MIN: f64 = 2.0;
 /// Most queries that run at once.
 const WINDOW_MAX: f64 = 4_096.0;
-/// What the window is multiplied with when it shrinks.
-const SHRINK: f64 = 0.9;
+/// What the window is multiplied with at most when it shrinks.
+const SHRINK_MAX: f64 = 0.9;
+/// What it is multiplied with at least.
+const SHRINK_MIN: f64 = 0.5;
 /// Most queries that wait.
 pub const QUEUE_MAX: usize = 1_024;
 /// Most queries of one caller that run or wait.
@@ -205,10 +207,12 @@
         }
         self.forget_caller(&r.caller);
         self.mean += NEWEST * (now.since(r.begun).0 as f64 - self.mean);
-        if crowded > Span(r.timeout.0 / CROWDED_DIVISOR) {
+        let limit = r.timeout.0 / CROWDED_DIVISOR;
+        if crowded.0 > limit {
             // Queries that began before the last change say nothing of its effect.
             if r.begun >= self.shrunk {
-                self.window = (self.window * SHRINK).max(WINDOW_MIN);
+                let part = (limit as f64 / crowded.0 as f64).clamp(SHRINK_MIN, SHRINK_MAX);
+                self.window = (self.window * part).max(WINDOW_MIN);
                 self.shrunk = now;
             }
         } else if self.running.len() + 1 >= self.window as usize {
--- a/tests/testsuite/admission.rs
+++ b/tests/testsuite/admission.rs
@@ -203,3 +203,27 @@
     assert_eq!(refused, CALLER_MAX);
     assert_eq!(Denial::Caller.refusal().verdict, Verdict::NotRun);
 }
+
+/// Lets `n` queries in at time 0 and has the first leave after `crowded` of its time; returns the
+/// window before and after.
+fn windows(n: u64, crowded: Span) -> (usize, usize) {
+    let mut admission = Admission::default();
+    let urgency = |serial| Urgency { priority: 1, deadline: Time(TIMEOUT.0), serial };
+    for serial in 0..n {
+        let urgency = urgency(serial);
+        let ask = Ask { urgency, timeout: TIMEOUT, class: "".into(), limit: None, caller: None };
+        admission.step(Time(0), Event::Arrive(ask));
+    }
+    let before = admission.window();
+    admission.step(Time(crowded.0), Event::Leave { query: urgency(0), crowded });
+    (before, admission.window())
+}
+
+/// A window far too large must not take tens of rounds to come down.
+#[test]
+fn window_shrinks_by_how_long_queries_waited() {
+    let (before, after) = windows(100, TIMEOUT);
+    assert_eq!(after, before / 2);
+    let (before, after) = windows(100, Span(TIMEOUT.0 / 4 + 1));
+    assert_eq!(after, before * 9 / 10);
+}
