--- a/src/wisteriahead/core/budget/borrower.rs
+++ b/src/wisteriahead/core/budget/borrower.rs
@@ -69,6 +69,12 @@
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
+    /// Slots that are free now for requests to an incarnation.
+    pub fn free(&self, now: Time, incarnation: u64, allowed: u32) -> u32 {
+        let lent = now < self.until && self.incarnation == incarnation;
+        if lent { self.limit.min(allowed).saturating_sub(self.running()) } else { 0 }
+    }
+
     /// Takes one slot; notes the demand when there is none.
     pub fn acquire(&mut self, now: Time, incarnation: u64, allowed: u32) -> bool {
         self.used = now;
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -24,7 +24,7 @@
 use self::wire::{Ask, Founded, Hello, Here, Note, Submitted};
 use super::{Accepted, Admin, Change, Commands, Control, Handler, Peers, Seat};
 use crate::core::control::lockout::{lockout, retired};
-use crate::core::control::{Command, Reply, State};
+use crate::core::control::{Command, Reply};
 use crate::core::document::{Document, Revision};
 use crate::core::log::Replica;
 use crate::core::message::{Topic, decode, encode};
--- a/src/wisteriahead/services/entry/search.rs
+++ b/src/wisteriahead/services/entry/search.rs
@@ -30,6 +30,28 @@
     collection: &'a str,
     digest: Digest,
     trials: &'a mut IndexSet<Fingerprint>,
+    wanted: &'a mut Wanted,
+}
+
+/// Room that a query asks for.
+#[derive(Default)]
+struct Wanted {
+    now: Vec<Target>,
+    before: IndexSet<EndpointKey>,
+}
+
+impl Wanted {
+    /// Asks for room at one of the replicas, each in its turn: a slot at a second one would be taken
+    /// from a host that may need it.
+    fn one_of(&mut self, replicas: Vec<Target>) {
+        if replicas.iter().all(|t| self.before.contains(&t.key)) {
+            self.before.retain(|key| replicas.iter().all(|t| t.key != *key));
+        }
+        if let Some(next) = replicas.into_iter().find(|t| !self.before.contains(&t.key)) {
+            self.before.insert(next.key);
+            self.now.push(next);
+        }
+    }
 }
 
 impl Fleet for Replicas<'_> {
@@ -41,7 +63,8 @@
         replicas: &[Target],
         tried: &[EndpointKey],
     ) -> Option<(Target, Permit)> {
-        self.entry.learned.acquire(now, replicas, tried, &*self.entry.allowance)
+        let found = self.entry.learned.acquire(now, replicas, tried, &*self.entry.allowance);
+        found.map_err(|full| self.wanted.one_of(full)).ok()
     }
 
     fn extra(&mut self, replicas: &[Target]) -> bool {
@@ -88,6 +111,10 @@
     urgency: Urgency,
     waiter: Arc<Waiter>,
     waits: IndexSet<EndpointKey>,
+    /// Endpoints where room was passed to this query, which it has not used yet.
+    freed: Vec<EndpointKey>,
+    /// Endpoints where more room is to be asked for.
+    wanted: Wanted,
     digest: Digest,
     trials: IndexSet<Fingerprint>,
     /// The last attempt with which an endpoint died, until it is reported.
@@ -125,6 +152,8 @@
         urgency: turn.query(),
         waiter: Arc::default(),
         waits: IndexSet::new(),
+        freed: Vec::new(),
+        wanted: Wanted::default(),
         digest,
         trials: IndexSet::new(),
         dead: None,
@@ -180,13 +209,15 @@
             self.report_death(&gather);
             let (entry, collection) = (self.entry, &*self.body.collection);
             let (digest, trials) = (self.digest, &mut self.trials);
-            let mut fleet = Replicas { entry, collection, digest, trials };
+            let wanted = &mut self.wanted;
+            let mut fleet = Replicas { entry, collection, digest, trials, wanted };
             let actions = gather.step(entry.ctx.now(), event, &mut fleet);
             if self.carry_out(actions) {
                 self.report_end(&gather);
                 return gather;
             }
             self.wait_for_room(&gather);
+            self.ask_for_room();
             event = self.next().await;
         }
     }
@@ -197,7 +228,7 @@
         for action in actions {
             match action {
                 Action::Send { attempt, snapshot, shard, target, permit } => {
-                    self.waits.swap_remove(&target.key);
+                    self.use_room(&target);
                     self.send(attempt, snapshot, shard, target, permit);
                 }
                 Action::Cancel(id) => self.cancel(id),
@@ -228,8 +259,6 @@
             timeout: self.deadline.since(now),
             body: self.body.query.clone(),
         };
-        let (key, room) = (target.key, Arc::clone(&entry.room));
-        let permit = permit.then(move || room.freed(key));
         let name = Arc::clone(&attempt.id);
         self.sent.insert(id, Sent { shard, target: target.clone(), name, at: now });
         self.open.push(Box::pin(async move {
@@ -285,9 +314,28 @@
         }
     }
 
+    /// Notes that room at an endpoint is used; more is asked for when other queries wait there.
+    fn use_room(&mut self, at: &Target) {
+        self.waits.swap_remove(&at.key);
+        if let Some(i) = self.freed.iter().position(|k| *k == at.key) {
+            self.freed.swap_remove(i);
+        }
+        if self.entry.room.is_waited_for(at.key) {
+            self.wanted.now.push(at.clone());
+        }
+    }
+
+    /// Asks for the room that was not found, after this query has its place in the queues.
+    fn ask_for_room(&mut self) {
+        if !self.wanted.now.is_empty() {
+            self.entry.allowance.ask(&self.wanted.now);
+            self.wanted.now.clear();
+        }
+    }
+
     /// Waits at all replicas of the shards without room, and passes on room not used.
     fn wait_for_room(&mut self, gather: &Gather) {
-        let freed = self.waiter.freed();
+        let freed = std::mem::take(&mut self.freed);
         let now: IndexSet<EndpointKey> = gather.waiting().map(|t| t.key).collect();
         for &key in now.difference(&self.waits) {
             self.entry.room.wait(key, self.urgency, &self.waiter);
@@ -314,7 +362,10 @@
                 self.learn(&ended);
                 Event::Done(ended.id, ended.result)
             }
-            () = waiter.woken() => Event::Wake,
+            () = waiter.woken() => {
+                self.freed = waiter.freed();
+                Event::Room(self.freed.clone())
+            }
             () = tokio::time::sleep(wait) => {
                 self.wake = self.deadline;
                 Event::Wake
@@ -332,7 +383,7 @@
         for request in &self.trials {
             self.entry.suspicion.end(request);
         }
-        for key in self.waiter.freed() {
+        for key in self.freed.drain(..).chain(self.waiter.freed()) {
             self.entry.room.freed(key);
         }
         // A caller that went away leaves attempts behind: they are cancelled.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod admission;
+mod allowance;
 mod audit;
 mod bad_clients;
 mod bad_input;
@@ -17,6 +18,7 @@
 mod docs;
 mod document;
 mod fleet;
+mod gathering;
 mod hedge;
 mod homes;
 mod keys;
