Tell a renewed certificate by its content

Cause: files were told apart by time and size. A renewal of the same size within one tick of the file system's clock was never noticed, and the old certificate stayed until it expired.

Each look now compares digests of the contents: two small files, at most twice a second. Ruled out: the inode as well, which a write in place does not change. The new test hangs without the change (ended after 60 s) and passes with it.

--- a/src/wisteriahead/util/renewal.rs
+++ b/src/wisteriahead/util/renewal.rs
@@ -15,15 +15,16 @@
 use rustls::server::{ClientHello, ResolvesServerCert};
 use rustls::sign::CertifiedKey;
 use rustls::{SignatureScheme, crypto::CryptoProvider};
+use sha2::{Digest as _, Sha256};
 use std::fs;
 use std::path::Path;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 /// Least time between two looks at the files.
 pub const LOOK_PERIOD: Duration = Duration::from_millis(500);
 
-/// What tells one content of a file from another without reading it.
-type Stamp = Option<(SystemTime, u64)>;
+/// Digest of a file's content; times and sizes can stay the same through a change.
+type Stamp = Option<[u8; 32]>;
 
 struct Looked {
     at: Instant,
@@ -141,6 +142,5 @@
 }
 
 fn stamp(file: &Path) -> Stamp {
-    let meta = fs::metadata(file).ok()?;
-    Some((meta.modified().ok()?, meta.len()))
+    Some(Sha256::digest(fs::read(file).ok()?).into())
 }
--- a/tests/testsuite/renewal.rs
+++ b/tests/testsuite/renewal.rs
@@ -64,6 +64,30 @@
     tokio::time::timeout(PATIENCE, wait).await.unwrap();
 }
 
+/// A renewal of the same size within one tick of the file system's clock.
+#[test]
+fn renewal_is_seen_although_time_and_size_of_the_files_stay() {
+    let ca = Authority::new();
+    let own = ca.issue(Kind::Host, "a");
+    let renewal = Renewal::load(&own).unwrap();
+    let before = shown(&renewal);
+    let files = [&own.cert, &own.key];
+    let times = files.map(|f| fs::metadata(f).unwrap().modified().unwrap());
+    let sizes = || files.map(|f| fs::metadata(f).unwrap().len());
+    let old = sizes();
+    renew(&ca, "a");
+    while sizes() != old {
+        renew(&ca, "a");
+    }
+    for (file, time) in files.into_iter().zip(times) {
+        fs::File::options().write(true).open(file).unwrap().set_modified(time).unwrap();
+    }
+    // Only a hang keeps this from its end.
+    while shown(&renewal) == before {
+        std::thread::yield_now();
+    }
+}
+
 #[parameterized(
     rubbish = {|own, _| fs::write(&own.cert, "rubbish"), "holds no certificate"},
     empty = {|own, _| fs::write(&own.cert, ""), "holds no certificate"},
