Split an endpoint's connections over the hosts

Cause: each host opened up to the endpoint's whole limit, so that the sum was up to the number of hosts times too high.

Now each host keeps to an even share, with one share more than hosts for one that joins; with fewer connections than shares the first hosts by rank get one each. Members that are lost but not forgotten count, so cuts and changes of owner change nothing. Ruled out: shares lent with the slots, which would close connections at each change of owner.

Not covered: two hosts that join at once unknown to each other and to the rest, and a host that knows only itself.

--- a/src/wisteriahead/core/endpoint.rs
+++ b/src/wisteriahead/core/endpoint.rs
@@ -3,8 +3,10 @@
 //! An announcement is a claim, not a fact: it sets upper limits, and what the
 //! tier observes only lowers them.
 
+use super::digest;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 slotmap::new_key_type! {
     /// Key of an endpoint in the registry's arena.
@@ -128,6 +130,21 @@
     }
 }
 
+/// Connections that one of the hosts may open to an endpoint that accepts `connections`.
+///
+/// One share more than there are hosts is set aside, so that the sum holds while a host joins
+/// that the others do not know yet. When there are more shares than connections, the first
+/// hosts by rendezvous rank get one each and the others none.
+pub fn share(endpoint: &str, connections: u32, host: &str, hosts: &[Arc<str>]) -> u32 {
+    let shares = u32::try_from(hosts.len()).unwrap_or(u32::MAX).saturating_add(1);
+    if shares <= connections {
+        return connections / shares;
+    }
+    let ranked = digest::rank(endpoint, hosts.iter().map(|h| &**h));
+    let first = connections.saturating_sub(1).max(1) as usize;
+    u32::from(ranked.iter().take(first).any(|h| *h == host))
+}
+
 fn check_range(field: &str, value: u32, min: u32, max: u32) -> Result<(), String> {
     if (min..=max).contains(&value) {
         return Ok(());
--- a/src/wisteriahead/services/transport/mod.rs
+++ b/src/wisteriahead/services/transport/mod.rs
@@ -10,8 +10,10 @@
 
 use self::exchange::Ended;
 use self::pool::{Lease, Pool};
-use super::{Allowance, Attempt, Observation, Permit, Transport};
+use super::{Allowance, Attempt, Members, Observation, Peers, Permit, Transport};
 use crate::core::budget::{ATTEMPT_MAX, time_left};
+use crate::core::endpoint::share;
+use crate::core::member::{Health, Member};
 use crate::core::routes::Target;
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
@@ -20,6 +22,7 @@
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 
 /// Time in which a connection must be set up.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -28,33 +31,78 @@
 /// Silence after which the pool of an address is dropped.
 const POOL_IDLE: Duration = Duration::from_secs(30);
 
+/// A pool and the connections that its endpoint accepts from all hosts.
+struct Shared {
+    pool: Arc<Pool>,
+    accepted: u32,
+}
+
+/// This host and all hosts, which share each endpoint's connections.
+struct Hosts {
+    host: Arc<str>,
+    all: Vec<Arc<str>>,
+}
+
+impl Hosts {
+    fn share(&self, address: SocketAddr, accepted: u32) -> u32 {
+        share(&address.to_string(), accepted, &self.host, &self.all)
+    }
+}
+
 /// Pools of connections to all endpoints.
 #[derive(Default)]
 pub struct Connections {
-    pools: Mutex<IndexMap<SocketAddr, Arc<Pool>>>,
+    pools: Mutex<IndexMap<SocketAddr, Shared>>,
+    hosts: Mutex<Option<Hosts>>,
     allowance: Option<Arc<dyn Allowance>>,
 }
 
 impl Connections {
     /// Pools that tell `allowance` how each attempt ended.
     pub fn new(allowance: Option<Arc<dyn Allowance>>) -> Self {
-        Self { pools: Mutex::default(), allowance }
+        Self { allowance, ..Self::default() }
+    }
+
+    /// Sets the hosts that share the connections with `host`, which is one of them.
+    pub fn set_hosts(&self, host: Arc<str>, all: Vec<Arc<str>>) {
+        let pools = self.pools.lock();
+        let hosts = Hosts { host, all };
+        for (address, s) in &*pools {
+            s.pool.set_max(hosts.share(*address, s.accepted));
+        }
+        *self.hosts.lock() = Some(hosts);
     }
 
     fn pool(&self, to: &Target) -> Arc<Pool> {
         let mut pools = self.pools.lock();
-        let pool = pools.entry(to.address).or_insert_with(|| Arc::new(Pool::new(to.address)));
-        pool.set_max(to.connections);
-        Arc::clone(pool)
+        let shared = pools.entry(to.address).or_insert_with(|| {
+            let pool = Arc::new(Pool::new(to.address));
+            Shared { pool, accepted: 0 }
+        });
+        if shared.accepted != to.connections {
+            shared.accepted = to.connections;
+            let hosts = self.hosts.lock();
+            let most = hosts.as_ref().map(|h| h.share(to.address, to.connections));
+            shared.pool.set_max(most.unwrap_or(to.connections));
+        }
+        shared.pool.touch();
+        Arc::clone(&shared.pool)
     }
 
     /// Connections that are open to all endpoints.
     pub fn open(&self) -> u32 {
-        self.pools.lock().values().map(|p| p.open()).sum()
+        self.pools.lock().values().map(|s| s.pool.open()).sum()
+    }
+
+    /// Shares with all hosts that have not left, lost ones included: they may still be at work.
+    fn follow(&self, host: &Arc<str>, members: &[Member]) {
+        let there = members.iter().filter(|m| m.health != Health::Left);
+        let all: IndexSet<_> = there.map(|m| m.host.clone()).chain([host.clone()]).collect();
+        self.set_hosts(host.clone(), all.into_iter().collect());
     }
 
     fn sweep(&self) {
-        self.pools.lock().retain(|_, p| !p.is_idle_for(POOL_IDLE));
+        self.pools.lock().retain(|_, s| !s.pool.is_idle_for(POOL_IDLE));
     }
 }
 
@@ -151,6 +199,27 @@
     tokio::time::timeout(bound, Pool::lease(pool)).await.unwrap_or_else(|e| Err(late(e)))
 }
 
+/// Closes what nobody uses, and follows the hosts that share the connections.
+async fn keep(
+    connections: Arc<Connections>,
+    host: Arc<str>,
+    mut members: watch::Receiver<Arc<Vec<Member>>>,
+    ctx: Context,
+) {
+    let mut stopped = std::pin::pin!(ctx.stopped());
+    let mut tick = tokio::time::interval(POOL_IDLE);
+    loop {
+        tokio::select! {
+            () = &mut stopped => return,
+            _ = tick.tick() => connections.sweep(),
+            Ok(()) = members.changed() => {
+                let now = members.borrow_and_update().clone();
+                connections.follow(&host, &now);
+            }
+        }
+    }
+}
+
 /// Publishes the transport.
 pub struct TransportService;
 
@@ -164,17 +233,10 @@
             let allowance = ctx.find::<dyn Allowance>(<dyn Allowance>::NAME).ok();
             let connections = Arc::new(Connections::new(allowance));
             ctx.publish::<dyn Transport>(<dyn Transport>::NAME, connections.clone());
-            let stopped = ctx.stopped();
-            tokio::spawn(async move {
-                let mut stopped = std::pin::pin!(stopped);
-                let mut tick = tokio::time::interval(POOL_IDLE);
-                loop {
-                    tokio::select! {
-                        () = &mut stopped => return,
-                        _ = tick.tick() => connections.sweep(),
-                    }
-                }
-            });
+            let host: Arc<str> = ctx.find::<dyn Peers>(<dyn Peers>::NAME)?.host().into();
+            let members = ctx.find::<dyn Members>(<dyn Members>::NAME)?.watch();
+            connections.follow(&host, &members.borrow());
+            tokio::spawn(keep(connections, host, members, ctx.clone()));
             Ok(())
         })
     }
--- a/src/wisteriahead/services/transport/pool.rs
+++ b/src/wisteriahead/services/transport/pool.rs
@@ -33,12 +33,20 @@
         Self { address, state: Mutex::default(), used: Mutex::new(Instant::now()) }
     }
 
-    /// Sets how many connections may be open.
-    pub fn set_max(&self, max: u32) {
-        self.state.lock().max = max;
+    /// Notes that the pool is used.
+    pub fn touch(&self) {
         *self.used.lock() = Instant::now();
     }
 
+    /// Sets how many connections may be open; idle ones above that are closed.
+    pub fn set_max(&self, max: u32) {
+        let mut s = self.state.lock();
+        s.max = max;
+        while s.open > max && s.idle.pop().is_some() {
+            s.open -= 1;
+        }
+    }
+
     /// Connections that are open.
     pub fn open(&self) -> u32 {
         self.state.lock().open
@@ -121,8 +129,11 @@
     pub async fn give_back(mut self) {
         let Some(mut sender) = self.sender.take() else { return };
         if sender.ready().await.is_ok() {
-            self.pool.state.lock().idle.push(sender);
-            self.kept = true;
+            let mut s = self.pool.state.lock();
+            if s.open <= s.max {
+                s.idle.push(sender);
+                self.kept = true;
+            }
         }
     }
 }
--- a/tests/testsuite/sharing.rs
+++ b/tests/testsuite/sharing.rs
@@ -61,6 +61,19 @@
     assert_eq!(seen["busy"], 0, "{seen}");
 }
 
+/// Each host could use six connections at once; the endpoint accepts eight in all.
+#[tokio::test]
+async fn three_hosts_never_open_more_connections_than_a_leaf_accepts() {
+    let args = ["--slots", "12", "--bearable", "12", "--connections", "8", "--mean-us", "3000"];
+    let tier = tier(3, &args).await;
+    let answered = load(&tier).await;
+    let seen = counters(&tier).await;
+    println!("answered {answered} of {}; {seen}", 3 * AT_ONCE * EACH);
+    assert!(answered > 0);
+    assert_eq!(seen["extra_connections"], 0, "{seen}");
+    assert!(seen["max_connections"].as_u64().unwrap() <= 8, "{seen}");
+}
+
 #[tokio::test]
 async fn three_hosts_never_overload_a_leaf_in_cold_start() {
     let cold = ["--slots", "4", "--bearable", "1", "--cold-ms", "60000", "--mean-us", "2000"];
--- a/tests/testsuite/transport.rs
+++ b/tests/testsuite/transport.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 use wisteria_leaf::{Fault, Group, Holding, Kind, Latency, Outcome, Profile};
 use wisteriahead::core::budget::ATTEMPT_MAX;
+use wisteriahead::core::endpoint::share;
 use wisteriahead::core::routes::Target;
 use wisteriahead::prelude::*;
 use wisteriahead::services::transport::Connections;
@@ -195,6 +196,35 @@
     bench.healthy(2).await;
 }
 
+/// The shares of all hosts, and of one that the others do not know yet, stay within the limit.
+#[test]
+fn connections_are_shared_within_the_limit() {
+    for connections in 2..60u32 {
+        for n in 1..40usize {
+            let known: Vec<Arc<str>> = (0..n).map(|i| format!("h{i}").into()).collect();
+            let new: Vec<Arc<str>> = known.iter().cloned().chain(["new".into()]).collect();
+            let sum: u32 = known.iter().map(|h| share("leaf", connections, h, &known)).sum();
+            let all = sum + share("leaf", connections, "new", &new);
+            assert!(all <= connections, "{all} of {connections} for {n} hosts");
+            assert!(sum > 0, "no host may open a connection of {connections}");
+        }
+    }
+}
+
+/// Connections above a smaller share are closed, idle ones at once.
+#[tokio::test]
+async fn smaller_share_closes_connections() {
+    let (_group, bench) = leaf(Duration::from_millis(50)).await;
+    let sent = (0..4).map(|shard| bench.healthy(shard));
+    futures::future::join_all(sent).await;
+    assert_eq!(bench.transport.open(), 4);
+    let hosts: Vec<Arc<str>> = (0..12).map(|i| format!("h{i}").into()).collect();
+    bench.transport.set_hosts(hosts[0].clone(), hosts);
+    assert_eq!(bench.transport.open(), 1);
+    bench.healthy(0).await;
+    assert_eq!(bench.transport.open(), 1);
+}
+
 /// A request that cannot be answered in time, or whose permit is too old since its host was
 /// stalled, is not sent: the endpoint's owner may have lent the slot on.
 #[tokio::test]
