Print the daemons' logs when the propagation example fails

An earlier run failed and its cause was lost: the logs stand in the tier's folder, which goes with the tier. They are printed now. The print itself was not seen, since no run failed; the path is the one that failed tests use.

--- a/examples/propagation.rs
+++ b/examples/propagation.rs
@@ -22,8 +22,19 @@
     let programs = programs.parent().context("no folder of programs")?;
     let mut tier = Tier::on_disk(programs)?;
     tier.voters = (0..VOTERS).map(name).collect();
-    start(&mut tier).await?;
-    let clients = clients(&tier)?;
+    let done = measure(&mut tier).await;
+    if done.is_err() {
+        // The folder goes with the tier, and the cause with it.
+        for daemon in 0..tier.daemons.len() {
+            eprintln!("{}:\n{}", tier.daemons[daemon].host, tier.log(daemon)?);
+        }
+    }
+    done
+}
+
+async fn measure(tier: &mut Tier) -> Result<()> {
+    start(tier).await?;
+    let clients = clients(tier)?;
     let (mut accepted, mut everywhere) = (Vec::new(), Vec::new());
     for base in 0..CHANGES {
         let begun = Instant::now();
@@ -36,7 +47,7 @@
     }
     show("accepted", &mut accepted);
     show("in force at all hosts", &mut everywhere);
-    restart(&mut tier).await
+    restart(tier).await
 }
 
 /// Kills all hosts and starts them again on what they kept.
