Read the capacity experiment's bytes from the daemons' metrics

Bytes came from the counter of the loopback interface, which other programs use too, so that a shared machine gave none; an isolated network is not to be used. The experiment now listens for the daemons' metrics (meter.rs) and sums peers.sent_bytes and peers.sent_datagrams over the hosts, with 28 bytes of UDP and IPv4 headers a datagram.

--- a/crates/wisteria-experiment/src/experiments/capacity.rs
+++ b/crates/wisteria-experiment/src/experiments/capacity.rs
@@ -1,7 +1,7 @@
 //! What a host spends on control, by the number of hosts and of endpoints.
 //!
 //! Idle daemons and announcing endpoints; processor time and memory from `/proc`, bytes from the
-//! counter of the loopback network. That counter is used only where nothing else is on it.
+//! daemons' own metrics of the hosts' port.
 
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 
 use super::{Output, Plan};
 use crate::lab::{Lab, Shape};
+use crate::meter::Meter;
 use crate::page::{Findings, Table};
 use crate::plot::{Plot, Series};
 use crate::proc;
@@ -26,8 +27,8 @@
 const SECONDS: f64 = 10.0;
 /// Time for the hosts to find each other before it.
 const SETTLE: Duration = Duration::from_secs(3);
-/// Time in which a network that nothing else uses is quiet.
-const QUIET: Duration = Duration::from_secs(1);
+/// Bytes of the headers of UDP and IPv4 in front of each datagram.
+const HEADER_BYTES: i64 = 28;
 /// The size to design for.
 const DESIGN_HOSTS: f64 = 430.0;
 const DESIGN_ENDPOINTS: f64 = 2_000.0;
@@ -41,43 +42,39 @@
     cpu: f64,
     /// Greatest resident memory of a host, in MB.
     memory: f64,
-    /// Sent on the network by all processes over the hosts, in KB a second.
-    sent: Option<f64>,
+    /// Sent to other hosts, headers included, in KB a second.
+    sent: f64,
 }
 
 /// One kind of figure.
 struct Figure {
     name: &'static str,
     limit: f64,
-    of: fn(&Spent) -> Option<f64>,
+    of: fn(&Spent) -> f64,
 }
 
 const FIGURES: [Figure; 3] = [
-    Figure { name: "per cent of a core", limit: 1.4, of: |s| Some(s.cpu) },
-    Figure { name: "MB", limit: 32.0, of: |s| Some(s.memory) },
+    Figure { name: "per cent of a core", limit: 1.4, of: |s| s.cpu },
+    Figure { name: "MB", limit: 32.0, of: |s| s.memory },
     Figure { name: "KB sent a second", limit: 27.0, of: |s| s.sent },
 ];
 
 /// Runs both sweeps once for each seed.
 pub(crate) async fn run(plan: Plan) -> Result<Output> {
     let seconds = plan.seconds(SECONDS);
-    let own = quiet_network().await?;
-    let hosts = sweep(plan, HOSTS.map(|n| (n, ENDPOINTS_FIXED)), seconds, own).await?;
-    let endpoints = sweep(plan, ENDPOINTS.map(|n| (HOSTS_FIXED, n)), seconds, own).await?;
+    let hosts = sweep(plan, HOSTS.map(|n| (n, ENDPOINTS_FIXED)), seconds).await?;
+    let endpoints = sweep(plan, ENDPOINTS.map(|n| (HOSTS_FIXED, n)), seconds).await?;
     let points = medians(&hosts, &FIGURES[0]).map(|((n, _), cpu)| (n as f64, cpu)).collect();
     let findings = Findings {
         title: "Control at rest, by hosts and endpoints",
         about: "Idle daemons in four zones and announcing endpoints, no queries. Means over the \
-                hosts of a run; memory is the greatest of any host. Sent bytes are those of all \
-                processes on the loopback network over the number of hosts, the endpoints' \
-                announcements and the answers to them included.",
+                hosts of a run; memory is the greatest of any host. Sent bytes are those to other \
+                hosts, from the daemons' metrics `peers.sent_bytes` and `peers.sent_datagrams`, \
+                28 bytes of headers added to each datagram; announcements of endpoints and the \
+                answers to them go over another port and are not in it.",
         setup: format!(
-            "{seconds} s a measurement. Bytes are {}.",
-            if own {
-                "counted: nothing else used the loopback network"
-            } else {
-                "not counted: other processes use the loopback network; run it when none does"
-            }
+            "{seconds} s a measurement. The daemons report once a second, so that the bytes of a \
+             host are off by those of a second at most."
         ),
         tables: vec![measured(&hosts), measured(&endpoints), slopes([&hosts, &endpoints])],
         verdict: "The last table is a least-squares fit over both sweeps, read far beyond the \
@@ -96,32 +93,23 @@
 type Size = (usize, usize);
 type Sweep = Vec<(Size, Vec<Spent>)>;
 
-async fn quiet_network() -> Result<bool> {
-    let before = proc::loopback()?;
-    sleep(QUIET).await;
-    Ok(proc::loopback()? == before)
-}
-
-async fn sweep(
-    plan: Plan,
-    sizes: impl IntoIterator<Item = Size>,
-    seconds: f64,
-    own: bool,
-) -> Result<Sweep> {
+async fn sweep(plan: Plan, sizes: impl IntoIterator<Item = Size>, seconds: f64) -> Result<Sweep> {
     let mut all = Vec::new();
     for size in sizes {
         let mut spent = Vec::new();
         for seed in plan.seeds() {
-            spent.push(once(size, seconds, seed, own).await?);
+            spent.push(once(size, seconds, seed).await?);
         }
         all.push((size, spent));
     }
     Ok(all)
 }
 
-async fn once((hosts, endpoints): Size, seconds: f64, seed: u64, own: bool) -> Result<Spent> {
-    let mut lab = Lab::start(hosts, &ZONES[..hosts.min(ZONES.len())]).await?;
+async fn once((hosts, endpoints): Size, seconds: f64, seed: u64) -> Result<Spent> {
+    let meter = Meter::start()?;
     let zones = hosts.min(ZONES.len());
+    let metrics = meter.address().to_string();
+    let mut lab = Lab::start_with(hosts, &ZONES[..zones], &["--metrics", &metrics]).await?;
     for (i, zone) in ZONES.iter().enumerate().take(zones) {
         let n = endpoints / zones + usize::from(i < endpoints % zones);
         if n > 0 {
@@ -130,14 +118,19 @@
     }
     lab.admit().await?;
     sleep(SETTLE).await;
-    let (begun, bytes, cpu) = (Instant::now(), proc::loopback()?, cpu(&lab)?);
+    let (begun, bytes, cpu) = (Instant::now(), sent(&meter), cpu(&lab)?);
     sleep(Duration::from_secs_f64(seconds)).await;
     let elapsed = begun.elapsed().as_secs_f64();
-    let sent = (proc::loopback()? - bytes) as f64 / BYTES_PER_KB / elapsed / hosts as f64;
+    let sent = (sent(&meter) - bytes) as f64 / BYTES_PER_KB / elapsed / hosts as f64;
     let cpu = (self::cpu(&lab)? - cpu).as_secs_f64() / elapsed / hosts as f64;
     let memory = lab.tier.daemons.iter().map(|d| proc::memory(&d.process));
     let memory = memory.collect::<Result<Vec<u64>>>()?.into_iter().max().unwrap_or(0);
-    Ok(Spent { cpu: 100.0 * cpu, memory: memory as f64 / BYTES_PER_MB, sent: own.then_some(sent) })
+    Ok(Spent { cpu: 100.0 * cpu, memory: memory as f64 / BYTES_PER_MB, sent })
+}
+
+/// Bytes that all hosts together have sent to each other.
+fn sent(meter: &Meter) -> i64 {
+    meter.sum("peers.sent_bytes") + HEADER_BYTES * meter.sum("peers.sent_datagrams")
 }
 
 /// Processor time of all hosts together.
@@ -151,7 +144,7 @@
     let mut table = Table::new(&head);
     for ((hosts, endpoints), spent) in sweep {
         let mut row = vec![hosts.to_string(), endpoints.to_string()];
-        row.extend(FIGURES.iter().map(|f| Spread::new(spent.iter().filter_map(f.of)).show(2)));
+        row.extend(FIGURES.iter().map(|f| Spread::new(spent.iter().map(f.of)).show(2)));
         table.row(row);
     }
     table
@@ -162,9 +155,7 @@
     sweep: &'a Sweep,
     figure: &'a Figure,
 ) -> impl Iterator<Item = (Size, f64)> + use<'a> {
-    sweep
-        .iter()
-        .map(|(size, spent)| (*size, Spread::new(spent.iter().filter_map(figure.of)).median()))
+    sweep.iter().map(|(size, spent)| (*size, Spread::new(spent.iter().map(figure.of)).median()))
 }
 
 /// What the spending of a host is made of.
@@ -189,8 +180,7 @@
             .flat_map(|sweep| medians(sweep, figure))
             .map(|((hosts, endpoints), value)| (features((hosts as f64, endpoints as f64)), value))
             .collect();
-        let known = rows.iter().any(|(_, value)| *value > 0.0);
-        let Some(fitted) = fit(&rows).filter(|_| known) else { continue };
+        let Some(fitted) = fit(&rows) else { continue };
         let design = features((DESIGN_HOSTS, DESIGN_ENDPOINTS));
         let design: f64 = design.iter().zip(fitted).map(|(f, c)| f * c).sum();
         let mut row = vec![figure.name.to_owned()];
--- a/crates/wisteria-experiment/src/lab.rs
+++ b/crates/wisteria-experiment/src/lab.rs
@@ -103,10 +103,16 @@
 impl Lab {
     /// Starts `hosts` daemons, spread over the zones in turn.
     pub(crate) async fn start(hosts: usize, zones: &[&str]) -> Result<Self> {
+        Self::start_with(hosts, zones, &[]).await
+    }
+
+    /// The same with further flags for the daemons.
+    pub(crate) async fn start_with(hosts: usize, zones: &[&str], more: &[&str]) -> Result<Self> {
         let mut tier = Tier::new(&built()?)?;
+        let flags = [&["--log-level", "error"], more].concat();
         for i in 0..hosts {
             let zone = zones[i % zones.len()];
-            tier.daemon(&format!("entry-{i}"), zone, &["--log-level", "error"]).await?;
+            tier.daemon(&format!("entry-{i}"), zone, &flags).await?;
         }
         let zones = zones.iter().map(|&z| z.to_owned()).collect();
         Ok(Self { tier, zones })
--- a/crates/wisteria-experiment/src/main.rs
+++ b/crates/wisteria-experiment/src/main.rs
@@ -5,6 +5,7 @@
 
 mod experiments;
 mod lab;
+mod meter;
 mod page;
 mod plot;
 mod proc;
--- a/crates/wisteria-experiment/src/proc.rs
+++ b/crates/wisteria-experiment/src/proc.rs
@@ -8,8 +8,6 @@
 
 /// Clock ticks per second of `/proc`, fixed by the kernel's interface.
 const TICKS_PER_SECOND: f64 = 100.0;
-/// Place of the sent bytes among the counters of a network interface.
-const SENT_BYTES: usize = 8;
 /// Place of the user time among the fields after the program's name.
 const USER_TIME: usize = 11;
 
@@ -40,11 +38,3 @@
     let all = read_to_string("/proc/loadavg").unwrap_or_default();
     all.split_whitespace().next().unwrap_or("unknown").to_owned()
 }
-
-/// Bytes sent over the loopback network since it came up, by all processes on it.
-pub(crate) fn loopback() -> Result<u64> {
-    let all = read_to_string("/proc/self/net/dev")?;
-    let line = all.lines().find_map(|l| l.trim_start().strip_prefix("lo:"));
-    let sent = line.context("no loopback")?.split_whitespace().nth(SENT_BYTES);
-    Ok(sent.context("no counter of sent bytes")?.parse()?)
-}
