Tell a death again, since the message may be lost

Cause: the death of an endpoint under a suspect request went out once and was dropped when no connection to a host came within 2 s. That host then ran the request on two endpoints more.

A death is told at once, after 1 s and after 4 s more; who knows of it ignores it. Ruled out: calls with answers, which need a state for each host and death.

--- a/src/wisteriahead/services/quarantine.rs
+++ b/src/wisteriahead/services/quarantine.rs
@@ -7,6 +7,11 @@
 use crate::prelude::*;
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
+use std::time::Duration;
+
+/// Waits between the times at which a death is told: a message may be lost, and a host that
+/// heard of the death already ignores it.
+const TELL_WAITS: [Duration; 3] = [Duration::ZERO, Duration::from_secs(1), Duration::from_secs(4)];
 
 /// Knows the requests that stop endpoints.
 pub trait Suspicion: Send + Sync {
@@ -65,10 +70,8 @@
             return;
         }
         log::warn!("endpoint {} failed with a request in flight", death.endpoint);
-        let Some(peers) = &self.peers else { return };
-        let body = encode(&death);
-        for host in peers.others() {
-            peers.send(&host, Topic::Quarantine, body.clone());
+        if let Some(peers) = &self.peers {
+            tokio::spawn(tell(Arc::clone(peers), encode(&death)));
         }
     }
 
@@ -89,6 +92,16 @@
     }
 }
 
+/// Tells the other hosts of a death, and again.
+async fn tell(peers: Arc<dyn Peers>, death: Vec<u8>) {
+    for wait in TELL_WAITS {
+        tokio::time::sleep(wait).await;
+        for host in peers.others() {
+            peers.send(&host, Topic::Quarantine, death.clone());
+        }
+    }
+}
+
 impl Handler for Shared {
     fn receive(&self, from: &str, body: &[u8]) {
         match decode::<Death>(body) {
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -1,16 +1,24 @@
 //! Requests that stop endpoints: few endpoints are lost, and no neighbour is refused.
 
 use crate::props::config;
+use futures::future::BoxFuture;
 use hyper::Method;
 use proptest::prelude::*;
 use serde_json::json;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use wisteria_testkit::client::{self, Answer};
 use wisteria_testkit::process::built;
 use wisteria_testkit::tier::Tier;
 use wisteria_testkit::wait::until;
+use wisteriahead::core::message::Topic;
 use wisteriahead::core::quarantine::{Death, Digest, Fingerprint, KEEP, Quarantine, Trial};
 use wisteriahead::core::time::Time;
+use wisteriahead::kernel::Kernel;
+use wisteriahead::prelude::*;
+use wisteriahead::services::quarantine::{Shared, Suspicion as _};
+use wisteriahead::services::{Handler, Peers};
 
 const REPLICAS: usize = 5;
 const GUILTY: u8 = 0;
@@ -164,6 +172,51 @@
     assert!(!q.is_banned(Time(5) + KEEP, &request.digest));
 }
 
+/// Carries messages to one other host, but loses the first.
+#[derive(Default)]
+struct Lossy {
+    sent: AtomicUsize,
+    other: OnceLock<Arc<Shared>>,
+}
+
+impl Peers for Lossy {
+    fn host(&self) -> &str {
+        "a"
+    }
+
+    fn zone(&self) -> &str {
+        "north"
+    }
+
+    fn others(&self) -> Vec<String> {
+        vec!["b".to_owned()]
+    }
+
+    fn handle(&self, _: Topic, _: Arc<dyn Handler>) {}
+
+    fn send(&self, _: &str, _: Topic, body: Vec<u8>) {
+        if self.sent.fetch_add(1, Ordering::Relaxed) > 0 {
+            self.other.get().unwrap().receive("a", &body);
+        }
+    }
+
+    fn call<'a>(&'a self, _: &'a str, _: Topic, _: Vec<u8>) -> BoxFuture<'a, Result<Vec<u8>>> {
+        Box::pin(std::future::pending())
+    }
+}
+
+#[tokio::test]
+async fn death_is_told_again_when_the_message_is_lost() {
+    let (kernel, peers) = (Kernel::default(), Arc::new(Lossy::default()));
+    let here = Shared::new(kernel.context(), Some(peers.clone()));
+    let other = peers.other.get_or_init(|| Arc::new(Shared::new(kernel.context(), None)));
+    let request = Fingerprint { digest: digest(1), shard: None };
+    for endpoint in ["a", "b"] {
+        here.died(Death { request, endpoint: endpoint.to_owned() });
+    }
+    until("the other host refuses it", async || other.is_banned(&request.digest)).await;
+}
+
 const SHARDS: usize = 6;
 
 async fn search(tier: &Tier, daemon: usize, poison: bool) -> Answer {
