Ask last for slots that asking has not brought

Cause: after an entry host is killed, the slots that it held or owned are out for up to 14 s. A shard without room asks one replica at a time and waits 50 ms for it; queries kept asking first for the slot that could not come, so p50 rose from 19 to 64 ms for at least 12 s, also after the host was back.

A lease now knows since when a slot is wanted that has not come; after 20 ms such replicas are asked last.

The test of the lease fails when asking again begins the wait anew; the order itself has no test of its own.

--- a/src/wisteriahead/core/budget/borrower.rs
+++ b/src/wisteriahead/core/budget/borrower.rs
@@ -9,6 +9,8 @@
 const RETRY: Span = Span::millis(50);
 /// Most slots wanted at once: a request that tries again and again counts each time.
 const WANT_MAX: u32 = 2;
+/// Wait for a slot after which others are to be tried first.
+const STARVED: Span = Span::millis(20);
 /// Time after which lent slots are renewed.
 const RENEW: Span = Span(TERM.0 / 3);
 /// Time without a request after which lent slots are given back.
@@ -46,6 +48,8 @@
     limit: u32,
     running: Vec<Running>,
     want: u32,
+    /// Since when a slot is wanted that has not come.
+    wanted: Option<Time>,
     /// Incarnation that the slots are lent for.
     incarnation: u64,
     /// Incarnation that requests would go to.
@@ -75,6 +79,11 @@
         if lent { self.limit.min(allowed).saturating_sub(self.running()) } else { 0 }
     }
 
+    /// Whether a wanted slot has not come for long: its owner may be lost, or have none to lend.
+    pub fn is_starved(&self, now: Time) -> bool {
+        self.wanted.is_some_and(|since| now.since(since) >= STARVED)
+    }
+
     /// Takes one slot; notes the demand when there is none.
     pub fn acquire(&mut self, now: Time, incarnation: u64, allowed: u32) -> bool {
         self.used = now;
@@ -84,8 +93,10 @@
         let free = now < self.until && self.running() < self.limit.min(allowed);
         if free && self.incarnation == incarnation {
             self.running.push(Running { begun: now, stalled: Span::ZERO, slow: false });
+            self.wanted = None;
             return true;
         }
+        self.wanted = self.wanted.or(Some(now));
         self.due |= self.want == 0;
         self.want = (self.want + 1).min(allowed);
         false
@@ -211,6 +222,9 @@
         let before = self.held(now);
         self.turn = g.turn;
         (self.limit, self.until, self.incarnation) = (g.total, until, g.incarnation);
+        if g.total > self.running() {
+            self.wanted = None;
+        }
         // Tell at once what is free again.
         self.due |= self.held(now) < before;
     }
--- a/src/wisteriahead/core/budget/host.rs
+++ b/src/wisteriahead/core/budget/host.rs
@@ -124,6 +124,11 @@
         self.leases.get(endpoint).map_or(0, |l| l.free(now, incarnation, allowed))
     }
 
+    /// Whether a slot of an endpoint was wanted here for long and has not come.
+    pub fn is_starved(&self, now: Time, endpoint: &str) -> bool {
+        self.leases.get(endpoint).is_some_and(|l| l.is_starved(now))
+    }
+
     /// Takes the right to have one request in flight at an endpoint.
     pub fn acquire(&mut self, now: Time, endpoint: &Arc<str>, incarnation: u64) -> bool {
         let Some(allowed) = self.known.get(endpoint).map(|k| k.bearing.allowed) else {
--- a/src/wisteriahead/services/allowance.rs
+++ b/src/wisteriahead/services/allowance.rs
@@ -166,6 +166,11 @@
         Some(Permit::since(taken, move || lender.release(&name, now)))
     }
 
+    fn is_starved(&self, at: &Target) -> bool {
+        let now = self.0.ctx.now();
+        self.0.state.lock().budgets.is_starved(now, &at.name)
+    }
+
     fn ask(&self, at: &[Target]) {
         self.0.act(|s, now| {
             at.iter().for_each(|t| s.want(now, t));
--- a/src/wisteriahead/services/entry/learned.rs
+++ b/src/wisteriahead/services/entry/learned.rs
@@ -50,7 +50,8 @@
     ///
     /// # Errors
     ///
-    /// Gives the replicas without room, the best first.
+    /// Gives the replicas without room, the best first, after all others those where asking has
+    /// brought nothing for a while.
     pub fn acquire(
         &self,
         now: Time,
@@ -68,7 +69,11 @@
         if let Some((to, _)) = found.as_ref().filter(|_| tried.is_empty()) {
             s.service(&to.service).extras.earn(1);
         }
-        found.ok_or_else(|| order.into_iter().cloned().collect())
+        found.ok_or_else(|| {
+            let mut full: Vec<_> = order.into_iter().cloned().collect();
+            full.sort_by_cached_key(|t| allowance.is_starved(t));
+            full
+        })
     }
 
     /// Takes one extra attempt from the budget of the replicas' service.
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -302,6 +302,12 @@
     /// Takes the right to have one request in flight at an endpoint, if there is one now.
     fn acquire(&self, to: &Target) -> Option<Permit>;
 
+    /// Whether asking there has brought no right for a while.
+    fn is_starved(&self, at: &Target) -> bool {
+        let _ = at;
+        false
+    }
+
     /// Asks for one right more at each of the endpoints; the listener is told when one comes.
     fn ask(&self, at: &[Target]) {
         let _ = at;
--- a/tests/testsuite/budget.rs
+++ b/tests/testsuite/budget.rs
@@ -8,8 +8,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use wisteria_testkit::matrix::Matrix;
+use wisteriahead::core::budget::borrower::Lease;
 use wisteriahead::core::budget::lender::Bearing;
-use wisteriahead::core::budget::{ATTEMPT_MAX, Budgets, Message, time_left};
+use wisteriahead::core::budget::{ATTEMPT_MAX, Budgets, Grant, Message, time_left};
 use wisteriahead::core::member::{Health, Member};
 use wisteriahead::core::time::{Span, Time};
 
@@ -725,3 +726,20 @@
     let used = load(&mut world, Span::millis(500), &[200.0; 3]);
     assert!(used > 0.5, "{step}, {fault:?}, {second:?}: {used}");
 }
+
+#[test]
+fn slot_that_does_not_come_is_known_to_be_missing() {
+    let (owner, endpoint) = (Arc::from("h1"), Arc::from("leaf"));
+    let (begin, mut lease) = (Time(1), Lease::default());
+    assert!(!lease.acquire(begin, 1, 2));
+    assert!(!lease.is_starved(begin));
+    let ask = lease.ask(begin, &owner, 1, &endpoint);
+    let later = begin + Span::millis(50);
+    assert!(!lease.acquire(later, 1, 2));
+    assert!(lease.is_starved(later), "asking again makes it no younger");
+    let grant = Grant { endpoint, seq: ask.seq, turn: 1, total: 0, incarnation: 1 };
+    lease.take(later, &owner, &grant);
+    assert!(lease.is_starved(later), "an owner that has none to lend is no help");
+    lease.take(later, &owner, &Grant { turn: 2, total: 1, ..grant });
+    assert!(!lease.is_starved(later));
+}
