Look for a free slot in one place, and drop what nothing calls

Found by reading the whole change once more. Lease::acquire repeated the condition of Lease::free, which stands beside it; it now calls it.

Not mended here: support::until of the tests is a twin of wisteria_testkit::wait::until with a shorter patience, and two tests of transport share their accept loop.

--- a/src/wisteriahead/core/budget/borrower.rs
+++ b/src/wisteriahead/core/budget/borrower.rs
@@ -90,8 +90,7 @@
         if self.target != incarnation {
             (self.target, self.due) = (incarnation, true);
         }
-        let free = now < self.until && self.running() < self.limit.min(allowed);
-        if free && self.incarnation == incarnation {
+        if self.free(now, incarnation, allowed) > 0 {
             self.running.push(Running { begun: now, stalled: Span::ZERO, slow: false });
             self.wanted = None;
             return true;
--- a/src/wisteriahead/core/endpoint.rs
+++ b/src/wisteriahead/core/endpoint.rs
@@ -87,11 +87,6 @@
         }
     }
 
-    /// Whether `self` is newer than `other` of the same endpoint.
-    pub fn supersedes(&self, other: &Self) -> bool {
-        (self.incarnation, self.sequence) > (other.incarnation, other.sequence)
-    }
-
     /// Checks every field against its limit.
     ///
     /// # Errors
--- a/src/wisteriahead/core/routes.rs
+++ b/src/wisteriahead/core/routes.rs
@@ -91,11 +91,6 @@
         let share = |s: &Snapshot| s.held() * 1_000_000 / s.shards.len().max(1);
         full.or_else(|| left().rev().max_by_key(|s| share(s))).cloned()
     }
-
-    /// The snapshot with the given name, in the partitioning that most endpoints hold.
-    pub fn snapshot(&self, name: &str) -> Option<Arc<Snapshot>> {
-        self.snapshots.iter().find(|s| &*s.name == name).cloned()
-    }
 }
 
 /// All collections that can be searched.
