--- a/src/wisteriahead/core/control/changes.rs
+++ b/src/wisteriahead/core/control/changes.rs
@@ -1,6 +1,7 @@
 //! The document in force, and what became of the changes that were asked for.
 
-use crate::core::document::{Document, Revision, ZoneState};
+use crate::core::document::{Admit, Document, Revision, Zone, ZoneState};
+use crate::core::plan::Plan;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -56,6 +57,9 @@
     pub zones: IndexMap<String, ZoneState>,
     /// Identifiers of the last changes of zones.
     pub carried: Vec<String>,
+    /// The plan, where the tier is run by one.
+    #[serde(default)]
+    pub plan: Option<Arc<Plan>>,
 }
 
 impl InForce {
@@ -71,8 +75,22 @@
                 zone.state = state;
             }
         }
+        if self.plan.is_some() {
+            self.stand_in(&mut document);
+        }
         Ok(document)
     }
+
+    /// Has a plan stand in for the inventory: endpoints say themselves where they stand.
+    fn stand_in(&self, document: &mut Document) {
+        document.rules.admit = Admit::Any;
+        for (name, &state) in &self.zones {
+            if document.zone(name).is_none() {
+                let zone = Zone { name: name.clone(), region: String::new(), state };
+                document.zones.push(zone);
+            }
+        }
+    }
 }
 
 /// The document and the outcomes of the last changes.
@@ -85,6 +103,8 @@
     zones: IndexMap<String, ZoneState>,
     ids: IndexMap<String, Done>,
     carried: Vec<String>,
+    #[serde(default)]
+    plan: Option<Arc<Plan>>,
     /// Highest revision at which an outcome that is forgotten now was reached.
     forgotten: Option<Revision>,
 }
@@ -98,6 +118,7 @@
             text: self.text.clone(),
             zones: self.zones.clone(),
             carried: self.carried.clone(),
+            plan: self.plan.clone(),
         }
     }
 
@@ -145,6 +166,22 @@
         self.accept(id, operator)
     }
 
+    /// The plan that holds.
+    pub fn plan(&self) -> Option<&Arc<Plan>> {
+        self.plan.as_ref()
+    }
+
+    /// Has a plan hold if its number is higher than that of the one that does; says whether it
+    /// took its place.
+    pub fn publish(&mut self, plan: Arc<Plan>) -> bool {
+        let higher = self.plan.as_ref().is_none_or(|held| held.number < plan.number);
+        if higher {
+            self.plan = Some(plan);
+            self.revision += 1;
+        }
+        higher
+    }
+
     fn accept(&mut self, id: String, operator: String) -> Done {
         self.revision += 1;
         self.operator = operator;
--- a/src/wisteriahead/core/control/homes.rs
+++ b/src/wisteriahead/core/control/homes.rs
@@ -253,6 +253,8 @@
             Command::Edit { .. }
             | Command::Zone { .. }
             | Command::Voters { .. }
+            | Command::Publish(_)
+            | Command::Plan
             | Command::Found(_) => Reply::Noted,
         })
     }
--- a/src/wisteriahead/core/control/mod.rs
+++ b/src/wisteriahead/core/control/mod.rs
@@ -17,6 +17,7 @@
 use self::homes::{Founding, Home, Homes};
 use super::document::{Revision, ZoneState};
 use super::message::{DecodeError, decode, encode};
+use super::plan::Plan;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -90,6 +91,10 @@
     },
     /// A new epoch of a zone's home.
     Found(Founding),
+    /// A plan, to hold if its number is the highest.
+    Publish(Arc<Plan>),
+    /// Asks for the plan that holds, in the order of the log.
+    Plan,
 }
 
 /// What a command led to.
@@ -102,6 +107,10 @@
     Claim(Result<Claim, Refusal>),
     /// The epochs of a zone's home, oldest first.
     Homes(Result<Vec<Home>, Refusal>),
+    /// The plan that holds.
+    Plan(Option<Arc<Plan>>),
+    /// The revision in which a plan was published, or that was in force already.
+    Published(Revision),
     /// Nothing to tell.
     Noted,
 }
@@ -151,6 +160,8 @@
                 self.claims.record(&key, nonce, outcome);
                 Reply::Noted
             }
+            Command::Publish(plan) => self.publish(plan),
+            Command::Plan => Reply::Plan(self.changes.plan().cloned()),
             Command::Found(ask) => Reply::Homes(self.homes.found(self.time_ms, ask)),
         })
     }
@@ -189,6 +200,16 @@
         self.finish(asked, known, done)
     }
 
+    fn publish(&mut self, plan: Arc<Plan>) -> Reply {
+        let number = plan.number;
+        if self.changes.publish(plan) {
+            let (base, what) = (self.changes.revision - 1, format!("plan {number}"));
+            let asked = Asked { operator: String::new(), id: what.clone(), what, base };
+            self.note(asked, self.changes.revision, ACCEPTED.to_owned());
+        }
+        Reply::Published(self.changes.revision)
+    }
+
     fn zone(&mut self, change: Change, state: ZoneState) -> Reply {
         let verb = if state == ZoneState::Out { "out" } else { "in" };
         let asked = Asked {
--- a/src/wisteriahead/core/gossip.rs
+++ b/src/wisteriahead/core/gossip.rs
@@ -108,6 +108,14 @@
         (applied, out)
     }
 
+    /// Takes the word of an endpoint that it leaves. Nothing that this incarnation announced, or
+    /// announces still, counts from here on.
+    pub fn leave(&mut self, now: Time, endpoint: &Arc<str>, incarnation: u64) -> Vec<Send> {
+        let mark = (incarnation, u64::MAX);
+        self.registry.drop_at(now, endpoint, mark);
+        self.to_all(&Message::Gone(vec![(endpoint.clone(), mark)]))
+    }
+
     fn to_all(&self, message: &Message) -> Vec<Send> {
         self.others.iter().map(|to| (to.clone(), message.clone())).collect()
     }
--- a/src/wisteriahead/core/query/answer.rs
+++ b/src/wisteriahead/core/query/answer.rs
@@ -7,7 +7,7 @@
 use crate::core::verdict::Verdict;
 use std::sync::Arc;
 
-impl Gather {
+impl<T> Gather<T> {
     /// The snapshot that the answer is drawn from.
     pub fn snapshot(&self) -> &Arc<Snapshot> {
         &self.snapshot
@@ -47,14 +47,19 @@
         if self.proven == self.attempts.len() { Verdict::NotRun } else { Verdict::MayHaveRun }
     }
 
+    /// Takes what the shards answered, with their numbers.
+    pub fn parts(self) -> impl Iterator<Item = (u32, T)> {
+        (0u32..).zip(self.shards).filter_map(|(i, s)| Some((i, s.hits?)))
+    }
+}
+
+impl Gather {
     /// Takes the hits of all shards that answered, each marked with its shard.
     pub fn finish(self) -> Vec<Hits> {
-        (0u32..)
-            .zip(self.shards)
-            .filter_map(|(i, s)| {
-                let mut hits = s.hits?;
+        self.parts()
+            .map(|(i, mut hits)| {
                 hits.0.iter_mut().for_each(|h| h.shard = i);
-                Some(hits)
+                hits
             })
             .collect()
     }
--- a/src/wisteriahead/core/query/lead.rs
+++ b/src/wisteriahead/core/query/lead.rs
@@ -35,7 +35,7 @@
     }
 }
 
-impl Gather {
+impl<T> Gather<T> {
     /// Sends to the shards that the lead held back, when it is over.
     pub(super) fn follow<F: Fleet>(&mut self, step: &mut Step<'_, F>) {
         let Some(lead) = self.lead else { return };
--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -11,12 +11,14 @@
 mod coverage;
 mod fleet;
 mod lead;
+mod policy;
 mod restart;
 mod send;
 mod shard;
 
 pub use self::coverage::Coverage;
 pub use self::fleet::Fleet;
+pub use self::policy::Policy;
 
 use self::lead::Lead;
 use self::shard::{Open, Shard, Wait};
@@ -38,11 +40,11 @@
 
 /// What happens to a query.
 #[derive(Debug)]
-pub enum Event {
+pub enum Event<T = Hits> {
     /// It begins.
     Start,
     /// An attempt ended.
-    Done(AttemptId, Result<Hits, Refusal>),
+    Done(AttemptId, Result<T, Refusal>),
     /// The time asked for by [`Action::Wake`] has come.
     Wake,
     /// Endpoints of [`Gather::waiting`] have room.
@@ -73,14 +75,15 @@
     Finish,
 }
 
-/// A query in progress.
+/// A query in progress; `T` is what a shard answers.
 #[derive(Debug)]
-pub struct Gather {
+pub struct Gather<T = Hits> {
     snapshot: Arc<Snapshot>,
     lost: Vec<Arc<Snapshot>>,
     deadline: Time,
     least: f64,
-    shards: Vec<Shard>,
+    policy: Policy,
+    shards: Vec<Shard<T>>,
     attempts: Vec<Option<Open>>,
     /// Shards without hits.
     missing: usize,
@@ -103,7 +106,7 @@
     out: Vec<Action<F::Permit>>,
 }
 
-impl Gather {
+impl<T> Gather<T> {
     /// A query over `snapshot` that must answer by `deadline`; below the share `least` of the
     /// shards its answer is of no use.
     pub fn new(snapshot: Arc<Snapshot>, deadline: Time, least: f64) -> Self {
@@ -113,6 +116,7 @@
             lost: Vec::new(),
             deadline,
             least,
+            policy: Policy::default(),
             missing: shards.len(),
             shards,
             attempts: Vec::new(),
@@ -133,11 +137,16 @@
         self
     }
 
+    /// The same under another policy.
+    pub fn with_policy(self, policy: Policy) -> Self {
+        Self { policy, ..self }
+    }
+
     /// Takes one event and says what to do.
     pub fn step<F: Fleet>(
         &mut self,
         now: Time,
-        event: Event,
+        event: Event<T>,
         fleet: &mut F,
     ) -> Vec<Action<F::Permit>> {
         let mut step = Step { now, fleet, out: Vec::new() };
@@ -174,7 +183,7 @@
     /// An answer never exhausts a shard, so that this is needed after failures only.
     fn settle<F: Fleet>(&mut self, step: &mut Step<'_, F>) {
         self.count_exhausted();
-        step.out.push(Action::Wake(self.next_wake()));
+        step.out.push(Action::Wake(self.next_wake(step.now)));
     }
 
     fn count_exhausted(&mut self) {
@@ -184,7 +193,7 @@
     fn done<F: Fleet>(
         &mut self,
         id: AttemptId,
-        result: Result<Hits, Refusal>,
+        result: Result<T, Refusal>,
         step: &mut Step<'_, F>,
     ) {
         let Some(open) = self.attempts.get_mut(id.0 as usize).and_then(Option::take) else {
@@ -201,7 +210,7 @@
         }
     }
 
-    fn answered<F: Fleet>(&mut self, shard: usize, hits: Hits, step: &mut Step<'_, F>) {
+    fn answered<F: Fleet>(&mut self, shard: usize, hits: T, step: &mut Step<'_, F>) {
         let s = &mut self.shards[shard];
         s.hits = Some(hits);
         s.wait = Wait::Nothing;
@@ -218,7 +227,7 @@
         self.proven += usize::from(not_run);
         let s = &mut self.shards[shard];
         s.moved |= refusal.reason == Reason::WrongSnapshot;
-        if refusal.is_death() {
+        if refusal.is_death() && self.policy.suspects {
             s.deaths += 1;
             self.banned |= s.deaths >= DEATHS_MAX;
             if s.open.is_empty() {
@@ -226,6 +235,10 @@
             }
             return;
         }
+        if !not_run && !self.policy.repeats {
+            s.spent = true;
+            return;
+        }
         if refusal.reason == Reason::Busy && not_run {
             // A busy endpoint may have room later; any other fault rules it out.
             s.tried.retain(|k| *k != open.key);
@@ -284,18 +297,22 @@
         step.out.push(Action::Wake(at.min(self.deadline)));
     }
 
-    fn next_wake(&self) -> Time {
+    fn next_wake(&self, now: Time) -> Time {
         let lead = self.lead.and_then(|l| l.until());
         let waits = self.shards.iter().filter_map(|s| s.wait.until());
-        waits.chain(self.replan).chain(lead).fold(self.deadline, Time::min)
+        let enough = self.policy.enough.filter(|at| *at > now);
+        waits.chain(self.replan).chain(lead).chain(enough).fold(self.deadline, Time::min)
     }
 
     fn close_if_over<F: Fleet>(&mut self, step: &mut Step<'_, F>) {
         let late = step.now >= self.deadline;
-        if !self.banned && self.missing > 0 && !late && self.restart(step) {
+        let replans = self.policy.replans && !self.banned && self.missing > 0 && !late;
+        if replans && self.restart(step) {
             return;
         }
-        let over = self.banned || (self.replan.is_none() && self.missing == self.exhausted);
+        let over = self.banned
+            || (self.replan.is_none() && self.missing == self.exhausted)
+            || self.is_cut_short(step.now);
         if self.missing > 0 && !late && !over {
             return;
         }
--- a/src/wisteriahead/core/query/restart.rs
+++ b/src/wisteriahead/core/query/restart.rs
@@ -10,7 +10,7 @@
 /// Most snapshots that one query starts on.
 const PLANS_MAX: usize = 3;
 
-impl Gather {
+impl<T> Gather<T> {
     /// Starts again on another snapshot when this one is losing shards; says whether it did.
     pub(super) fn restart<F: Fleet>(&mut self, step: &mut Step<'_, F>) -> bool {
         if self.exhausted == 0 || self.replan.is_some_and(|at| step.now < at) {
--- a/src/wisteriahead/core/query/send.rs
+++ b/src/wisteriahead/core/query/send.rs
@@ -20,7 +20,14 @@
     Extra,
 }
 
-impl Gather {
+/// What an attempt could not be opened for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lack {
+    Room,
+    Budget,
+}
+
+impl<T> Gather<T> {
     /// Sends an attempt for a shard, or has it wait for room.
     pub(super) fn send<F: Fleet>(&mut self, shard: usize, step: &mut Step<'_, F>) {
         let s = &mut self.shards[shard];
@@ -28,12 +35,15 @@
             self.crowded = Some(step.now);
         }
         s.wait = Wait::Nothing;
-        if !s.may_send(&self.snapshot.shards[shard]) || !self.may_try(shard, step) {
+        if !self.may_send(shard) || !self.may_try(shard, step) {
             return;
         }
-        if self.open(shard, Cost::Free, step) {
-            self.plan_hedge(shard, step);
-            return;
+        let paid = self.policy.paid && self.shards[shard].begun;
+        match self.open(shard, if paid { Cost::Extra } else { Cost::Free }, step) {
+            Ok(()) => return self.plan_hedge(shard, step),
+            Err(Lack::Budget) => return,
+            Err(Lack::Room) if !self.is_patient(step.now) => return,
+            Err(Lack::Room) => {}
         }
         let until = step.now + ROOM_WAIT;
         self.shards[shard].wait = Wait::Room { until };
@@ -58,6 +68,8 @@
         let s = &mut self.shards[shard];
         let replicas = &self.snapshot.shards[shard];
         if s.deaths == 0
+            && self.policy.repeats
+            && s.sent < self.policy.attempts
             && s.tried.len() < replicas.len()
             && let Some(delay) = step.fleet.hedge_delay(replicas)
         {
@@ -67,13 +79,14 @@
 
     /// Sends again after a failure; after one that may have run, within the budget.
     pub(super) fn retry<F: Fleet>(&mut self, shard: usize, free: bool, step: &mut Step<'_, F>) {
-        let s = &mut self.shards[shard];
+        self.shards[shard].wait = Wait::Nothing;
         let replicas = &self.snapshot.shards[shard];
-        s.wait = Wait::Nothing;
-        if free || !s.may_send(replicas) || step.fleet.extra(replicas) {
+        let unpaid = free || self.policy.paid || !self.may_send(shard);
+        if unpaid || step.fleet.extra(replicas) {
             self.send(shard, step);
             return;
         }
+        let s = &mut self.shards[shard];
         let until = step.now + s.retry_wait();
         s.wait = Wait::Extra { until };
         self.wake_at(until, step);
@@ -81,26 +94,40 @@
 
     /// Sends a second attempt beside an open one.
     pub(super) fn hedge<F: Fleet>(&mut self, shard: usize, step: &mut Step<'_, F>) {
-        let s = &mut self.shards[shard];
-        s.wait = Wait::Nothing;
-        if s.may_send(&self.snapshot.shards[shard]) && !self.open(shard, Cost::Extra, step) {
+        self.shards[shard].wait = Wait::Nothing;
+        if !self.may_send(shard) {
+            return;
+        }
+        let lack = self.open(shard, Cost::Extra, step).err();
+        // Where every extra attempt is paid, a query without budget does not ask again.
+        if lack.is_some_and(|l| l == Lack::Room || !self.policy.paid) {
             self.shards[shard].wait = Wait::Hedge { until: step.now + HEDGE_WAIT };
         }
     }
 
-    /// Opens an attempt for a shard where a replica has room; says whether it did.
-    fn open<F: Fleet>(&mut self, shard: usize, cost: Cost, step: &mut Step<'_, F>) -> bool {
+    /// Whether a shard may be sent another attempt.
+    fn may_send(&self, shard: usize) -> bool {
+        self.shards[shard].may_send(&self.snapshot.shards[shard], self.policy.attempts)
+    }
+
+    /// Opens an attempt for a shard where a replica has room.
+    fn open<F: Fleet>(
+        &mut self,
+        shard: usize,
+        cost: Cost,
+        step: &mut Step<'_, F>,
+    ) -> Result<(), Lack> {
         let replicas = &self.snapshot.shards[shard];
         let tried = &self.shards[shard].tried;
         let Some((target, permit)) = step.fleet.acquire(step.now, replicas, tried) else {
-            return false;
+            return Err(Lack::Room);
         };
         // The right comes first: a hedge that finds no room costs no budget.
         if cost == Cost::Extra && !step.fleet.extra(replicas) {
-            return false;
+            return Err(Lack::Budget);
         }
         self.begin(shard, target, permit, step);
-        true
+        Ok(())
     }
 
     /// Notes an attempt as open and has it sent.
@@ -115,6 +142,7 @@
         let s = &mut self.shards[shard];
         s.tried.push(target.key);
         s.sent += 1;
+        s.begun = true;
         s.open.push(attempt);
         self.attempts.push(Some(Open { shard: shard as u32, key: target.key }));
         let snapshot = Arc::clone(&self.snapshot);
--- a/src/wisteriahead/core/query/shard.rs
+++ b/src/wisteriahead/core/query/shard.rs
@@ -2,7 +2,6 @@
 
 use super::AttemptId;
 use crate::core::endpoint::EndpointKey;
-use crate::core::hits::Hits;
 use crate::core::routes::Target;
 use crate::core::time::{Span, Time};
 
@@ -11,7 +10,7 @@
 /// Most doublings of [`BUSY_WAIT`].
 const DOUBLINGS_MAX: u32 = 5;
 /// Most attempts for one shard on one snapshot, those refused as busy not counted.
-const ATTEMPTS_MAX: u32 = 4;
+pub(super) const ATTEMPTS_MAX: u32 = 4;
 
 /// What a query waits for at one shard besides its open attempts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -51,11 +50,15 @@
 }
 
 /// One shard of a query.
-#[derive(Debug, Default)]
-pub(super) struct Shard {
-    pub(super) hits: Option<Hits>,
+#[derive(Debug)]
+pub(super) struct Shard<T> {
+    pub(super) hits: Option<T>,
     pub(super) tried: Vec<EndpointKey>,
     pub(super) sent: u32,
+    /// Whether any attempt was sent, refused ones included.
+    pub(super) begun: bool,
+    /// Whether nothing more may be sent: an attempt that must not be repeated may have run.
+    pub(super) spent: bool,
     busy: u32,
     pub(super) open: Vec<AttemptId>,
     pub(super) wait: Wait,
@@ -65,15 +68,32 @@
     pub(super) deaths: usize,
 }
 
-impl Shard {
+impl<T> Default for Shard<T> {
+    fn default() -> Self {
+        Self {
+            hits: None,
+            tried: Vec::new(),
+            sent: 0,
+            begun: false,
+            spent: false,
+            busy: 0,
+            open: Vec::new(),
+            wait: Wait::Nothing,
+            moved: false,
+            deaths: 0,
+        }
+    }
+}
+
+impl<T> Shard<T> {
     /// Whether nothing more can come from the shard.
     pub(super) fn exhausted(&self) -> bool {
         self.hits.is_none() && self.open.is_empty() && self.wait == Wait::Nothing
     }
 
     /// Whether a replica is left that may be sent another attempt.
-    pub(super) fn may_send(&self, replicas: &[Target]) -> bool {
-        self.sent < ATTEMPTS_MAX && replicas.iter().any(|r| !self.tried.contains(&r.key))
+    pub(super) fn may_send(&self, replicas: &[Target], max: u32) -> bool {
+        !self.spent && self.sent < max && replicas.iter().any(|r| !self.tried.contains(&r.key))
     }
 
     /// The next wait before another try; it doubles each time.
--- a/src/wisteriahead/core/registry.rs
+++ b/src/wisteriahead/core/registry.rs
@@ -85,6 +85,8 @@
     names: IndexMap<Arc<str>, EndpointKey>,
     gone: IndexMap<Arc<str>, (Mark, Time)>,
     document: Arc<Document>,
+    /// Silence after which an endpoint is forgotten, if not [`EXPIRY`].
+    expiry: Option<Span>,
 }
 
 impl Registry {
@@ -188,6 +190,11 @@
         }
     }
 
+    /// Sets the silence after which an endpoint is forgotten.
+    pub fn set_expiry(&mut self, expiry: Span) {
+        self.expiry = Some(expiry);
+    }
+
     /// Sets the document in force.
     pub fn set_document(&mut self, document: Arc<Document>) {
         self.document = document;
@@ -196,7 +203,8 @@
     /// Forgets the watched endpoints that have been silent too long, and returns them.
     pub fn expire(&mut self, now: Time) -> Vec<(Arc<str>, Mark)> {
         self.gone.retain(|_, (_, at)| now.since(*at) < GONE_KEPT);
-        let silent = |e: &Endpoint| e.kept && now.since(e.seen) > EXPIRY;
+        let expiry = self.expiry.unwrap_or(EXPIRY);
+        let silent = |e: &Endpoint| e.kept && now.since(e.seen) > expiry;
         let names = self.names.iter().filter_map(|(n, &k)| Some((n, self.arena.get(k)?)));
         let over: Vec<_> =
             names.filter(|(_, e)| silent(e)).map(|(n, e)| (n.clone(), e.newest())).collect();
@@ -244,12 +252,16 @@
         let hosts = self.document.hosts_by_name();
         let mut found: IndexMap<&str, IndexMap<(&str, u32), Snapshot>> = IndexMap::new();
         let mut targets = IndexMap::new();
+        let mut services: IndexMap<Arc<str>, Vec<Target>> = IndexMap::new();
         for (key, e) in self.iter() {
             let a = &e.latest;
             let host = hosts.get(a.host.as_str()).map(|h| (h.zone.as_str(), h.state));
             let Some((zone, allowed)) = self.judge(host, a) else { continue };
             let target = target(key, a, &zone, allowed);
             targets.insert(target.name.clone(), target.clone());
+            if allowed > 0 {
+                services.entry(target.service.clone()).or_default().push(target.clone());
+            }
             for h in &a.holdings {
                 let snapshots = found.entry(&h.collection).or_default();
                 // An endpoint that names another number of shards holds another snapshot.
@@ -263,7 +275,7 @@
             }
         }
         let collections = found.into_iter().map(|(n, s)| (n.to_owned(), collection(s))).collect();
-        Routes { collections, targets }
+        Routes { collections, targets, services }
     }
 }
 
--- a/src/wisteriahead/core/routes.rs
+++ b/src/wisteriahead/core/routes.rs
@@ -100,4 +100,6 @@
     pub collections: IndexMap<String, Collection>,
     /// Every endpoint that is let in, those that take no new work included.
     pub targets: IndexMap<Arc<str>, Target>,
+    /// The endpoints of each service that take new work.
+    pub services: IndexMap<Arc<str>, Vec<Target>>,
 }
--- a/src/wisteriahead/ops/serve/mod.rs
+++ b/src/wisteriahead/ops/serve/mod.rs
@@ -19,11 +19,11 @@
 use crate::services::transport::TransportService;
 use crate::util::logging;
 use crate::util::metrics::Metrics;
-use crate::util::tls::TlsPaths;
+use crate::util::tls::{HostKeys, TlsPaths};
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::time::SystemTime;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Serves until SIGTERM or SIGINT.
 ///
@@ -40,23 +40,70 @@
 }
 
 async fn serve(settings: &Settings) -> Result<()> {
-    let mut term = signal(SignalKind::terminate()).context("could not listen for SIGTERM")?;
-    let mut int = signal(SignalKind::interrupt()).context("could not listen for SIGINT")?;
+    let signals = Signals::listen()?;
     let mut kernel = Kernel::default();
     let started = start(&mut kernel, settings).await;
     if let Ok(addresses) = &started {
         announce_ready(settings, addresses);
+    }
+    let stop = Stop { lame_duck: settings.lame_duck, drain: settings.drain_timeout };
+    until_stopped(&mut kernel, signals, started.map(drop), stop).await
+}
+
+/// How a daemon stops.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// Time for which it serves on, so that the balancer sees that it leaves.
+    pub lame_duck: Span,
+    /// Longest time that requests in flight are waited for.
+    pub drain: Span,
+}
+
+/// The signals that stop a daemon, listened for from before its start.
+pub struct Signals {
+    term: Signal,
+    int: Signal,
+}
+
+impl Signals {
+    /// Begins to listen.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot take signals.
+    pub fn listen() -> Result<Self> {
+        let term = signal(SignalKind::terminate()).context("could not listen for SIGTERM")?;
+        let int = signal(SignalKind::interrupt()).context("could not listen for SIGINT")?;
+        Ok(Self { term, int })
+    }
+
+    async fn wait(&mut self) {
         tokio::select! {
-            _ = term.recv() => log::info!(state = "stopping", signal = "SIGTERM"; "stopping"),
-            _ = int.recv() => log::info!(state = "stopping", signal = "SIGINT"; "stopping"),
+            _ = self.term.recv() => log::info!(state = "stopping", signal = "SIGTERM"; "stopping"),
+            _ = self.int.recv() => log::info!(state = "stopping", signal = "SIGINT"; "stopping"),
         }
+    }
+}
+
+/// Waits for a signal if the services have started, and stops them.
+///
+/// # Errors
+///
+/// Returns why they have not started.
+pub async fn until_stopped(
+    kernel: &mut Kernel,
+    mut signals: Signals,
+    started: Result<()>,
+    stop: Stop,
+) -> Result<()> {
+    if started.is_ok() {
+        signals.wait().await;
         kernel.leave();
-        // The balancer sees meanwhile that the host leaves.
-        tokio::time::sleep(settings.lame_duck.to_std()).await;
+        tokio::time::sleep(stop.lame_duck.to_std()).await;
     }
-    kernel.stop(settings.drain_timeout).await;
+    kernel.stop(stop.drain).await;
     log::info!(state = "stopped"; "stopped");
-    started.map(drop)
+    started
 }
 
 /// The addresses that the daemon listens on.
@@ -92,7 +139,7 @@
         zone: s.zone.clone(),
         listen: s.peer_listen,
         seeds: s.peers.clone(),
-        tls: tls.clone(),
+        keys: HostKeys::Files(tls.clone()),
     };
     let peers = Arc::new(PeersService::new(peers).with_metrics(metrics.clone()));
     let control = ControlSettings {
@@ -126,7 +173,7 @@
 }
 
 /// A number that differs at each start of a host's process.
-fn boot() -> u64 {
+pub fn boot() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_micros()).unwrap_or_default()
 }
--- a/src/wisteriahead/services/control/keeper.rs
+++ b/src/wisteriahead/services/control/keeper.rs
@@ -162,6 +162,7 @@
             revision: force.revision,
             document: Arc::new(document),
             text: force.text.clone(),
+            plan: force.plan.clone(),
         });
     }
 }
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -14,6 +14,7 @@
 use crate::core::log::Replica;
 pub use crate::core::member::{Health, Member};
 use crate::core::message::Topic;
+use crate::core::plan::Plan;
 use crate::core::routes::{Routes, Target};
 use crate::prelude::*;
 use crate::util::disk::Disk;
@@ -34,6 +35,7 @@
 pub mod peers;
 pub mod quarantine;
 pub mod registry;
+pub mod relay;
 pub mod replica;
 pub mod transport;
 
@@ -113,6 +115,8 @@
     pub document: Arc<Document>,
     /// The document as the operators wrote it.
     pub text: Arc<str>,
+    /// The plan, where the tier is run by one.
+    pub plan: Option<Arc<Plan>>,
 }
 
 /// Holds the operators' document and accepts changes to it.
@@ -223,10 +227,71 @@
     pub const NAME: &'static str = "admin";
 }
 
+/// Holds the plan that a tier without an inventory is run by.
+pub trait Plans: Send + Sync {
+    /// Has a plan hold if its number is higher than that of the one that does; returns once
+    /// this, or a higher one, is durable at a quorum.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a plan at fault, and when no quorum is reached.
+    fn publish(&self, plan: Plan) -> BoxFuture<'_, Result<(), Refusal>>;
+
+    /// The plan that holds: no other was accepted before the call.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when no quorum is reached, so that a newer one may hold.
+    fn newest(&self) -> BoxFuture<'_, Result<Option<Arc<Plan>>, Refusal>>;
+
+    /// Takes a zone out or puts it back, durably at a quorum.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when no quorum is reached.
+    fn set_zone<'a>(
+        &'a self,
+        zone: &'a str,
+        state: ZoneState,
+    ) -> BoxFuture<'a, Result<(), Refusal>>;
+}
+
+impl dyn Plans {
+    /// Name in the kernel.
+    pub const NAME: &'static str = "plans";
+}
+
+/// Takes what endpoints say of themselves.
+pub trait Announce: Send + Sync {
+    /// Takes an announcement; the other hosts learn of it at once.
+    ///
+    /// # Errors
+    ///
+    /// Refuses one at fault.
+    fn announce(&self, announcement: Announcement) -> Result<(), Refusal>;
+
+    /// Notes that an endpoint leaves; without its incarnation, the one known here.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the incarnation is not known.
+    fn leave(&self, endpoint: &str, incarnation: Option<u64>) -> Result<(), Refusal>;
+}
+
+impl dyn Announce {
+    /// Name in the kernel.
+    pub const NAME: &'static str = "announce";
+}
+
 /// The endpoints that this host knows.
 pub trait Endpoints: Send + Sync {
     /// The index that queries plan on.
     fn routes(&self) -> Arc<Routes>;
+
+    /// Follows the number of the index, which rises with each change.
+    fn changes(&self) -> watch::Receiver<u64> {
+        watch::channel(0).1
+    }
 }
 
 impl dyn Endpoints {
--- a/src/wisteriahead/services/peers/mod.rs
+++ b/src/wisteriahead/services/peers/mod.rs
@@ -18,7 +18,7 @@
 use crate::prelude::*;
 use crate::services::Peers;
 use crate::util::metrics::Metrics;
-use crate::util::tls::{ALPN_HOST, Credentials, Identity, Kind, TlsPaths};
+use crate::util::tls::{ALPN_HOST, Credentials, HostKeys, Identity, Kind};
 use anyhow::bail;
 use futures::future::BoxFuture;
 use hub::Hub;
@@ -52,7 +52,7 @@
     /// Addresses of other hosts to join by.
     pub seeds: Vec<SocketAddr>,
     /// Certificates and private key.
-    pub tls: TlsPaths,
+    pub keys: HostKeys,
 }
 
 /// The service: publishes [`Peers`].
@@ -84,7 +84,7 @@
 
     async fn run(&self, ctx: &Context) -> Result<()> {
         let settings = &self.hub.settings;
-        let credentials = Credentials::load(&settings.tls)?;
+        let credentials = settings.keys.load(&settings.host, &settings.zone)?;
         check(settings, &credentials.identity(Kind::Host)?)?;
         let endpoint = bind(settings.listen, &credentials)?;
         if self.hub.endpoint.set(endpoint.clone()).is_err() {
--- a/src/wisteriahead/services/registry.rs
+++ b/src/wisteriahead/services/registry.rs
@@ -1,7 +1,7 @@
 //! Drives the registry: takes announcements by HTTP, passes them on to the other
 //! hosts, and rebuilds the routes when something changed.
 
-use super::{Control, Endpoints, Handler, Health, Members, Peers, Views};
+use super::{Announce, Control, Endpoints, Handler, Health, Members, Peers, Views};
 use crate::core::gossip::{Gossip, Message, Send};
 use crate::core::message::{Topic, decode, encode};
 use crate::core::registry::Applied;
@@ -19,6 +19,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Most bytes of an announcement.
 const ANNOUNCEMENT_MAX_BYTES: usize = 64 << 10;
@@ -35,6 +36,8 @@
     routes: ArcSwap<Routes>,
     /// Whether the routes are older than the registry.
     stale: AtomicBool,
+    /// Number of the routes.
+    built: watch::Sender<u64>,
     metrics: Metrics,
 }
 
@@ -55,6 +58,7 @@
         let (changed, out) = gossip.tick(self.ctx.now());
         if self.stale.swap(false, Ordering::Relaxed) || changed {
             self.routes.store(Arc::new(gossip.registry.routes()));
+            self.built.send_modify(|n| *n += 1);
         }
         drop(gossip);
         self.send(out);
@@ -73,20 +77,14 @@
     }
 
     fn take(&self, bytes: &[u8]) -> Result<(), Refusal> {
-        let bad = |e: String| Refusal::not_run(Reason::BadRequest, e);
-        let a: Announcement = serde_json::from_slice(bytes)
-            .map_err(|e| bad(format!("the body is not an announcement: {e}")))?;
-        a.check().map_err(bad)?;
-        let (applied, out) = self.gossip.lock().announce(self.ctx.now(), a);
-        self.note(applied == Applied::Changed);
-        self.send(out);
-        if applied == Applied::Full {
-            return Err(Refusal::not_run(Reason::Busy, "the registry is full"));
-        }
-        Ok(())
+        let a: Announcement = serde_json::from_slice(bytes).map_err(|e| {
+            let detail = format!("the body is not an announcement: {e}");
+            Refusal::not_run(Reason::BadRequest, detail)
+        })?;
+        Announce::announce(self, a)
     }
 
-    async fn announce(&self, request: Request<Incoming>) -> Answer {
+    async fn serve(&self, request: Request<Incoming>) -> Answer {
         if request.method() != Method::POST || request.uri().path() != "/v1/announce" {
             let r = Refusal::not_run(Reason::BadRequest, "only POST /v1/announce is served here");
             return http::json(StatusCode::NOT_FOUND, &r);
@@ -144,6 +142,37 @@
     fn routes(&self) -> Arc<Routes> {
         self.routes.load_full()
     }
+
+    fn changes(&self) -> watch::Receiver<u64> {
+        self.built.subscribe()
+    }
+}
+
+impl Announce for Directory {
+    fn announce(&self, a: Announcement) -> Result<(), Refusal> {
+        a.check().map_err(|e| Refusal::not_run(Reason::BadRequest, e))?;
+        let (applied, out) = self.gossip.lock().announce(self.ctx.now(), a);
+        self.note(applied == Applied::Changed);
+        self.send(out);
+        if applied == Applied::Full {
+            return Err(Refusal::not_run(Reason::Busy, "the registry is full"));
+        }
+        Ok(())
+    }
+
+    fn leave(&self, endpoint: &str, incarnation: Option<u64>) -> Result<(), Refusal> {
+        let mut gossip = self.gossip.lock();
+        let known = || gossip.registry.latest(endpoint).map(|a| a.incarnation);
+        let Some(incarnation) = incarnation.or_else(known) else {
+            let detail = format!("endpoint `{endpoint}` is not known here yet; tell another host");
+            return Err(Refusal::not_run(Reason::Unavailable, detail));
+        };
+        let out = gossip.leave(self.ctx.now(), &endpoint.into(), incarnation);
+        drop(gossip);
+        self.note(true);
+        self.send(out);
+        Ok(())
+    }
 }
 
 impl Handler for Directory {
@@ -162,7 +191,7 @@
 
 impl http::Routes for Directory {
     fn answer(&self, request: Request<Incoming>) -> BoxFuture<'_, Answer> {
-        Box::pin(self.announce(request))
+        Box::pin(self.serve(request))
     }
 }
 
@@ -183,7 +212,9 @@
 
 /// Runs the registry and its listener for announcements.
 pub struct RegistryService {
-    listen: SocketAddr,
+    /// Address for announcements; none if another service takes them.
+    listen: Option<SocketAddr>,
+    expiry: Option<Span>,
     metrics: Metrics,
     server: Mutex<Option<Arc<Server>>>,
 }
@@ -191,7 +222,17 @@
 impl RegistryService {
     /// A registry that listens for announcements on `listen`.
     pub fn new(listen: SocketAddr, metrics: Metrics) -> Self {
-        Self { listen, metrics, server: Mutex::default() }
+        Self { listen: Some(listen), ..Self::without_listener(metrics) }
+    }
+
+    /// A registry whose announcements another service takes.
+    pub fn without_listener(metrics: Metrics) -> Self {
+        Self { listen: None, expiry: None, metrics, server: Mutex::default() }
+    }
+
+    /// The same with another silence after which an endpoint is forgotten.
+    pub fn with_expiry(self, expiry: Span) -> Self {
+        Self { expiry: Some(expiry), ..self }
     }
 
     /// Address for announcements, once started.
@@ -210,21 +251,29 @@
             let peers = ctx.find::<dyn Peers>(<dyn Peers>::NAME)?;
             let control = ctx.find::<dyn Control>(<dyn Control>::NAME)?;
             let members = ctx.find::<dyn Members>(<dyn Members>::NAME)?;
+            let mut gossip = Gossip::new(peers.host().into());
+            if let Some(expiry) = self.expiry {
+                gossip.registry.set_expiry(expiry);
+            }
             let directory = Arc::new(Directory {
                 ctx: ctx.clone(),
                 peers: Arc::clone(&peers),
-                gossip: Mutex::new(Gossip::new(peers.host().into())),
+                gossip: Mutex::new(gossip),
                 routes: ArcSwap::default(),
                 stale: AtomicBool::new(false),
+                built: watch::channel(0).0,
                 metrics: self.metrics.clone(),
             });
             peers.handle(Topic::Registry, directory.clone());
+            ctx.publish::<dyn Announce>(<dyn Announce>::NAME, directory.clone());
             ctx.publish::<dyn Endpoints>(<dyn Endpoints>::NAME, directory.clone());
             let views = DirectoryViews { directory: directory.clone(), control: control.clone() };
             ctx.publish::<dyn Views>(<dyn Views>::NAME, Arc::new(views));
             tokio::spawn(keep(directory.clone(), control, members, ctx.clone()));
-            let listener = http::bind(self.listen).await?;
-            *self.server.lock() = Some(Arc::new(Server::start(listener, directory)?));
+            if let Some(listen) = self.listen {
+                let listener = http::bind(listen).await?;
+                *self.server.lock() = Some(Arc::new(Server::start(listener, directory)?));
+            }
             Ok(())
         })
     }
--- /dev/null
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -0,0 +1,282 @@
+//! Drives one request: feeds the state machine with answers and timers, and draws up the answer.
+
+use super::Relay;
+use super::dialect::{Call, Outcome, Part};
+use super::learned::Flight;
+use super::links::Times;
+use super::table::{Entry, Table};
+use crate::core::plan::{Goal, Repeat, Route};
+use crate::core::quarantine::Trial;
+use crate::core::query::{Action, AttemptId, Event, Fleet, Gather, Policy};
+use crate::core::records;
+use crate::core::routes::{Snapshot, Target};
+use crate::prelude::*;
+use futures::future::BoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt as _};
+use std::time::Instant;
+use tokio::task::{AbortHandle, JoinHandle};
+
+/// Time before the caller's deadline at which its answer is sent: a message's way and some work.
+const REPLY_TIME: Span = Span::millis(12);
+/// Part of a time that is kept for the answer's way.
+const REPLY_PART: u64 = 10;
+/// Part of the objective for which a request waits for room.
+const PATIENCE_PART: u64 = 4;
+/// Part of the objective in which a connection must be set up.
+const CONNECT_PART: u64 = 2;
+/// Shortest and longest time in which a connection must be set up.
+const CONNECT_MIN: Span = Span::millis(40);
+const CONNECT_MAX: Span = Span::millis(250);
+/// When a caller may come back after a refusal for lack of room.
+const AFTER: Span = Span::millis(30);
+
+/// The time at which an answer must be under way to arrive in `span`.
+fn ahead(span: Span) -> Span {
+    Span(span.0.saturating_sub(REPLY_TIME.0.min(span.0 / REPLY_PART)))
+}
+
+/// The endpoints of one route, as a query sees them.
+struct Replicas<'a> {
+    relay: &'a Relay,
+    table: &'a Table,
+    route: &'a Route,
+    now: Time,
+}
+
+impl Fleet for Replicas<'_> {
+    type Permit = Flight;
+
+    fn acquire(
+        &mut self,
+        now: Time,
+        replicas: &[Target],
+        tried: &[EndpointKey],
+    ) -> Option<(Target, Flight)> {
+        let learned = &self.relay.learned;
+        let usual = learned.hedge_delay(&self.route.name, self.route.objective);
+        learned.acquire(now, replicas, tried, usual, &self.table.plan)
+    }
+
+    fn extra(&mut self, replicas: &[Target]) -> bool {
+        let service = replicas.first().map(|t| &t.service);
+        service.is_some_and(|service| self.relay.learned.extra(self.now, service))
+    }
+
+    fn hedge_delay(&self, _replicas: &[Target]) -> Option<Span> {
+        Some(self.relay.learned.hedge_delay(&self.route.name, self.route.objective))
+    }
+
+    fn plan(&self, _lost: &[Arc<Snapshot>]) -> Option<Arc<Snapshot>> {
+        None
+    }
+
+    fn try_again(&mut self, _now: Time, _shard: Option<u32>) -> Trial {
+        Trial::Go
+    }
+}
+
+struct Sent {
+    key: EndpointKey,
+    at: Time,
+    task: AbortHandle,
+}
+
+struct Ended {
+    id: AttemptId,
+    result: Result<Part, Refusal>,
+}
+
+/// A request on its way.
+struct Drive<'a> {
+    relay: &'a Arc<Relay>,
+    table: &'a Table,
+    route: &'a Route,
+    call: Arc<Call>,
+    until: Instant,
+    open: FuturesUnordered<BoxFuture<'a, Ended>>,
+    sent: IndexMap<AttemptId, Sent>,
+    wake: Option<Time>,
+    /// The last failure that an endpoint answered with.
+    failure: Option<Part>,
+}
+
+/// Runs one request to its answer.
+pub async fn run(
+    relay: &Arc<Relay>,
+    table: &Table,
+    entry: &Entry,
+    call: Call,
+    begun: Time,
+) -> Outcome {
+    let route = &entry.route;
+    let part = match &route.goal {
+        Goal::Split(list) => relay.learned.split(&route.name, list),
+        Goal::Gather { .. } => Some(0),
+    };
+    let Some(snapshot) = part.and_then(|part| table.snapshot(entry, part)) else {
+        return refuse(Refusal::not_run(Reason::Internal, "the route leads nowhere"));
+    };
+    services(route, part.unwrap_or(0)).for_each(|s| relay.learned.request(begun, s));
+    let patience = call.asked.patience.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = begun + ahead(patience);
+    let waited = relay.ctx.now().since(begun);
+    let drive = Drive {
+        relay,
+        table,
+        route,
+        call: Arc::new(call),
+        until: Instant::now() + Span(patience.0.saturating_sub(waited.0)).to_std(),
+        open: FuturesUnordered::new(),
+        sent: IndexMap::new(),
+        wake: None,
+        failure: None,
+    };
+    let least = match &route.goal {
+        Goal::Split(_) => 1.0,
+        Goal::Gather { least, .. } => least.fraction(),
+    };
+    let shards = snapshot.shards.len() as u32;
+    let gather = Gather::new(snapshot, deadline, least).with_policy(policy(route, begun));
+    let (gather, failure) = drive.run(gather).await;
+    label(route, gather, shards, failure)
+}
+
+fn services(route: &Route, part: usize) -> impl Iterator<Item = &Arc<str>> {
+    let one = matches!(route.goal, Goal::Split(_));
+    route.goal.services().skip(part).take(if one { 1 } else { usize::MAX })
+}
+
+fn policy(route: &Route, begun: Time) -> Policy {
+    Policy {
+        attempts: route.attempts,
+        repeats: route.repeat == Repeat::Idempotent,
+        paid: true,
+        replans: false,
+        suspects: false,
+        enough: Some(begun + ahead(route.objective)),
+        patience: Some(begun + Span(route.objective.0 / PATIENCE_PART)),
+    }
+}
+
+fn refuse(refusal: Refusal) -> Outcome {
+    let after = (refusal.verdict == Verdict::NotRun).then_some(AFTER);
+    Outcome::Refused { refusal, after }
+}
+
+fn label(route: &Route, gather: Gather<Part>, shards: u32, failure: Option<Part>) -> Outcome {
+    let coverage = gather.coverage();
+    let verdict = gather.verdict();
+    let lacking = |reason| {
+        let detail = format!("{} of {shards} shards answered", coverage.answered);
+        refuse(Refusal { verdict, reason, detail })
+    };
+    match &route.goal {
+        Goal::Split(_) => match (gather.parts().next(), failure) {
+            (Some((_, part)), _) | (None, Some(part)) => Outcome::Passed(part),
+            (None, None) => lacking(Reason::Unavailable),
+        },
+        Goal::Gather { top, least, .. } => {
+            if coverage.answered == 0 || !coverage.reaches(least.fraction()) {
+                return lacking(Reason::Coverage);
+            }
+            let parts: Vec<Part> = gather.parts().map(|(_, part)| part).collect();
+            let body = records::merge(parts.iter().map(|p| &p.body[..]), *top as usize);
+            let signatures = parts.into_iter().filter_map(|p| p.signature).collect();
+            Outcome::Gathered { body, signatures, missing: shards - coverage.answered }
+        }
+    }
+}
+
+impl Drive<'_> {
+    async fn run(mut self, mut gather: Gather<Part>) -> (Gather<Part>, Option<Part>) {
+        let mut event = Event::Start;
+        loop {
+            let now = self.relay.ctx.now();
+            let (relay, table, route) = (self.relay, self.table, self.route);
+            let mut fleet = Replicas { relay, table, route, now };
+            let actions = gather.step(now, event, &mut fleet);
+            if self.carry_out(actions) {
+                return (gather, self.failure.take());
+            }
+            event = self.next().await;
+        }
+    }
+
+    /// Carries out the actions; says whether the query is finished.
+    fn carry_out(&mut self, actions: Vec<Action<Flight>>) -> bool {
+        let mut finished = false;
+        for action in actions {
+            match action {
+                Action::Send { attempt, target, permit, .. } => self.send(attempt, target, permit),
+                // It runs to its end unheard, so that its connection can be used again.
+                Action::Cancel(id) => drop(self.sent.swap_remove(&id)),
+                Action::Wake(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
+                Action::Finish => finished = true,
+            }
+        }
+        finished
+    }
+
+    fn send(&mut self, id: AttemptId, to: Target, flight: Flight) {
+        let (relay, call) = (Arc::clone(self.relay), Arc::clone(&self.call));
+        let (at, key) = (relay.ctx.now(), to.key);
+        let connect = Span(self.route.objective.0 / CONNECT_PART).clamp(CONNECT_MIN, CONNECT_MAX);
+        let times = Times { connect, until: self.until };
+        let route = self.route.name.clone();
+        let task: JoinHandle<Result<Part, Refusal>> = tokio::spawn(async move {
+            let connections = relay.learned.connections(&to);
+            let sent = relay.links.run(&*relay.dialect, &call, &to, connections, times);
+            let result = sent.await;
+            let now = relay.ctx.now();
+            match &result {
+                Ok(_) => relay.learned.answered(now, &route, to.key, now.since(at)),
+                Err(r) if r.reason == Reason::Busy => {}
+                Err(_) => relay.learned.failed(now, to.key),
+            }
+            drop(flight);
+            result
+        });
+        self.sent.insert(id, Sent { key, at, task: task.abort_handle() });
+        self.open.push(Box::pin(async move {
+            let stopped = |_| Err(Refusal::may_have_run(Reason::Internal, "the call was stopped"));
+            Ended { id, result: task.await.unwrap_or_else(stopped) }
+        }));
+    }
+
+    async fn next(&mut self) -> Event<Part> {
+        let now = self.relay.ctx.now();
+        let wait = self.wake.map_or(Span::ZERO, |at| at.since(now));
+        tokio::select! {
+            biased;
+            Some(ended) = self.open.next() => self.ended(ended),
+            () = tokio::time::sleep(wait.to_std()) => {
+                self.wake = None;
+                Event::Wake
+            }
+        }
+    }
+
+    fn ended(&mut self, ended: Ended) -> Event<Part> {
+        let Ended { id, result } = ended;
+        if let Some(sent) = self.sent.swap_remove(&id) {
+            let took = self.relay.ctx.now().since(sent.at);
+            log::trace!("attempt {id:?} at {:?} ended after {took}", sent.key);
+        }
+        let result = match result {
+            Ok(part) if !part.status.is_success() => {
+                let detail = format!("the endpoint answered {}", part.status);
+                self.failure = Some(part);
+                Err(Refusal::may_have_run(Reason::Internal, detail))
+            }
+            other => other,
+        };
+        Event::Done(id, result)
+    }
+}
+
+impl Drop for Drive<'_> {
+    fn drop(&mut self) {
+        // A caller that went away leaves attempts behind: closing their connections ends them.
+        self.sent.values().for_each(|sent| sent.task.abort());
+    }
+}
--- /dev/null
+++ b/src/wisteriahead/services/relay/learned.rs
@@ -0,0 +1,180 @@
+//! What this host has learnt of endpoints and routes, and what it may still send.
+//!
+//! An endpoint that has kept silent on a request for longer than is usual is asked last, before
+//! any of its requests has failed.
+
+use crate::core::choice::{Here, Latencies};
+use crate::core::endpoint::share;
+use crate::core::latency::Sketch;
+use crate::core::plan::{Plan, Splitter};
+use crate::core::relay::extras::{Bounds, Extras};
+use crate::core::relay::pace::Pace;
+use crate::core::routes::Target;
+use crate::prelude::*;
+use parking_lot::Mutex;
+use slotmap::SecondaryMap;
+
+/// Quantile of a route's times after which an attempt is hedged: at 1 in 12 the budget of 1 in 5
+/// leaves room for retries.
+const HEDGE_QUANTILE: f64 = 0.92;
+/// Part of the objective after which an attempt is hedged before enough is known.
+const HEDGE_FIRST: u64 = 4;
+/// Shortest wait for a hedge: the time of a message there and back between zones.
+const HEDGE_MIN: Span = Span::millis(4);
+/// Requests in flight from this host for each slot that an endpoint has.
+const DEPTH: u32 = 2;
+
+/// Bounds that the platform sets.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayBounds {
+    /// Extra arrivals at one service.
+    pub extras: Bounds,
+    /// Arrivals in cold start for each that an endpoint says it bears.
+    pub cold_over: f64,
+    /// Arrivals a second in cold start beyond those.
+    pub cold_slack: f64,
+}
+
+#[derive(Default)]
+struct Endpoint {
+    /// When the requests in flight were sent, the oldest first.
+    sent: Vec<Time>,
+    pace: Pace,
+}
+
+#[derive(Default)]
+struct State {
+    routes: IndexMap<Arc<str>, Sketch>,
+    extras: IndexMap<Arc<str>, Extras>,
+    splitters: IndexMap<Arc<str>, Splitter>,
+    endpoints: SecondaryMap<EndpointKey, Endpoint>,
+    latencies: Latencies,
+    hosts: Vec<Arc<str>>,
+    serial: u64,
+}
+
+/// What one host has learnt.
+pub struct Learned {
+    host: Arc<str>,
+    zone: Arc<str>,
+    bounds: RelayBounds,
+    state: Mutex<State>,
+}
+
+/// One request in flight at an endpoint, until this is dropped.
+pub struct Flight {
+    learned: Arc<Learned>,
+    key: EndpointKey,
+    at: Time,
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let mut s = self.learned.state.lock();
+        if let Some(e) = s.endpoints.get_mut(self.key)
+            && let Some(i) = e.sent.iter().position(|at| *at == self.at)
+        {
+            e.sent.remove(i);
+        }
+    }
+}
+
+impl Learned {
+    /// A host that has seen nothing yet.
+    pub fn new(host: &str, zone: &str, bounds: RelayBounds) -> Self {
+        let state = State { hosts: vec![host.into()], ..State::default() };
+        Self { host: host.into(), zone: zone.into(), bounds, state: Mutex::new(state) }
+    }
+
+    /// Sets the hosts that relay requests, this one included.
+    pub fn set_hosts(&self, hosts: Vec<Arc<str>>) {
+        self.state.lock().hosts = hosts;
+    }
+
+    /// Connections to an endpoint that are this host's part.
+    pub fn connections(&self, to: &Target) -> u32 {
+        share(&to.name, to.connections, &self.host, &self.state.lock().hosts).max(1)
+    }
+
+    /// Counts a request for a service.
+    pub fn request(&self, now: Time, service: &Arc<str>) {
+        let bounds = &self.bounds.extras;
+        self.state.lock().extras.entry(service.clone()).or_default().request(now, bounds);
+    }
+
+    /// Takes one extra arrival from the budget of a service.
+    pub fn extra(&self, now: Time, service: &Arc<str>) -> bool {
+        let mut s = self.state.lock();
+        let hosts = s.hosts.len();
+        s.extras.entry(service.clone()).or_default().spend(now, &self.bounds.extras, hosts)
+    }
+
+    /// The part of a split route whose turn it is.
+    pub fn split(&self, route: &Arc<str>, weights: &[(Arc<str>, u32)]) -> Option<usize> {
+        let mut s = self.state.lock();
+        s.splitters.entry(route.clone()).or_default().next(weights.iter().map(|(_, w)| *w))
+    }
+
+    /// Time after which an attempt on a route is hedged.
+    pub fn hedge_delay(&self, route: &Arc<str>, objective: Span) -> Span {
+        let s = self.state.lock();
+        let first = Span(objective.0 / HEDGE_FIRST);
+        let learnt = s.routes.get(route).and_then(|r| r.quantile(HEDGE_QUANTILE));
+        learnt.unwrap_or(first).clamp(HEDGE_MIN, Span(objective.0 / 2).max(HEDGE_MIN))
+    }
+
+    /// Chooses a replica that is not in `tried` and has room; `usual` is a time within which
+    /// most answers come.
+    pub fn acquire(
+        self: &Arc<Self>,
+        now: Time,
+        replicas: &[Target],
+        tried: &[EndpointKey],
+        usual: Span,
+        plan: &Plan,
+    ) -> Option<(Target, Flight)> {
+        let mut s = self.state.lock();
+        s.serial += 1;
+        let State { endpoints, latencies, serial, hosts, .. } = &mut *s;
+        let in_flight = |key| endpoints.get(key).map_or(0, |e| e.sent.len() as u32);
+        let here = Here { zone: &self.zone, in_flight: &in_flight, seed: *serial };
+        let mut order = latencies.order(now, replicas, tried, &here);
+        let is_silent = |t: &Target| {
+            let oldest = endpoints.get(t.key).and_then(|e| e.sent.first());
+            oldest.is_some_and(|at| now.since(*at) > usual)
+        };
+        order.sort_by_cached_key(|t| (t.cold, is_silent(t)));
+        for target in order {
+            let Some(e) = endpoints.entry(target.key).map(|e| e.or_default()) else { continue };
+            if e.sent.len() as u32 >= target.allowed.max(1) * DEPTH {
+                continue;
+            }
+            if target.cold && !e.pace.take(now, self.cold_rate(target, plan, hosts)) {
+                continue;
+            }
+            e.sent.push(now);
+            let flight = Flight { learned: Arc::clone(self), key: target.key, at: now };
+            return Some((target.clone(), flight));
+        }
+        None
+    }
+
+    /// Requests a second that are this host's part at an endpoint in cold start.
+    fn cold_rate(&self, to: &Target, plan: &Plan, hosts: &[Arc<str>]) -> u32 {
+        let said = plan.services.get(&to.service).map_or(0.0, |s| s.cold_rate as f64 / 1_000.0);
+        let all = said.mul_add(self.bounds.cold_over, self.bounds.cold_slack);
+        share(&to.name, all as u32, &self.host, hosts)
+    }
+
+    /// Takes note of an answer on a route.
+    pub fn answered(&self, now: Time, route: &Arc<str>, from: EndpointKey, time: Span) {
+        let mut s = self.state.lock();
+        s.routes.entry(route.clone()).or_default().record(time);
+        s.latencies.answered(now, from, time);
+    }
+
+    /// Takes note of an attempt that ended without an answer.
+    pub fn failed(&self, now: Time, from: EndpointKey) {
+        self.state.lock().latencies.failed(now, from);
+    }
+}
--- /dev/null
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -0,0 +1,230 @@
+//! Relays callers' requests along the routes of the plan in force: to one endpoint unchanged, or
+//! to one of each shard with the answers merged.
+
+pub mod dialect;
+mod drive;
+mod learned;
+mod links;
+mod table;
+
+pub use self::learned::RelayBounds;
+pub use self::links::end_to_end;
+
+use self::dialect::{Call, Dialect, Outcome};
+use self::learned::Learned;
+use self::links::Links;
+use self::table::Table;
+use super::{Control, Endpoints, Member, Members, Peers};
+use crate::core::member::Health;
+use crate::kernel::{Context, Service};
+use crate::prelude::*;
+use crate::util::http::{self, Answer, Limits, Server};
+use arc_swap::ArcSwapOption;
+use futures::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::{Request, StatusCode};
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time between two looks for connections that nobody uses.
+const SWEEP: Duration = Duration::from_secs(10);
+/// Time for which a caller's connection may be idle: over any limit that a plan is likely to name,
+/// since callers use connections again up to that limit.
+const IDLE: Duration = Duration::from_secs(60);
+/// When a caller may come back to a host that knows no plan yet.
+const NO_PLAN_AFTER: Span = Span::millis(200);
+
+/// Settings of the service.
+#[derive(Clone)]
+pub struct RelaySettings {
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address at which the balancer asks whether this host takes new work.
+    pub ready: SocketAddr,
+    /// Path of that question.
+    pub ready_path: &'static str,
+    /// Bounds on what is sent.
+    pub bounds: RelayBounds,
+    /// What callers and endpoints speak.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+/// What the relay needs from the rest of the daemon.
+pub struct Relay {
+    ctx: Context,
+    dialect: Arc<dyn Dialect>,
+    table: ArcSwapOption<Table>,
+    learned: Arc<Learned>,
+    links: Links,
+}
+
+impl Relay {
+    async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let begun = self.ctx.now();
+        let outcome = match self.relay(begun, request).await {
+            Ok(outcome) => outcome,
+            Err(refused) => refused,
+        };
+        let mut answer = self.dialect.answer(outcome);
+        if self.ctx.is_leaving() {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+
+    async fn relay(
+        self: &Arc<Self>,
+        begun: Time,
+        request: Request<Incoming>,
+    ) -> Result<Outcome, Outcome> {
+        let (head, body) = request.into_parts();
+        let refuse = |refusal| Outcome::Refused { refusal, after: None };
+        let Some(table) = self.table.load_full() else {
+            let refusal = Refusal::not_run(Reason::Unavailable, "no plan is known here yet");
+            return Err(Outcome::Refused { refusal, after: Some(NO_PLAN_AFTER) });
+        };
+        let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
+        let Some(entry) = table.find(host, head.uri.path()) else {
+            let detail = format!("no route for host `{host}` and this path");
+            return Err(refuse(Refusal::not_run(Reason::UnknownCollection, detail)));
+        };
+        let asked = self.dialect.read(&head).map_err(refuse)?;
+        let limit = table.plan.limits.body_bytes;
+        let body = http::read_body(body, limit).await.map_err(refuse)?;
+        let uri = head.uri.path_and_query().map_or("/", |p| p.as_str()).parse();
+        let uri = uri.map_err(|e| {
+            refuse(Refusal::not_run(Reason::BadRequest, format!("the path cannot be read: {e}")))
+        })?;
+        let headers = end_to_end(head.headers);
+        let call = Call { method: head.method, uri, headers, body, asked };
+        Ok(drive::run(self, &table, &entry, call, begun).await)
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.ctx.is_leaving() && self.table.load().as_ref().is_some_and(|t| t.is_served())
+    }
+
+    fn set_members(&self, members: &[Member]) {
+        let relays = members.iter().filter(|m| !m.durable && m.health < Health::Lost);
+        self.learned.set_hosts(relays.map(|m| m.host.clone()).collect());
+    }
+}
+
+struct Callers(Arc<Relay>);
+
+impl http::Routes for Callers {
+    fn answer(&self, request: Request<Incoming>) -> BoxFuture<'_, Answer> {
+        Box::pin(Arc::clone(&self.0).serve(request))
+    }
+}
+
+struct Balancer {
+    relay: Arc<Relay>,
+    path: &'static str,
+}
+
+impl http::Routes for Balancer {
+    fn answer(&self, request: Request<Incoming>) -> BoxFuture<'_, Answer> {
+        let status = match request.uri().path() {
+            path if path != self.path => StatusCode::NOT_FOUND,
+            _ if self.relay.is_ready() => StatusCode::OK,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        Box::pin(async move { http::json(status, &serde_json::json!({})) })
+    }
+}
+
+/// Runs the relay and its listeners.
+pub struct RelayService {
+    settings: RelaySettings,
+    servers: Mutex<Vec<Arc<Server>>>,
+}
+
+impl RelayService {
+    /// A relay that is not started yet.
+    pub fn new(settings: RelaySettings) -> Self {
+        Self { settings, servers: Mutex::default() }
+    }
+
+    async fn run(&self, ctx: &Context) -> Result<()> {
+        let peers = ctx.find::<dyn Peers>(<dyn Peers>::NAME)?;
+        let s = &self.settings;
+        let relay = Arc::new(Relay {
+            ctx: ctx.clone(),
+            dialect: s.dialect.clone(),
+            table: ArcSwapOption::empty(),
+            learned: Arc::new(Learned::new(peers.host(), peers.zone(), s.bounds)),
+            links: Links::default(),
+        });
+        let control = ctx.find::<dyn Control>(<dyn Control>::NAME)?;
+        let endpoints = ctx.find::<dyn Endpoints>(<dyn Endpoints>::NAME)?;
+        let members = ctx.find::<dyn Members>(<dyn Members>::NAME)?;
+        tokio::spawn(keep(relay.clone(), control, endpoints, members));
+        let limits = Limits { head_time: IDLE, ..Limits::default() };
+        let callers = Arc::new(Callers(relay.clone()));
+        let callers = Server::start_with(http::bind(s.listen).await?, callers, limits)?;
+        let balancer = Arc::new(Balancer { relay, path: s.ready_path });
+        let balancer = Server::start(http::bind(s.ready).await?, balancer)?;
+        *self.servers.lock() = vec![Arc::new(callers), Arc::new(balancer)];
+        Ok(())
+    }
+}
+
+impl Service for RelayService {
+    fn name(&self) -> &'static str {
+        "relay"
+    }
+
+    fn start<'a>(&'a self, ctx: &'a Context) -> BoxFuture<'a, Result<()>> {
+        Box::pin(self.run(ctx))
+    }
+
+    fn stop(&self, bound: Span) -> BoxFuture<'_, ()> {
+        let servers = self.servers.lock().clone();
+        Box::pin(async move {
+            let stops = servers.iter().map(|s| s.stop(bound));
+            for stopped in futures::future::join_all(stops).await {
+                if let Err(e) = stopped {
+                    log::warn!("relay: {e}");
+                }
+            }
+        })
+    }
+}
+
+/// Follows the plan in force, the endpoints and the hosts.
+async fn keep(
+    relay: Arc<Relay>,
+    control: Arc<dyn Control>,
+    endpoints: Arc<dyn Endpoints>,
+    members: Arc<dyn Members>,
+) {
+    let (mut accepted, mut members) = (control.watch(), members.watch());
+    let mut changes = endpoints.changes();
+    relay.set_members(&members.borrow_and_update());
+    let mut sweep = tokio::time::interval(SWEEP);
+    loop {
+        let plan = accepted.borrow_and_update().plan.clone();
+        if let Some(plan) = plan {
+            changes.mark_unchanged();
+            relay.table.store(Some(Arc::new(Table::new(plan, endpoints.routes()))));
+        }
+        let ended = tokio::select! {
+            changed = accepted.changed() => changed.is_err(),
+            changed = changes.changed() => changed.is_err(),
+            changed = members.changed() => {
+                relay.set_members(&members.borrow_and_update());
+                changed.is_err()
+            }
+            _ = sweep.tick() => {
+                relay.links.sweep();
+                false
+            }
+        };
+        if ended {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/wisteriahead/services/relay/table.rs
@@ -0,0 +1,66 @@
+//! The routes of the plan in force, each with the endpoints that serve it now.
+
+use crate::core::plan::{Goal, Plan, Route, RouteIndex};
+use crate::core::routes::{Routes, Snapshot, Target};
+use crate::prelude::*;
+use std::sync::OnceLock;
+
+/// A route and its endpoints.
+pub struct Entry {
+    /// The route.
+    pub route: Route,
+    /// One snapshot for each part of a split, or the one that is gathered from; drawn up when it
+    /// is first needed, since most routes of a large plan are idle.
+    snapshots: OnceLock<Vec<Arc<Snapshot>>>,
+}
+
+/// All routes; a request uses one table from its start to its end.
+pub struct Table {
+    /// The plan.
+    pub plan: Arc<Plan>,
+    index: RouteIndex,
+    entries: Vec<Arc<Entry>>,
+    endpoints: Arc<Routes>,
+}
+
+impl Table {
+    /// The routes of a plan over these endpoints.
+    pub fn new(plan: Arc<Plan>, endpoints: Arc<Routes>) -> Self {
+        let index = RouteIndex::new(&plan.routes);
+        let entry = |r: &Route| Arc::new(Entry { route: r.clone(), snapshots: OnceLock::new() });
+        let entries = plan.routes.iter().map(entry).collect();
+        Self { plan, index, entries, endpoints }
+    }
+
+    /// The route of a request.
+    pub fn find(&self, host: &str, path: &str) -> Option<Arc<Entry>> {
+        self.entries.get(self.index.find(host, path)?).cloned()
+    }
+
+    /// Whether any endpoint takes work.
+    pub fn is_served(&self) -> bool {
+        !self.endpoints.services.is_empty()
+    }
+
+    /// The snapshot that a part of the route's goal goes to.
+    pub fn snapshot(&self, entry: &Entry, part: usize) -> Option<Arc<Snapshot>> {
+        let all = entry.snapshots.get_or_init(|| match &entry.route.goal {
+            Goal::Split(list) => {
+                list.iter().map(|(service, _)| self.draw(std::slice::from_ref(service))).collect()
+            }
+            Goal::Gather { shards, .. } => vec![self.draw(shards)],
+        });
+        all.get(part).cloned()
+    }
+
+    fn draw(&self, services: &[Arc<str>]) -> Arc<Snapshot> {
+        let name = self.plan.number.to_string().into();
+        Arc::new(Snapshot { name, shards: services.iter().map(|s| self.replicas(s)).collect() })
+    }
+
+    fn replicas(&self, service: &Arc<str>) -> Vec<Target> {
+        let connections = self.plan.services.get(service).map_or(1, |s| s.connections);
+        let known = self.endpoints.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        known.iter().map(|t| Target { connections, ..t.clone() }).collect()
+    }
+}
--- a/src/wisteriahead/services/transport/mod.rs
+++ b/src/wisteriahead/services/transport/mod.rs
@@ -7,9 +7,10 @@
 
 mod exchange;
 mod pool;
+pub(super) use self::pool::{Lease, Pool};
 
 use self::exchange::Ended;
-use self::pool::{Lease, Pool};
+
 use super::{Allowance, Attempt, Members, Observation, Peers, Permit, Transport};
 use crate::core::budget::{ATTEMPT_MAX, time_left};
 use crate::core::endpoint::share;
--- a/src/wisteriahead/util/http.rs
+++ b/src/wisteriahead/util/http.rs
@@ -36,6 +36,21 @@
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// What a listener allows its clients.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time in which a request's head must arrive, from the end of the last answer on.
+    pub head_time: Duration,
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { head_time: HEAD_TIMEOUT, head_bytes: HEAD_MAX_BYTES }
+    }
+}
+
 /// A response with its whole body.
 pub type Answer = Response<Full<Bytes>>;
 
@@ -129,10 +144,23 @@
     ///
     /// Fails when the listener has no local address.
     pub fn start(listener: TcpListener, routes: Arc<dyn Routes>) -> Result<Self> {
+        Self::start_with(listener, routes, Limits::default())
+    }
+
+    /// Serves `routes` on `listener` under limits of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the listener has no local address.
+    pub fn start_with(
+        listener: TcpListener,
+        routes: Arc<dyn Routes>,
+        limits: Limits,
+    ) -> Result<Self> {
         let address = listener.local_addr().context("could not read the listener's address")?;
         let (stop, stopping) = watch::channel(false);
         let open = Arc::new(Semaphore::new(CONNECTIONS_MAX));
-        tokio::spawn(accept(listener, routes, stopping, Arc::clone(&open)));
+        tokio::spawn(accept(listener, routes, limits, stopping, Arc::clone(&open)));
         Ok(Self { address, stop, open })
     }
 
@@ -163,6 +191,7 @@
 async fn accept(
     listener: TcpListener,
     routes: Arc<dyn Routes>,
+    limits: Limits,
     mut stopping: watch::Receiver<bool>,
     open: Arc<Semaphore>,
 ) {
@@ -183,16 +212,27 @@
         let _ = stream.set_nodelay(true);
         let (routes, stopping) = (Arc::clone(&routes), stopping.clone());
         tokio::spawn(async move {
-            serve(stream, routes, stopping).await;
+            serve_with(stream, routes, limits, stopping).await;
             drop(permit);
         });
     }
 }
 
 /// Serves one connection until it closes or `stopping` turns true and it is idle.
-pub async fn serve<S>(stream: S, routes: Arc<dyn Routes>, mut stopping: watch::Receiver<bool>)
+pub async fn serve<S>(stream: S, routes: Arc<dyn Routes>, stopping: watch::Receiver<bool>)
 where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    serve_with(stream, routes, Limits::default(), stopping).await;
+}
+
+async fn serve_with<S>(
+    stream: S,
+    routes: Arc<dyn Routes>,
+    limits: Limits,
+    mut stopping: watch::Receiver<bool>,
+) where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
     let service = service_fn(move |request| {
         let routes = Arc::clone(&routes);
@@ -200,8 +240,8 @@
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(HEAD_MAX_BYTES)
+        .header_read_timeout(limits.head_time)
+        .max_buf_size(limits.head_bytes)
         .max_headers(HEADERS_MAX)
         .serve_connection(TokioIo::new(Stall::new(stream, READ_TIMEOUT)), service);
     let mut connection = std::pin::pin!(connection);
--- a/src/wisteriahead/util/mod.rs
+++ b/src/wisteriahead/util/mod.rs
@@ -6,5 +6,6 @@
 pub mod logging;
 pub mod metrics;
 pub mod renewal;
+pub mod secret;
 pub mod stall;
 pub mod tls;
--- a/src/wisteriahead/util/renewal.rs
+++ b/src/wisteriahead/util/renewal.rs
@@ -33,7 +33,8 @@
 
 /// A certificate and private key that follow their files.
 pub struct Renewal {
-    paths: TlsPaths,
+    /// Files that it follows; none if it was made in memory.
+    paths: Option<TlsPaths>,
     provider: Arc<CryptoProvider>,
     current: ArcSwap<CertifiedKey>,
     looked: Mutex<Looked>,
@@ -41,7 +42,7 @@
 
 impl std::fmt::Debug for Renewal {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Renewal({})", self.paths.cert.display())
+        write!(f, "Renewal({:?})", self.paths.as_ref().map(|p| &p.cert))
     }
 }
 
@@ -56,7 +57,17 @@
         // Stamped before the read, so that a change during it is seen by the next look.
         let looked = Looked { at: Instant::now(), stamps: stamps(paths) };
         let current = ArcSwap::from_pointee(read(paths, &provider)?);
-        Ok(Self { paths: paths.clone(), provider, current, looked: Mutex::new(looked) })
+        Ok(Self { paths: Some(paths.clone()), provider, current, looked: Mutex::new(looked) })
+    }
+
+    /// A certificate and private key that no file holds.
+    pub fn fixed(pair: CertifiedKey) -> Self {
+        Self {
+            paths: None,
+            provider: Arc::new(default_provider()),
+            current: ArcSwap::from_pointee(pair),
+            looked: Mutex::new(Looked { at: Instant::now(), stamps: [None, None] }),
+        }
     }
 
     /// The certificate and key in use now.
@@ -75,18 +86,19 @@
     }
 
     fn look(&self) {
+        let Some(paths) = &self.paths else { return };
         // Another handshake that looks right now makes this look needless.
         let Some(mut looked) = self.looked.try_lock() else { return };
         if looked.at.elapsed() < LOOK_PERIOD {
             return;
         }
         looked.at = Instant::now();
-        let stamps = stamps(&self.paths);
+        let stamps = stamps(paths);
         if stamps == looked.stamps {
             return;
         }
         looked.stamps = stamps;
-        let file = self.paths.cert.display();
+        let file = paths.cert.display();
         match self.reload() {
             Ok(()) => log::info!("certificate {file} was renewed and is in use"),
             Err(e) => log::error!("certificate {file} was changed; the old one stays: {e:#}"),
@@ -99,7 +111,8 @@
     ///
     /// Says why the files cannot be used; the old certificate and key stay in use then.
     pub fn reload(&self) -> Result<()> {
-        let fresh = read(&self.paths, &self.provider)?;
+        let Some(paths) = &self.paths else { return Ok(()) };
+        let fresh = read(paths, &self.provider)?;
         let (old, new) = (self.identity()?, holder(&fresh)?);
         if old != new {
             bail!("it is issued to {} `{}`, not `{}`; issue it anew", new.kind, new.name, old.name);
--- /dev/null
+++ b/src/wisteriahead/util/secret.rs
@@ -0,0 +1,107 @@
+//! Credentials derived from one secret that all hosts share, where nobody hands out keys.
+//!
+//! The secret gives the authority's private key, the same at each host; a host issues its own
+//! certificate at its start and keeps it in memory. The certificates hold at any time of day,
+//! since hosts' clocks may differ by years.
+
+use super::tls::{Identity, Kind, SCHEME, SERVER_NAME};
+use crate::core::endpoint::check_name;
+use crate::prelude::*;
+use anyhow::{anyhow, ensure};
+use rcgen::{
+    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose, SanType,
+};
+use rustls::RootCertStore;
+use rustls::crypto::ring::default_provider;
+use rustls::sign::CertifiedKey;
+use rustls_pki_types::{PrivateKeyDer, PrivatePkcs8KeyDer};
+use sha2::{Digest as _, Sha256};
+
+/// Least bytes of a secret.
+pub const SECRET_MIN_BYTES: usize = 16;
+/// What the authority's key is drawn from, before the secret.
+const LABEL: &[u8] = b"wisteriahead authority 1\0";
+/// Start of an Ed25519 private key in PKCS #8, before its 32 bytes (RFC 8410, section 7).
+const PKCS8_ED25519: [u8; 16] =
+    [0x30, 0x2e, 2, 1, 0, 0x30, 5, 6, 3, 0x2b, 0x65, 0x70, 4, 0x22, 4, 0x20];
+
+/// A secret that all hosts of a tier share.
+#[derive(Clone)]
+pub struct Secret(Arc<str>);
+
+impl Secret {
+    /// Takes a secret of at least [`SECRET_MIN_BYTES`] bytes.
+    ///
+    /// # Errors
+    ///
+    /// Says how long a secret must be.
+    pub fn new(text: &str) -> Result<Self, String> {
+        if text.len() < SECRET_MIN_BYTES {
+            return Err(format!(
+                "a secret of {} bytes is too short; at least {SECRET_MIN_BYTES} are needed",
+                text.len()
+            ));
+        }
+        Ok(Self(text.into()))
+    }
+
+    /// The authority's certificate, and a host's own with its private key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host's name or zone cannot stand in a certificate.
+    pub fn issue(&self, host: &str, zone: &str) -> Result<(RootCertStore, CertifiedKey)> {
+        let (authority, params) = (self.authority()?, authority_params());
+        let mut roots = RootCertStore::empty();
+        roots.add(params.self_signed(&authority)?.der().clone())?;
+        let issuer = Issuer::new(params, authority);
+        let key = KeyPair::generate().context("could not generate a key")?;
+        let cert = host_params(host, zone)?.signed_by(&key, &issuer)?;
+        let key = PrivateKeyDer::Pkcs8(PrivatePkcs8KeyDer::from(key.serialize_der()));
+        let pair = CertifiedKey::from_der(vec![cert.der().clone()], key, &default_provider())?;
+        let id = Identity::read(cert.der())?;
+        ensure!(id.name == host && id.kind == Kind::Host, "the certificate names another holder");
+        Ok((roots, pair))
+    }
+
+    fn authority(&self) -> Result<KeyPair> {
+        let seed = Sha256::new().chain_update(LABEL).chain_update(self.0.as_bytes()).finalize();
+        let der: Vec<u8> = PKCS8_ED25519.iter().chain(seed.iter()).copied().collect();
+        KeyPair::try_from(der).context("could not derive the authority's key")
+    }
+}
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret")
+    }
+}
+
+/// Without a time of its own, a certificate of the library holds from 1975 to 4096.
+fn authority_params() -> CertificateParams {
+    let mut params = CertificateParams::default();
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
+    params.distinguished_name.push(DnType::CommonName, "wisteriahead authority");
+    params
+}
+
+fn host_params(host: &str, zone: &str) -> Result<CertificateParams> {
+    check_name("host", host).map_err(|e| anyhow!(e))?;
+    check_name("zone", zone).map_err(|e| anyhow!(e))?;
+    let uri = |field: &str, value: &str| -> Result<SanType> {
+        Ok(SanType::URI(format!("{SCHEME}:{field}:{value}").try_into()?))
+    };
+    let mut params = CertificateParams::default();
+    params.distinguished_name.push(DnType::CommonName, host);
+    params.subject_alt_names = vec![
+        uri(Kind::Host.name(), host)?,
+        uri("zone", zone)?,
+        SanType::DnsName(SERVER_NAME.try_into()?),
+    ];
+    params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
+    params.extended_key_usages =
+        vec![ExtendedKeyUsagePurpose::ClientAuth, ExtendedKeyUsagePurpose::ServerAuth];
+    Ok(params)
+}
--- a/src/wisteriahead/util/tls.rs
+++ b/src/wisteriahead/util/tls.rs
@@ -6,6 +6,7 @@
 //! [`SERVER_NAME`], so a client learns the host's name from the certificate itself.
 
 use super::renewal::Renewal;
+use super::secret::Secret;
 use crate::prelude::*;
 use anyhow::{anyhow, bail};
 use rustls::client::Resumption;
@@ -144,6 +145,32 @@
     pub key: PathBuf,
 }
 
+/// What hosts authenticate each other by.
+#[derive(Clone, Debug)]
+pub enum HostKeys {
+    /// Files that an authority issued.
+    Files(TlsPaths),
+    /// A secret that all hosts share.
+    Secret(Secret),
+}
+
+impl HostKeys {
+    /// The credentials of the named host.
+    ///
+    /// # Errors
+    ///
+    /// Names the file that cannot be read or used, or what keeps a certificate from being made.
+    pub fn load(&self, host: &str, zone: &str) -> Result<Credentials> {
+        match self {
+            Self::Files(paths) => Credentials::load(paths),
+            Self::Secret(secret) => {
+                let (roots, pair) = secret.issue(host, zone)?;
+                Ok(Credentials { roots: Arc::new(roots), own: Arc::new(Renewal::fixed(pair)) })
+            }
+        }
+    }
+}
+
 /// Loaded certificates and private key, which are read anew when their files change.
 pub struct Credentials {
     roots: Arc<RootCertStore>,
