Test plans, budgets of extras, policies and the adapter; answer a host that retires itself

A retired host is now shut out 300 ms after the revision is in force. Ruled out: the signals' new place in ops/serve, which that test does not run. Seen after it: 3 runs of peers:: passed before the change too, so the mend is by reading, not by a failing test.

--- a/src/wisteriahead/services/control/rounds.rs
+++ b/src/wisteriahead/services/control/rounds.rs
@@ -23,6 +23,8 @@
 const REPAIR_MAX: Span = Span::secs(1);
 /// Hosts told in one round, besides the leader.
 const FANOUT: usize = 4;
+/// Time in which a host that is retired still gets its answers: it may have asked for that itself.
+const FAREWELL: Span = Span::millis(300);
 /// Age up to which it counts who another host says that leads.
 pub const FRESH: Span = Span::secs(3);
 /// Time allowed for carrying one mark into the log.
@@ -72,6 +74,9 @@
     let mut accepted = shared.keeper.watch();
     loop {
         let retired = retired(&accepted.borrow_and_update().document);
+        if !retired.is_empty() {
+            sleep(FAREWELL.to_std()).await;
+        }
         shared.peers.bar(retired);
         if accepted.changed().await.is_err() {
             return;
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -98,7 +98,7 @@
             return free.get(lot % free.len().max(1)).map(|t| ((*t).clone(), ()));
         }
         let in_flight = |key| self.in_flight.get(key).copied().unwrap_or(0);
-        let here = Here { zone: "north", in_flight: &in_flight, seed: self.serial };
+        let here = Here { zone: "north", in_flight: &in_flight, seed: self.serial, away: 0 };
         let order = self.latencies.order(now, replicas, tried, &here);
         match order.into_iter().find(|t| in_flight(t.key) < self.slots) {
             Some(target) => {
--- /dev/null
+++ b/tests/testsuite/plan.rs
@@ -0,0 +1,173 @@
+//! Plans: what is refused, which route a request takes, and which of two plans holds.
+
+use crate::support::config;
+use proptest::prelude::*;
+use std::sync::Arc;
+use wisteriahead::core::control::{Command, Reply, Stamped, State};
+use wisteriahead::core::document::ZoneState;
+use wisteriahead::core::message::encode;
+use wisteriahead::core::plan::{
+    CallerLimits, Goal, Plan, Repeat, Route, RouteIndex, Service, Share, Splitter,
+};
+use wisteriahead::core::time::Span;
+use yare::parameterized;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout: Span::millis(400),
+        objective: Span::millis(80),
+        priority: 1,
+        attempts: 2,
+        goal: Goal::Split(vec![("s".into(), 1)]),
+    }
+}
+
+pub fn plan(number: u64) -> Plan {
+    let service = Service { connections: 25, cold_rate: 0 };
+    Plan {
+        number,
+        routes: vec![route("a", "h", "/a/"), route("ab", "h", "/a/b/"), route("root", "h", "/")],
+        services: [(Arc::from("s"), service.clone()), (Arc::from("t"), service)].into(),
+        limits: CallerLimits::default(),
+        source: format!("plan {number}").into(),
+    }
+}
+
+#[test]
+fn sound_plan_is_taken() {
+    assert_eq!(plan(1).check(), Ok(()));
+}
+
+#[parameterized(
+    unknown_service = { |p| p.routes[0].goal = Goal::Split(vec![("x".into(), 1)]), "service `x`" },
+    unknown_shard = { |p| p.routes[0].goal = gather(&["s", "x"]), "service `x`" },
+    shard_twice = { |p| p.routes[0].goal = gather(&["s", "s"]), "twice" },
+    no_shard = { |p| p.routes[0].goal = gather(&[]), "no service" },
+    no_weight = { |p| p.routes[0].goal = Goal::Split(vec![("s".into(), 0)]), "add up to 0" },
+    no_timeout = { |p| p.routes[0].timeout = Span::ZERO, "timeout" },
+    same_place = { |p| p.routes[1].prefix = "/a/".into(), "host `h` and prefix `/a/`" },
+    no_slash = { |p| p.routes[0].prefix = "/a".into(), "slash" },
+)]
+fn faulty_plan_is_refused(spoil: fn(&mut Plan), cause: &str) {
+    let mut plan = plan(1);
+    spoil(&mut plan);
+    let fault = plan.check().unwrap_err();
+    assert!(fault.contains(cause), "{fault}");
+}
+
+fn gather(shards: &[&str]) -> Goal {
+    let shards = shards.iter().map(|s| Arc::from(*s)).collect();
+    Goal::Gather { shards, top: 5, least: Share::from_fraction(0.75) }
+}
+
+#[parameterized(
+    longest = { "h", "/a/b/c", Some("ab") },
+    shorter = { "h", "/a/bc", Some("a") },
+    whole = { "h", "/a/", Some("a") },
+    without_its_slash = { "h", "/a", Some("root") },
+    other = { "h", "/x/a/b/", Some("root") },
+    other_host = { "g", "/a/b/", None },
+    no_path = { "h", "*", None },
+)]
+fn longest_prefix_of_the_host_is_taken(host: &str, path: &str, name: Option<&str>) {
+    let plan = plan(1);
+    let found = RouteIndex::new(&plan.routes).find(host, path);
+    assert_eq!(found.map(|i| &*plan.routes[i].name), name);
+}
+
+#[test]
+fn share_survives_its_millionths() {
+    for of_20 in 0..=20u32 {
+        let least = Share::from_fraction(f64::from(of_20) / 20.0).fraction();
+        assert!(f64::from(of_20) >= 20.0 * least, "{of_20} of 20 reaches {of_20} of 20");
+    }
+}
+
+fn publish(state: &mut State, plan: Plan) -> Reply {
+    let command = Command::Publish(Arc::new(plan));
+    state.apply(&encode(&Stamped { time_ms: 0, command })).unwrap()
+}
+
+fn held(state: &mut State) -> Option<Arc<Plan>> {
+    match state.apply(&encode(&Stamped { time_ms: 0, command: Command::Plan })).unwrap() {
+        Reply::Plan(plan) => plan,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn same_number_with_other_content_changes_nothing() {
+    let mut state = State::default();
+    publish(&mut state, plan(7));
+    let before = state.changes.revision;
+    let other = Plan { source: "other".into(), ..plan(7) };
+    assert_eq!(publish(&mut state, other), Reply::Published(before));
+    assert_eq!(held(&mut state).unwrap().source, plan(7).source);
+}
+
+#[test]
+fn plan_lets_endpoints_in_and_zones_out_without_an_inventory() {
+    use wisteriahead::core::document::Admit;
+    let mut state = State::default();
+    publish(&mut state, plan(1));
+    let command = Command::Zone {
+        id: "1".into(),
+        operator: "ann".into(),
+        zone: "north".into(),
+        state: ZoneState::Out,
+        base: 1,
+    };
+    state.apply(&encode(&Stamped { time_ms: 0, command })).unwrap();
+    let document = state.changes.in_force().document().unwrap();
+    assert_eq!(document.rules.admit, Admit::Any);
+    assert_eq!(document.zone("north").unwrap().state, ZoneState::Out);
+}
+
+proptest! {
+    #![proptest_config(config(256))]
+
+    /// Under any order of plans, resends and restarts, the highest number holds, and the revision
+    /// in force rises with each plan that takes another's place.
+    #[test]
+    fn highest_number_holds(numbers in prop::collection::vec((0..20u64, any::<bool>()), 1..40)) {
+        let mut state = State::default();
+        let mut highest = None;
+        for (number, restart) in numbers {
+            let before = state.changes.revision;
+            publish(&mut state, plan(number));
+            let rises = highest.is_none_or(|h| number > h);
+            prop_assert_eq!(state.changes.revision, before + u64::from(rises));
+            highest = highest.max(Some(number));
+            if restart {
+                state = State::read(&state.write()).unwrap();
+            }
+            prop_assert_eq!(held(&mut state).map(|p| p.number), highest);
+            prop_assert_eq!(state.changes.in_force().plan.map(|p| p.number), highest);
+        }
+    }
+
+    /// After any number of requests each part has its share, to one request.
+    #[test]
+    fn split_keeps_to_the_weights(
+        weights in prop::collection::vec(0..20u32, 1..5),
+        requests in 1..200u32,
+    ) {
+        let sum: u32 = weights.iter().sum();
+        let mut splitter = Splitter::default();
+        let mut counts = vec![0u32; weights.len()];
+        for _ in 0..requests {
+            let next = splitter.next(weights.iter().copied());
+            prop_assert_eq!(next.is_some(), sum > 0);
+            next.into_iter().for_each(|part| counts[part] += 1);
+        }
+        for (count, weight) in counts.iter().zip(&weights).filter(|_| sum > 0) {
+            let share = f64::from(requests) * f64::from(*weight) / f64::from(sum);
+            prop_assert!((f64::from(*count) - share).abs() <= weights.len() as f64, "{counts:?}");
+            prop_assert!(*weight > 0 || *count == 0);
+        }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/relay.rs
@@ -0,0 +1,72 @@
+//! What a relay may send beyond first attempts, to endpoints in cold start, and how it merges.
+
+use crate::support::config;
+use proptest::prelude::*;
+use wisteriahead::core::records::{RECORD_BYTES, merge};
+use wisteriahead::core::relay::extras::{Bounds, Extras};
+use wisteriahead::core::relay::pace::Pace;
+use wisteriahead::core::time::{Span, Time};
+
+const BOUNDS: Bounds = Bounds { ratio: 0.2, slack: 52.0, window: Span::secs(10) };
+
+proptest! {
+    #![proptest_config(config(64))]
+
+    /// In any window of that length, all hosts together stay within the bounds, however the
+    /// requests fall on them and however eagerly they spend.
+    #[test]
+    fn extras_of_all_hosts_stay_within_the_bounds(
+        hosts in 1..8usize,
+        events in prop::collection::vec((0..8usize, 0..40_000u64, 0..4u32), 100..2_000),
+    ) {
+        let mut at = Time(0);
+        let mut all = vec![Extras::default(); hosts];
+        let (mut requests, mut extras) = (Vec::new(), Vec::new());
+        for (host, pause, tries) in events {
+            at += Span::micros(pause);
+            let e = &mut all[host % hosts];
+            e.request(at, &BOUNDS);
+            requests.push(at);
+            extras.extend((0..tries).filter(|_| e.spend(at, &BOUNDS, hosts)).map(|_| at));
+        }
+        for &end in &extras {
+            let within = |list: &[Time], span| list.iter().filter(|t| **t <= end && end.since(**t) < span).count();
+            let most = BOUNDS.ratio * within(&requests, BOUNDS.window) as f64 + BOUNDS.slack;
+            prop_assert!(within(&extras, BOUNDS.window) as f64 <= most);
+        }
+    }
+
+    /// No span of a second has more than `most` grants.
+    #[test]
+    fn pace_holds_in_any_second(most in 0..6u32, pauses in prop::collection::vec(0..400_000u64, 1..300)) {
+        let (mut at, mut pace, mut sent) = (Time(0), Pace::default(), Vec::new());
+        for pause in pauses {
+            at += Span::micros(pause);
+            if pace.take(at, most) {
+                sent.push(at);
+            }
+            let lately = sent.iter().filter(|t| at.since(**t) < Span::secs(1)).count();
+            prop_assert!(lately <= most as usize);
+        }
+    }
+
+    /// The merge is the head of all records in falling order, remainders left out.
+    #[test]
+    fn merge_is_the_head_of_all_records(
+        parts in prop::collection::vec(prop::collection::vec(0..3u8, 0..200), 0..6),
+        top in 0..30usize,
+    ) {
+        let mut all: Vec<&[u8]> = parts.iter().flat_map(|p| p.chunks_exact(RECORD_BYTES)).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.truncate(top);
+        prop_assert_eq!(merge(parts.iter().map(|p| &p[..]), top), all.concat());
+    }
+}
+
+#[test]
+fn extras_come_back_after_the_window() {
+    let mut extras = Extras::default();
+    while extras.spend(Time(0), &BOUNDS, 1) {}
+    assert!(!extras.spend(Time(0) + Span::secs(5), &BOUNDS, 1));
+    assert!(extras.spend(Time(0) + Span::secs(11), &BOUNDS, 1));
+}
