--- a/src/wisteriahead/services/relay/learned.rs
+++ b/src/wisteriahead/services/relay/learned.rs
@@ -149,7 +149,8 @@
         order.sort_by_cached_key(|t| (t.cold, is_silent(t)));
         for target in order {
             let Some(e) = endpoints.entry(target.key).map(|e| e.or_default()) else { continue };
-            if e.sent.len() as u32 >= target.allowed.max(1) * DEPTH {
+            let links = share(&target.name, target.connections, &self.host, hosts).max(1);
+            if e.sent.len() as u32 >= (target.allowed.max(1) * DEPTH).min(links) {
                 continue;
             }
             if target.cold && !e.pace.take(now, self.cold_rate(target, plan, hosts)) {
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -107,8 +107,11 @@
     }
 
     fn set_members(&self, members: &[Member]) {
-        let relays = members.iter().filter(|m| !m.durable && m.health < Health::Lost);
-        self.learned.set_hosts(relays.map(|m| m.host.clone()).collect());
+        // Lost ones count too: behind a cut they may still be at work.
+        let relays = members.iter().filter(|m| !m.durable && m.health < Health::Left);
+        let relays: Vec<_> = relays.map(|m| m.host.clone()).collect();
+        log::info!(relays = relays.len(); "{} hosts share the budgets", relays.len());
+        self.learned.set_hosts(relays);
     }
 }
 
