--- a/src/wisteriahead/services/control/keeper.rs
+++ b/src/wisteriahead/services/control/keeper.rs
@@ -33,6 +33,7 @@
     /// Held by the one who changes the state, from its reading until it is durable; always
     /// taken before `state`.
     journal: Mutex<Option<Journal>>,
+    disk: Option<Arc<dyn Disk>>,
     /// Held for moments only.
     state: Mutex<State>,
     accepted: watch::Sender<Accepted>,
@@ -60,6 +61,7 @@
         let document = document.context("the document kept on disk is not valid here")?;
         let keeper = Self {
             journal: Mutex::new(journal),
+            disk: disk.cloned(),
             state: Mutex::new(State { held, document }),
             accepted: watch::channel(Accepted::default()).0,
         };
@@ -134,9 +136,7 @@
 
     /// Makes a state durable, then puts it in force; false if the disk fails.
     fn put(&self, journal: &mut Option<Journal>, held: Held, document: Option<Document>) -> bool {
-        if let Some(journal) = journal
-            && let Err(e) = write(journal, &held)
-        {
+        if let Err(e) = self.keep(journal, &held) {
             log::error!("what is in force could not be kept on disk: {e:#}");
             return false;
         }
@@ -149,6 +149,19 @@
         true
     }
 
+    /// Makes a state durable at a host with a disk. A journal that failed is opened anew by the
+    /// next call, which may find a disk that works again.
+    fn keep(&self, journal: &mut Option<Journal>, held: &Held) -> Result<()> {
+        let Some(disk) = &self.disk else { return Ok(()) };
+        let mut open = match journal.take() {
+            Some(open) => open,
+            None => Journal::open(disk.clone(), NAME)?.journal,
+        };
+        write(&mut open, held)?;
+        *journal = Some(open);
+        Ok(())
+    }
+
     fn publish(&self, state: &State) {
         let Held { force, marks } = &state.held;
         let mut document = state.document.clone();
--- a/src/wisteriahead/services/control/rounds.rs
+++ b/src/wisteriahead/services/control/rounds.rs
@@ -17,6 +17,8 @@
 
 /// Time between two rounds.
 const ROUND: Span = Span::millis(250);
+/// Time between two looks whether the replica has stopped.
+const REVIVE: Span = Span::secs(1);
 /// Time between two tries to join a tier.
 const JOIN_PAUSE: Span = Span::millis(50);
 /// Time allowed for one step of a repair.
@@ -41,6 +43,7 @@
         () = told(&shared) => {}
         () = mended(&shared) => {}
         () = barred(&shared) => {}
+        () = revived(&shared) => {}
     }
 }
 
@@ -69,6 +72,24 @@
     }
 }
 
+/// Starts the replica again after its disk failed: it goes on from what is durable, as after a
+/// restart of the process.
+async fn revived(shared: &Arc<Shared>) {
+    loop {
+        sleep(REVIVE.to_std()).await;
+        if shared.me.is_none() || shared.founded().is_none() || shared.group(TIER).is_some() {
+            continue;
+        }
+        let again = Arc::clone(shared);
+        // It reads and writes the disk.
+        match tokio::task::spawn_blocking(move || again.resume()).await {
+            Ok(Ok(())) => log::info!("the disk works again; this host votes and keeps claims"),
+            Ok(Err(e)) => log::warn!("the disk still fails: {e:#}"),
+            Err(e) => log::error!("the replica could not be started again: {e}"),
+        }
+    }
+}
+
 /// Shuts out the hosts that the document in force retires.
 async fn barred(shared: &Shared) {
     let mut accepted = shared.keeper.watch();
--- a/tests/testsuite/changes.rs
+++ b/tests/testsuite/changes.rs
@@ -226,3 +226,21 @@
     assert!(refusal.detail.contains("entry 1 of the audit trail"), "{refusal}");
     assert_eq!(state.changes.revision, 0);
 }
+
+/// A full disk refuses every write; once it has room again, what is in force is kept on it.
+#[test]
+fn keeper_goes_on_when_a_full_disk_has_room_again() {
+    let fake = Arc::new(FakeDisk::default());
+    let disk: Arc<dyn Disk> = fake.clone();
+    let keeper = Keeper::open(Some(&disk)).unwrap();
+    let force = |revision| InForce { revision, ..InForce::default() };
+    keeper.adopt(force(1));
+    fake.room(Some(0));
+    keeper.adopt(force(2));
+    assert_eq!(keeper.revision(), 1, "what is not durable is not in force");
+    fake.room(None);
+    keeper.adopt(force(3));
+    assert_eq!(keeper.revision(), 3);
+    drop(keeper);
+    assert_eq!(Keeper::open(Some(&disk)).unwrap().revision(), 3);
+}
