Give the place of a voter that is gone to a host without a vote

Cause: a core host replaced at another address was never given a vote, as only operators change voters; a second such loss would have ended the quorum. A setting of the control service, off for the product's own daemon, where operators replace.

--- a/src/wisteriahead/core/log/repair.rs
+++ b/src/wisteriahead/core/log/repair.rs
@@ -23,3 +23,29 @@
     let new = seen.iter().find(|s| s.host == lost.host)?;
     config.all().all(|r| r != new).then(|| Change::Learn(new.clone()))
 }
+
+/// The next change as [`repair`] says, with voters in mind that are gone: without word for so long
+/// that they are taken for lost for good. A host that holds a disk and no vote takes the place of
+/// one: it learns, the gone voter is removed, and then it is promoted.
+pub fn succeed(
+    config: &Config,
+    ready: &[Replica],
+    seen: &[Replica],
+    gone: &[Replica],
+) -> Option<Change> {
+    let Some(lost) = config.voters.iter().find(|v| gone.contains(v)) else {
+        return repair(config, ready, seen);
+    };
+    // An even number of voters bears no more losses than one voter less.
+    if config.voters.len().is_multiple_of(2) || config.learners.iter().any(|l| ready.contains(l)) {
+        return Some(Change::Remove(lost.clone()));
+    }
+    repair(config, ready, seen).or_else(|| {
+        let spare = seen.iter().filter(|s| config.all().all(|r| r.host != s.host));
+        let in_zone =
+            |s: &&Replica| config.voters.iter().filter(|v| *v != lost && v.zone == s.zone).count();
+        // Voters of one zone are lost together.
+        let best = spare.min_by_key(in_zone).filter(|_| config.learners.is_empty());
+        best.map(|s| Change::Learn(s.clone()))
+    })
+}
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -61,6 +61,9 @@
     pub voters: Vec<String>,
     /// Whether other hosts are known from the settings, to be asked before this one serves.
     pub joins: bool,
+    /// Silence after which a voter's place goes to a host that holds a disk and no vote; without
+    /// it operators replace voters.
+    pub succession: Option<Span>,
 }
 
 /// The service: publishes [`Control`] and [`Admin`].
@@ -87,6 +90,9 @@
     group: Mutex<Option<Group>>,
     seen: Mutex<IndexMap<String, Seen>>,
     started: Instant,
+    succession: Option<Span>,
+    /// Since when this host leads.
+    leads: Mutex<Option<Instant>>,
 }
 
 impl ControlService {
@@ -164,6 +170,8 @@
             group: Mutex::new(None),
             seen: Mutex::default(),
             started: Instant::now(),
+            succession: settings.succession,
+            leads: Mutex::new(None),
         })
     }
 
--- a/src/wisteriahead/services/control/rounds.rs
+++ b/src/wisteriahead/services/control/rounds.rs
@@ -8,7 +8,7 @@
 use crate::core::control::lockout::retired;
 use crate::core::control::{Command, Reply};
 use crate::core::document::ZoneState;
-use crate::core::log::{Replica, repair};
+use crate::core::log::{Config, Replica, succeed};
 use crate::core::message::{Topic, encode};
 use crate::kernel::Context;
 use crate::prelude::*;
@@ -171,14 +171,32 @@
         seen.iter().filter_map(replica).collect()
     }
 
-    /// Replaces voters that lost their disks, as far as this host leads.
+    /// Voters without word for so long that their places go to others, once this host has led for as
+    /// long: before that it may not have been told.
+    fn gone(&self, config: &Config) -> Vec<Replica> {
+        let Some(silence) = self.succession else { return Vec::new() };
+        let led = *self.leads.lock().get_or_insert_with(Instant::now);
+        if Span::from(led.elapsed()) < silence {
+            return Vec::new();
+        }
+        let seen = self.seen.lock();
+        let is_heard = |r: &Replica| {
+            let heard = seen.get(&r.host).is_some_and(|s| Span::from(s.at.elapsed()) < silence);
+            heard || r.host == self.peers.host()
+        };
+        config.voters.iter().filter(|r| !is_heard(r)).cloned().collect()
+    }
+
+    /// Replaces voters that lost their disks or are gone, as far as this host leads.
     async fn repair(&self) {
         let Some(group) = self.group(TIER) else { return };
         let view = group.view();
         if !view.leads {
+            *self.leads.lock() = None;
             return;
         }
-        if let Some(change) = repair(&view.config, &view.ready, &self.disks()) {
+        let (seen, gone) = (self.disks(), self.gone(&view.config));
+        if let Some(change) = succeed(&view.config, &view.ready, &seen, &gone) {
             log::info!("repairing the voters: {change:?}");
             let done = timeout(REPAIR_MAX.to_std(), group.change(change)).await;
             if !matches!(done, Ok(Ok(_))) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -41,6 +41,7 @@
 mod settings;
 mod sharing;
 mod storage;
+mod succession;
 mod support;
 mod transport;
 mod whole;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -86,6 +86,7 @@
             data: (name == "a").then_some(data),
             voters: vec!["a".to_owned()],
             joins: !seeds.is_empty(),
+            succession: None,
         };
         let mut kernel = Kernel::default();
         let peers = Arc::new(PeersService::new(settings));
