--- a/src/wisteriahead/core/registry.rs
+++ b/src/wisteriahead/core/registry.rs
@@ -11,6 +11,7 @@
 use super::time::{Span, Time};
 use indexmap::IndexMap;
 use slotmap::SlotMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Silence after which an endpoint is forgotten.
@@ -247,14 +248,29 @@
         Some((zone.to_owned(), allowed))
     }
 
+    /// The last start of any endpoint that announces an address. Those that started before it have
+    /// ended without notice, and their requests must not go there.
+    fn last_starts(&self) -> IndexMap<SocketAddr, u64> {
+        let mut starts = IndexMap::new();
+        for (_, e) in self.iter() {
+            let last = starts.entry(e.latest.address).or_insert(e.latest.incarnation);
+            *last = e.latest.incarnation.max(*last);
+        }
+        starts
+    }
+
     /// Builds the index that queries plan on.
     pub fn routes(&self) -> Routes {
         let hosts = self.document.hosts_by_name();
         let mut found: IndexMap<&str, IndexMap<(&str, u32), Snapshot>> = IndexMap::new();
         let mut targets = IndexMap::new();
         let mut services: IndexMap<Arc<str>, Vec<Target>> = IndexMap::new();
+        let starts = self.last_starts();
         for (key, e) in self.iter() {
             let a = &e.latest;
+            if starts.get(&a.address).is_some_and(|last| *last > a.incarnation) {
+                continue;
+            }
             let host = hosts.get(a.host.as_str()).map(|h| (h.zone.as_str(), h.state));
             let Some((zone, allowed)) = self.judge(host, a) else { continue };
             let target = target(key, a, &zone, allowed);
--- a/src/wisteriahead/core/relay/mod.rs
+++ b/src/wisteriahead/core/relay/mod.rs
@@ -2,5 +2,6 @@
 //! cold start. Both hold in sum over all hosts, without a message between them: each host keeps
 //! to a part of its own, and the parts add up to less than the whole.
 
+pub mod absent;
 pub mod extras;
 pub mod pace;
--- a/src/wisteriahead/core/verdict.rs
+++ b/src/wisteriahead/core/verdict.rs
@@ -66,6 +66,8 @@
     Draining,
     /// The endpoint no longer holds the asked snapshot.
     WrongSnapshot,
+    /// Another endpoint answered at the address.
+    WrongEndpoint,
     /// The connection failed.
     Connection,
     /// The response does not match the request.
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -232,6 +232,7 @@
             match &result {
                 Ok(_) => relay.learned.answered(now, &route, to.key, now.since(at)),
                 Err(r) if r.reason == Reason::Busy => relay.learned.refused(now, to.key),
+                Err(r) if r.reason == Reason::WrongEndpoint => relay.learned.absent(&to),
                 Err(_) => relay.learned.failed(now, to.key),
             }
             drop(flight);
--- a/src/wisteriahead/services/relay/learned.rs
+++ b/src/wisteriahead/services/relay/learned.rs
@@ -7,6 +7,7 @@
 use crate::core::endpoint::share;
 use crate::core::latency::Sketch;
 use crate::core::plan::{Plan, Splitter};
+use crate::core::relay::absent::Absent;
 use crate::core::relay::extras::{Bounds, Extras};
 use crate::core::relay::pace::Pace;
 use crate::core::routes::Target;
@@ -52,6 +53,7 @@
     splitters: IndexMap<Arc<str>, Splitter>,
     endpoints: SecondaryMap<EndpointKey, Endpoint>,
     latencies: Latencies,
+    absent: Absent,
     hosts: Vec<Arc<str>>,
     serial: u64,
 }
@@ -138,7 +140,7 @@
     ) -> Option<(Target, Flight)> {
         let mut s = self.state.lock();
         s.serial += 1;
-        let State { endpoints, latencies, serial, hosts, .. } = &mut *s;
+        let State { endpoints, latencies, absent, serial, hosts, .. } = &mut *s;
         let in_flight = |key| endpoints.get(key).map_or(0, |e| e.sent.len() as u32);
         let here = Here { zone: &self.zone, in_flight: &in_flight, seed: *serial, away: AWAY };
         let mut order = latencies.order(now, replicas, tried, &here);
@@ -147,7 +149,7 @@
             oldest.is_some_and(|at| now.since(*at) > usual)
         };
         order.sort_by_cached_key(|t| (t.cold, is_silent(t)));
-        for target in order {
+        for target in order.into_iter().filter(|t| !absent.holds(t)) {
             let Some(e) = endpoints.entry(target.key).map(|e| e.or_default()) else { continue };
             let links = share(&target.name, target.connections, &self.host, hosts).max(1);
             if e.sent.len() as u32 >= (target.allowed.max(1) * DEPTH).min(links) {
@@ -177,6 +179,11 @@
         s.latencies.answered(now, from, time);
     }
 
+    /// Takes note that another endpoint answered at a target's address.
+    pub fn absent(&self, target: &Target) {
+        self.state.lock().absent.note(target);
+    }
+
     /// Takes note of a refusal for lack of room.
     pub fn refused(&self, now: Time, from: EndpointKey) {
         self.state.lock().latencies.refused(now, from);
--- a/src/wisteriahead/util/http.rs
+++ b/src/wisteriahead/util/http.rs
@@ -85,6 +85,7 @@
         | Reason::Busy
         | Reason::Draining
         | Reason::WrongSnapshot
+        | Reason::WrongEndpoint
         | Reason::Cancelled
         | Reason::Unavailable
         | Reason::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -357,3 +357,22 @@
     registry.drop_at(Time(2), &"leaf-3-16".into(), (1, 1));
     assert_eq!(best(&registry), (15, 16), "a lost shard was hidden by a wrong number of shards");
 }
+
+/// An endpoint ended without notice, and its address went to one that started later: requests for
+/// the first must not go there, in whatever order the two are heard of.
+#[test]
+fn address_belongs_to_the_endpoint_that_started_last() {
+    let document =
+        Document { rules: Rules { admit: Admit::Any, ..Rules::default() }, ..Document::default() };
+    for names in [["old", "new"], ["new", "old"]] {
+        let mut registry = Registry::default();
+        registry.set_document(Arc::new(document.clone()));
+        for name in names {
+            let incarnation = if name == "new" { 2 } else { 1 };
+            registry.announce(Time(0), announcement(name, incarnation, 1));
+        }
+        let routes = registry.routes();
+        let served: Vec<_> = routes.services["kits"].iter().map(|t| &*t.name).collect();
+        assert_eq!(served, ["new"]);
+    }
+}
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -1,10 +1,13 @@
 //! What a relay may send beyond first attempts, to endpoints in cold start, and how it merges.
 
+use crate::props::Endpoints;
 use crate::support::config;
 use proptest::prelude::*;
 use wisteriahead::core::records::{RECORD_BYTES, merge};
+use wisteriahead::core::relay::absent::Absent;
 use wisteriahead::core::relay::extras::{Bounds, Extras};
 use wisteriahead::core::relay::pace::Pace;
+use wisteriahead::core::routes::Target;
 use wisteriahead::core::time::{Span, Time};
 
 const BOUNDS: Bounds = Bounds { ratio: 0.2, slack: 52.0, window: Span::secs(10) };
@@ -70,3 +73,16 @@
     assert!(!extras.spend(Time(0) + Span::secs(5), &BOUNDS, 1));
     assert!(extras.spend(Time(0) + Span::secs(11), &BOUNDS, 1));
 }
+
+/// An address that went to another endpoint is left out until its first holder announces anew.
+#[test]
+fn absent_endpoint_is_left_out_until_it_announces_anew() {
+    let target = Endpoints::default().target("north");
+    let mut absent = Absent::default();
+    assert!(!absent.holds(&target));
+    absent.note(&target);
+    assert!(absent.holds(&target));
+    assert!(!absent.holds(&Target { incarnation: 2, ..target.clone() }));
+    let address = "127.0.0.1:2".parse().unwrap();
+    assert!(!absent.holds(&Target { address, ..target }));
+}
