One way to send over a leased connection; build routes only when they change

The relay had written again what the transport does: sending over a lease and telling 'not run' from 'may have run'. Both call Lease::send now. A record kept for one trace line is gone.

--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -76,12 +76,6 @@
     }
 }
 
-struct Sent {
-    key: EndpointKey,
-    at: Time,
-    task: AbortHandle,
-}
-
 struct Ended {
     id: AttemptId,
     result: Result<Part, Refusal>,
@@ -95,7 +89,8 @@
     call: Arc<Call>,
     until: Instant,
     open: FuturesUnordered<BoxFuture<'a, Ended>>,
-    sent: IndexMap<AttemptId, Sent>,
+    /// Tasks of the attempts that are waited for.
+    sent: IndexMap<AttemptId, AbortHandle>,
     wake: Option<Time>,
     /// The last failure that an endpoint answered with.
     failure: Option<Part>,
@@ -220,7 +215,7 @@
 
     fn send(&mut self, id: AttemptId, to: Target, flight: Flight) {
         let (relay, call) = (Arc::clone(self.relay), Arc::clone(&self.call));
-        let (at, key) = (relay.ctx.now(), to.key);
+        let at = relay.ctx.now();
         let connect = Span(self.route.objective.0 / CONNECT_PART).clamp(CONNECT_MIN, CONNECT_MAX);
         let times = Times { connect, until: self.until };
         let route = self.route.name.clone();
@@ -238,7 +233,7 @@
             drop(flight);
             result
         });
-        self.sent.insert(id, Sent { key, at, task: task.abort_handle() });
+        self.sent.insert(id, task.abort_handle());
         self.open.push(Box::pin(async move {
             let stopped = |_| Err(Refusal::may_have_run(Reason::Internal, "the call was stopped"));
             Ended { id, result: task.await.unwrap_or_else(stopped) }
@@ -260,10 +255,7 @@
 
     fn ended(&mut self, ended: Ended) -> Event<Part> {
         let Ended { id, result } = ended;
-        if let Some(sent) = self.sent.swap_remove(&id) {
-            let took = self.relay.ctx.now().since(sent.at);
-            log::trace!("attempt {id:?} at {:?} ended after {took}", sent.key);
-        }
+        self.sent.swap_remove(&id);
         let result = match result {
             Ok(part) if !part.status.is_success() => {
                 let detail = format!("the endpoint answered {}", part.status);
@@ -279,6 +271,6 @@
 impl Drop for Drive<'_> {
     fn drop(&mut self) {
         // A caller that went away leaves attempts behind: closing their connections ends them.
-        self.sent.values().for_each(|sent| sent.task.abort());
+        self.sent.values().for_each(AbortHandle::abort);
     }
 }
--- a/src/wisteriahead/services/relay/links.rs
+++ b/src/wisteriahead/services/relay/links.rs
@@ -6,12 +6,11 @@
 use crate::services::transport::{Lease, Pool};
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
+use hyper::Request;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use hyper::{Request, Response};
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -103,7 +102,7 @@
     lease: &mut Lease,
     request: Request<Full<Bytes>>,
 ) -> Result<(Result<Part, Refusal>, bool), Refusal> {
-    let (head, body) = send(lease, request).await?.into_parts();
+    let (head, body) = lease.send(request).await?.into_parts();
     let reply = dialect.reply(call, &head);
     if reply == Reply::Foreign {
         let detail = "the answer belongs to another request";
@@ -126,26 +125,6 @@
     Ok((part, keep))
 }
 
-async fn send(
-    lease: &mut Lease,
-    request: Request<Full<Bytes>>,
-) -> Result<Response<Incoming>, Refusal> {
-    let Some(sender) = lease.sender() else {
-        return Err(Refusal::not_run(Reason::Connection, "the connection is closed"));
-    };
-    match sender.try_send_request(request).await {
-        Ok(response) => Ok(response),
-        Err(mut e) => match e.take_message() {
-            // The library hands the request back only when it wrote none of it.
-            Some(_) => Err(Refusal::not_run(Reason::Connection, "the connection was closed")),
-            None => {
-                let detail = format!("the connection failed: {}", e.error());
-                Err(Refusal::may_have_run(Reason::Connection, detail))
-            }
-        },
-    }
-}
-
 fn closes(headers: &HeaderMap) -> bool {
     headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
 }
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -208,15 +208,23 @@
     let mut changes = endpoints.changes();
     relay.set_members(&members.borrow_and_update());
     let mut sweep = tokio::time::interval(SWEEP);
+    let mut stale = true;
     loop {
-        let plan = accepted.borrow_and_update().plan.clone();
-        if let Some(plan) = plan {
+        if std::mem::take(&mut stale) {
             changes.mark_unchanged();
-            relay.table.store(Some(Arc::new(Table::new(plan, endpoints.routes()))));
+            let plan = accepted.borrow_and_update().plan.clone();
+            let table = plan.map(|plan| Arc::new(Table::new(plan, endpoints.routes())));
+            relay.table.store(table);
         }
         let ended = tokio::select! {
-            changed = accepted.changed() => changed.is_err(),
-            changed = changes.changed() => changed.is_err(),
+            changed = accepted.changed() => {
+                stale = true;
+                changed.is_err()
+            }
+            changed = changes.changed() => {
+                stale = true;
+                changed.is_err()
+            }
             changed = members.changed() => {
                 relay.set_members(&members.borrow_and_update());
                 changed.is_err()
--- a/src/wisteriahead/services/transport/exchange.rs
+++ b/src/wisteriahead/services/transport/exchange.rs
@@ -8,10 +8,9 @@
 use crate::services::Attempt;
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap, HeaderName};
 use hyper::http::response::Parts;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, StatusCode};
 
 /// Most bytes of an endpoint's response.
 const RESPONSE_MAX_BYTES: usize = 4 << 20;
@@ -59,7 +58,7 @@
 /// The response to this very attempt, read whole.
 async fn answer(mut lease: Lease, attempt: &Attempt) -> Result<(Parts, Bytes), Refusal> {
     let request = request(attempt)?;
-    let (parts, body) = send(&mut lease, request).await?.into_parts();
+    let (parts, body) = lease.send(request).await?.into_parts();
     let matched = check(&parts.headers, attempt);
     let body = Limited::new(body, RESPONSE_MAX_BYTES).collect().await.map_err(|e| {
         Refusal::may_have_run(Reason::Connection, format!("the response broke off: {e}"))
@@ -90,26 +89,6 @@
         .map_err(|e| Refusal::not_run(Reason::BadRequest, format!("cannot be sent: {e}")))
 }
 
-async fn send(
-    lease: &mut Lease,
-    request: Request<Full<Bytes>>,
-) -> Result<Response<Incoming>, Refusal> {
-    let Some(sender) = lease.sender() else {
-        return Err(Refusal::not_run(Reason::Connection, "the connection is closed"));
-    };
-    match sender.try_send_request(request).await {
-        Ok(response) => Ok(response),
-        Err(mut e) => match e.take_message() {
-            // The library hands the request back only when it wrote none of it.
-            Some(_) => Err(Refusal::not_run(Reason::Connection, "the connection was closed")),
-            None => Err(Refusal::may_have_run(
-                Reason::Connection,
-                format!("the connection failed: {}", e.error()),
-            )),
-        },
-    }
-}
-
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
     headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default()
 }
@@ -149,7 +128,7 @@
         .header(ATTEMPT, id)
         .body(Full::new(Bytes::new()));
     let Ok(request) = request else { return };
-    if let Ok(response) = send(&mut lease, request).await
+    if let Ok(response) = lease.send(request).await
         && Limited::new(response.into_body(), RESPONSE_MAX_BYTES).collect().await.is_ok()
     {
         lease.give_back().await;
--- a/src/wisteriahead/services/transport/pool.rs
+++ b/src/wisteriahead/services/transport/pool.rs
@@ -3,7 +3,9 @@
 use crate::prelude::*;
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use std::net::SocketAddr;
@@ -120,9 +122,29 @@
         Ok(self)
     }
 
-    /// The sending side.
-    pub fn sender(&mut self) -> Option<&mut Sender> {
-        self.sender.as_mut()
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with "not run" when nothing was written, otherwise with "may have run".
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Refusal> {
+        let Some(sender) = &mut self.sender else {
+            return Err(Refusal::not_run(Reason::Connection, "the connection is closed"));
+        };
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut e) => match e.take_message() {
+                // The library hands the request back only when it wrote none of it.
+                Some(_) => Err(Refusal::not_run(Reason::Connection, "the connection was closed")),
+                None => {
+                    let detail = format!("the connection failed: {}", e.error());
+                    Err(Refusal::may_have_run(Reason::Connection, detail))
+                }
+            },
+        }
     }
 
     /// Gives the connection back for reuse; its last response was read whole.
