Dial hosts on demand, pack long envelopes, report less often

Each host opened 430 connections in 20 s, 11 KB each: it dialled every host that a hello named, compared its registry with each other host in turn, reported to each in turn, and connections closed in between. QUIC's search for longer packets sends several kilobytes on each. The leader sent each plan as text to all others.

Now: hosts named in a hello are remembered, at most 16, and dialled when there is something to send; membership tells of all others. Registries are compared with the same three hosts. A host reports to three hosts and the leader each 500 ms, the leader to all within 2 s. The search for longer packets is off. Envelopes from 512 bytes are packed (LZ4) for hosts that say they read it; the version before does not say so and gets them plain.

Conclusion: the cost of a connection counts more than that of a message. Tests without the bench: registry::hosts_of_a_large_tier_compare_with_the_same_few_and_agree (failed before: 31 hosts in 31 s), peers::hosts_named_in_a_hello_are_dialled_when_there_is_something_to_send, bad_input::packed_envelope*.

--- a/src/wisteriahead/core/gossip.rs
+++ b/src/wisteriahead/core/gossip.rs
@@ -3,7 +3,8 @@
 //! A material change of an endpoint is pushed to all hosts at once. A heartbeat that changes
 //! nothing is only told, many in one message a period, to the endpoint's keepers: the few
 //! hosts that decide when it has been silent too long and push that. Digests, exchanged with
-//! another host each period, find what was lost.
+//! one of a few other hosts each period, find what was lost: each host has its own few, so that
+//! what one of them holds reaches all.
 
 use super::registry::{Applied, Registry};
 use crate::core::budget::{BUCKETS, bucket};
@@ -22,6 +23,9 @@
 pub const PUSH_AGAIN: Span = Span::millis(500);
 /// Hosts that watch each endpoint for silence.
 pub const KEEPERS: usize = 2;
+/// Hosts that one compares with, in turn: as many random ones join all hosts to one net even at
+/// the design size, and a connection to each stays open.
+const COMPARED: usize = 3;
 /// Most endpoints named in one message.
 const NAMES_MAX: usize = 4_096;
 
@@ -60,6 +64,8 @@
     pub registry: Registry,
     host: Arc<str>,
     others: Vec<Arc<str>>,
+    /// Those that this one compares with.
+    partners: Vec<Arc<str>>,
     heard: IndexMap<Arc<str>, Mark>,
     /// Changes to push once more.
     again: Vec<(Time, Announcement)>,
@@ -76,6 +82,8 @@
 
     /// Sets the other hosts that are alive.
     pub fn set_others(&mut self, now: Time, others: Vec<Arc<str>>) {
+        let ranked = digest::rank(&self.host, others.iter().map(|h| &**h));
+        self.partners = ranked.into_iter().take(COMPARED).map(Arc::from).collect();
         self.others = others;
         self.watch(now);
     }
@@ -161,11 +169,11 @@
             let list = due.into_iter().map(|(_, a)| a).collect();
             out.extend(self.to_all(&Message::Push(list)));
         }
-        if now.since(self.compared) >= COMPARE_PERIOD && !self.others.is_empty() {
+        let with = &self.partners;
+        if now.since(self.compared) >= COMPARE_PERIOD && !with.is_empty() {
             self.compared = now;
-            self.turn = (self.turn + 1) % self.others.len();
-            let digests = Message::Digests(self.digests());
-            out.push((self.others[self.turn].clone(), digests));
+            self.turn = (self.turn + 1) % with.len();
+            out.push((with[self.turn].clone(), Message::Digests(self.digests())));
         }
         let gone = self.registry.expire(now);
         if !gone.is_empty() {
--- a/src/wisteriahead/core/member/mod.rs
+++ b/src/wisteriahead/core/member/mod.rs
@@ -199,6 +199,11 @@
         self.table.get(host).map(|e| &e.record)
     }
 
+    /// The records of all other hosts.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.table.values().map(|e| &e.record)
+    }
+
     /// All hosts, this one included, in the order of their names.
     pub fn members(&self) -> &[Member] {
         &self.shown
--- a/src/wisteriahead/core/message.rs
+++ b/src/wisteriahead/core/message.rs
@@ -2,7 +2,8 @@
 //!
 //! A message is an [`Envelope`]: a version, the sender, a topic and a body that
 //! the topic's service encodes. Bodies are MessagePack maps with named fields, so
-//! unknown fields are ignored; an unknown version is refused.
+//! unknown fields are ignored; an unknown version is refused. A long envelope may be packed:
+//! a byte that begins no MessagePack value, then its LZ4 block with the length before it.
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -10,6 +11,13 @@
 pub const VERSION: u16 = 1;
 /// Most bytes in one encoded envelope.
 pub const ENVELOPE_MAX_BYTES: usize = 8 << 20;
+/// Bytes from which an envelope is packed: plans and logs of some hundred bytes shrink by half, short
+/// ones hardly at all.
+pub const PACK_MIN_BYTES: usize = 512;
+/// First byte of a packed envelope; MessagePack leaves it unused.
+const PACKED: u8 = 0xc1;
+/// Bytes of the length before an LZ4 block.
+const LENGTH_BYTES: usize = 4;
 
 /// The service that a message is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -86,7 +94,30 @@
     ///
     /// Returns [`DecodeError`] for bytes that are not an envelope of [`VERSION`].
     pub fn read(bytes: &[u8]) -> Result<Self, DecodeError> {
-        let e: Self = decode(bytes)?;
+        let e: Self = match bytes.split_first() {
+            Some((&PACKED, block)) => decode(&unpack(block)?)?,
+            _ => decode(bytes)?,
+        };
         if e.version == VERSION { Ok(e) } else { Err(DecodeError::Version(e.version)) }
     }
 }
+
+/// Packs an encoded envelope, if it is long enough to be worth it.
+pub fn pack(envelope: Vec<u8>) -> Vec<u8> {
+    if envelope.len() < PACK_MIN_BYTES {
+        return envelope;
+    }
+    let block = lz4_flex::block::compress_prepend_size(&envelope);
+    [&[PACKED], &block[..]].concat()
+}
+
+fn unpack(block: &[u8]) -> Result<Vec<u8>, DecodeError> {
+    let length = block.first_chunk::<LENGTH_BYTES>().map(|n| u32::from_le_bytes(*n) as usize);
+    if length.is_none_or(|n| n > ENVELOPE_MAX_BYTES) {
+        let detail =
+            format!("a packed envelope holds more than {ENVELOPE_MAX_BYTES} bytes or none");
+        return Err(DecodeError::Malformed(detail));
+    }
+    lz4_flex::block::decompress_size_prepended(block)
+        .map_err(|e| DecodeError::Malformed(format!("the envelope cannot be unpacked: {e}")))
+}
--- a/src/wisteriahead/services/control/rounds.rs
+++ b/src/wisteriahead/services/control/rounds.rs
@@ -7,6 +7,7 @@
 use super::{Seen, Shared};
 use crate::core::control::lockout::retired;
 use crate::core::control::{Command, Reply};
+use crate::core::digest;
 use crate::core::document::ZoneState;
 use crate::core::log::{Config, Replica, succeed};
 use crate::core::message::{Topic, encode};
@@ -17,14 +18,19 @@
 
 /// Time between two rounds.
 const ROUND: Span = Span::millis(250);
+/// Time between two reports of how this host stands: a successor waits 2.5 s for a voter's word.
+const TELL: Span = Span::millis(500);
 /// Time between two looks whether the replica has stopped.
 const REVIVE: Span = Span::secs(1);
 /// Time between two tries to join a tier.
 const JOIN_PAUSE: Span = Span::millis(50);
 /// Time allowed for one step of a repair.
 const REPAIR_MAX: Span = Span::secs(1);
-/// Hosts told in one round, besides the leader.
-const FANOUT: usize = 4;
+/// Hosts that one tells how it stands, besides the leader: it keeps connections to them open.
+const FANOUT: usize = 3;
+/// Rounds in which a leader tells all others, a part of them in each: sooner than what it told
+/// counts no more, [`FRESH`].
+const LEADER_ROUNDS: usize = 4;
 /// Time in which a host that is retired still gets its answers: it may have asked for that itself.
 const FAREWELL: Span = Span::millis(300);
 /// Age up to which it counts who another host says that leads.
@@ -60,7 +66,7 @@
 async fn told(shared: &Shared) {
     for round in 0_usize.. {
         shared.tell(round);
-        sleep(ROUND.to_std()).await;
+        sleep(TELL.to_std()).await;
     }
 }
 
@@ -118,13 +124,17 @@
         }
     }
 
-    /// Tells the leader and a few others in turn how this host stands.
+    /// Tells the leader and a few others how this host stands; a leader tells all in turn, so that
+    /// they know whom to tell.
     pub(super) fn tell(&self, round: usize) {
         let others = self.peers.others();
         let body = encode(&Note::Here(self.standing()));
-        let turn = (0..FANOUT.min(others.len())).map(|i| (round * FANOUT + i) % others.len());
-        let hosts = turn.map(|i| others[i].clone()).chain(self.leader(TIER));
-        for host in hosts.collect::<IndexSet<_>>() {
+        let few = digest::rank(self.peers.host(), others.iter().map(String::as_str));
+        let few = few.into_iter().take(FANOUT).map(str::to_owned);
+        let leads = self.group(TIER).is_some_and(|g| g.view().leads);
+        let turn = others.iter().skip(round % LEADER_ROUNDS).step_by(LEADER_ROUNDS);
+        let turn = turn.filter(|_| leads).cloned();
+        for host in few.chain(turn).chain(self.leader(TIER)).collect::<IndexSet<_>>() {
             self.peers.send(&host, Topic::Control, body.clone());
         }
     }
--- a/src/wisteriahead/services/member.rs
+++ b/src/wisteriahead/services/member.rs
@@ -104,6 +104,7 @@
                 }
                 // Published under the lock, so that watchers see the changes in order.
                 Action::Changed => {
+                    machine.records().for_each(|r| self.peers.learn(&r.host, r.address));
                     self.shown.send_replace(Arc::new(machine.members().to_vec()));
                 }
             }
--- a/src/wisteriahead/services/peers/dial.rs
+++ b/src/wisteriahead/services/peers/dial.rs
@@ -18,10 +18,10 @@
 const BACKOFF_MAX: Duration = Duration::from_secs(2);
 
 /// Opens connections to an address on demand until its host moves; seeds have no name and
-/// are dialled until they answer once.
+/// are dialled at once, until they answer.
 pub async fn keep(hub: Arc<Hub>, name: Option<String>, address: SocketAddr) {
     let mut backoff = BACKOFF_MIN;
-    let mut known = name.as_deref().and_then(|n| hub.peer(n)).filter(|p| p.was_met());
+    let mut known = name.as_deref().and_then(|n| hub.peer(n));
     loop {
         if let Some(peer) = &known {
             peer.wanted().await;
--- a/src/wisteriahead/services/peers/hub.rs
+++ b/src/wisteriahead/services/peers/hub.rs
@@ -38,8 +38,8 @@
     pub link: watch::Sender<Option<Connection>>,
     /// Told when a connection is needed.
     want: Notify,
-    /// Whether it said hello.
-    met: AtomicBool,
+    /// Whether it reads packed envelopes.
+    unpacks: AtomicBool,
 }
 
 impl Peer {
@@ -49,7 +49,7 @@
             queue: Queue::default(),
             link: watch::channel(None).0,
             want: Notify::new(),
-            met: AtomicBool::new(false),
+            unpacks: AtomicBool::new(false),
         }
     }
 
@@ -58,9 +58,8 @@
         self.want.notified().await;
     }
 
-    /// Whether the host said hello.
-    pub fn was_met(&self) -> bool {
-        self.met.load(Ordering::Relaxed)
+    fn pack(&self, envelope: Vec<u8>) -> Vec<u8> {
+        if self.unpacks.load(Ordering::Relaxed) { message::pack(envelope) } else { envelope }
     }
 
     async fn connected(&self) -> Result<Connection> {
@@ -147,10 +146,11 @@
             zone: self.settings.zone.clone(),
             listen: self.address().unwrap_or(self.settings.listen),
             others: self.peers.read().iter().take(CONTACTS_MAX).map(contact).collect(),
+            unpacks: true,
         }
     }
 
-    /// Remembers a host by its certificate and hello, and dials those that it knows.
+    /// Remembers a host by its certificate and hello, and some of those that it knows.
     ///
     /// # Errors
     ///
@@ -172,10 +172,12 @@
             listen.set_ip(remote.ip());
         }
         let peer = self.remember(&id.name, listen)?;
-        peer.met.store(true, Ordering::Relaxed);
+        peer.unpacks.store(hello.unpacks, Ordering::Relaxed);
         self.dial(Some(&id.name), listen);
         for contact in hello.others.into_iter().take(CONTACTS_MAX) {
-            self.dial(Some(&contact.name), contact.listen);
+            if self.peers.read().len() < CONTACTS_MAX {
+                self.learn(&contact.name, contact.listen);
+            }
         }
         Ok(peer)
     }
@@ -324,6 +326,7 @@
     fn send(&self, to: &str, topic: Topic, body: Vec<u8>) {
         match (self.peer(to), self.seal(topic, body)) {
             (Some(peer), Ok(bytes)) => {
+                let bytes = peer.pack(bytes);
                 self.traffic.sent(topic, bytes.len());
                 peer.queue.push(bytes);
             }
@@ -340,7 +343,7 @@
     ) -> BoxFuture<'a, Result<Vec<u8>>> {
         Box::pin(async move {
             let peer = self.peer(to).with_context(|| format!("host `{to}` is not known here"))?;
-            let bytes = self.seal(topic, body)?;
+            let bytes = peer.pack(self.seal(topic, body)?);
             self.traffic.sent(topic, bytes.len());
             let answer = timeout(CALL_TIMEOUT.to_std(), exchange(&peer, &bytes))
                 .await
--- a/src/wisteriahead/services/peers/mod.rs
+++ b/src/wisteriahead/services/peers/mod.rs
@@ -1,11 +1,11 @@
 //! Messages between hosts over QUIC with mutual TLS.
 //!
-//! A host dials another when it first hears of it, and again when it has something to
-//! send; a connection that nobody uses closes after a few seconds. It sends over the
+//! A host dials the seeds in its settings at once and any other when it has something to send
+//! to it; a connection that nobody uses closes after a few seconds. It sends over the
 //! connections that it opened itself; those that others opened are for receiving, so that
-//! neither waits for the other's dial. Hosts learn of each other from
-//! the seeds in their settings and from the hello that opens each connection. One-way
-//! messages may be lost and may overtake each other.
+//! neither waits for the other's dial. Hosts learn of a few others from the hello that opens
+//! each connection, and of all from the membership. One-way messages may be lost and may
+//! overtake each other.
 
 mod accept;
 mod dial;
@@ -157,6 +157,9 @@
 fn transport() -> TransportConfig {
     let mut config = TransportConfig::default();
     config
+        // A search for longer packets costs several of them on each connection, more than most
+        // connections carry.
+        .mtu_discovery_config(None)
         .max_idle_timeout(Some(VarInt::from_u32(IDLE_MAX_MILLIS).into()))
         .max_concurrent_uni_streams(STREAMS_MAX.into())
         .max_concurrent_bidi_streams(STREAMS_MAX.into())
--- a/src/wisteriahead/services/peers/wire.rs
+++ b/src/wisteriahead/services/peers/wire.rs
@@ -10,8 +10,9 @@
 
 /// Most bytes in an encoded hello.
 pub const HELLO_MAX_BYTES: usize = 256 << 10;
-/// Most contacts sent or read in one hello.
-pub const CONTACTS_MAX: usize = 1024;
+/// Most contacts sent or read in one hello, and most hosts that are learnt from hellos: enough
+/// for membership, which tells of all others, to spread.
+pub const CONTACTS_MAX: usize = 16;
 
 /// Where another host listens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,8 +34,11 @@
     pub zone: String,
     /// Address that it listens on.
     pub listen: SocketAddr,
-    /// Other hosts that it knows.
+    /// Some of the other hosts that it knows.
     pub others: Vec<Contact>,
+    /// Whether it reads packed envelopes; the version before did not.
+    #[serde(default)]
+    pub unpacks: bool,
 }
 
 impl Hello {
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -13,7 +13,9 @@
     Announcement, HOLDINGS_MAX, NAME_MAX_BYTES, SHARDS_MAX, SLOTS_MAX, check_name,
 };
 use wisteriahead::core::hits::{HITS_MAX, Hits};
-use wisteriahead::core::message::{DecodeError, Envelope, Topic, VERSION, decode, encode};
+use wisteriahead::core::message::{
+    DecodeError, Envelope, PACK_MIN_BYTES, Topic, VERSION, decode, encode, pack,
+};
 use wisteriahead::core::verdict::{Refusal, Verdict};
 use wisteriahead::services::operator::Edit;
 use wisteriahead::services::peers::wire::{Answer, Contact, Hello};
@@ -160,7 +162,8 @@
 fn hello() -> Hello {
     let listen = "127.0.0.1:7103".parse().unwrap();
     let others = vec![Contact { name: "b".to_owned(), listen }];
-    Hello { version: VERSION, name: "a".to_owned(), zone: "north".to_owned(), listen, others }
+    let name = "a".to_owned();
+    Hello { version: VERSION, name, zone: "north".to_owned(), listen, others, unpacks: false }
 }
 
 fn envelope() -> Envelope {
@@ -275,6 +278,24 @@
         }
     }
 
+    #[test]
+    fn packed_envelope_is_read_as_it_was(words in vec("[a-d]{1,6}", 0..2_000)) {
+        let sent = Envelope { body: words.join(" ").into_bytes(), ..envelope() };
+        let plain = encode(&sent);
+        let packed = pack(plain.clone());
+        prop_assert!(packed.len() < plain.len() || plain.len() < PACK_MIN_BYTES);
+        prop_assert_eq!(Envelope::read(&packed), Ok(sent));
+    }
+
+    #[test]
+    fn packed_envelope(bytes in bytes(pack(encode(&Envelope { body: vec![7; 2_000], ..envelope() })))) {
+        match Envelope::read(&bytes) {
+            Ok(e) => prop_assert_eq!(e.version, VERSION),
+            Err(DecodeError::Version(v)) => prop_assert_ne!(v, VERSION),
+            Err(DecodeError::Malformed(e)) => prop_assert!(!e.is_empty()),
+        }
+    }
+
     #[test]
     fn message_hello(bytes in bytes(encode(&hello()))) {
         match Hello::read(&bytes) {
--- a/tests/testsuite/peers.rs
+++ b/tests/testsuite/peers.rs
@@ -13,7 +13,7 @@
 use wisteriahead::kernel::Kernel;
 use wisteriahead::services::Handler;
 use wisteriahead::services::peers::queue::{QUEUE_MAX, QUEUE_MAX_BYTES, Queue};
-use wisteriahead::services::peers::wire::{Answer, Hello};
+use wisteriahead::services::peers::wire::{Answer, CONTACTS_MAX, Contact, Hello};
 use wisteriahead::services::peers::{PeerSettings, PeersService};
 use wisteriahead::util::tls::{ALPN_HOST, Credentials, HostKeys, Kind, SERVER_NAME, TlsPaths};
 
@@ -64,6 +64,7 @@
         zone: ZONE.to_owned(),
         listen: SocketAddr::new(ANY.ip(), 9),
         others: Vec::new(),
+        unpacks: false,
     })
 }
 
@@ -100,6 +101,32 @@
     }
 }
 
+/// In a large tier each host would open a connection to each other at its start.
+#[tokio::test]
+async fn hosts_named_in_a_hello_are_dialled_when_there_is_something_to_send() {
+    let ca = Authority::new();
+    let (a, _) = start(&ca, "a", &[]).await;
+    let quiet = tokio::net::UdpSocket::bind(ANY).await.unwrap();
+    let contact = |i| {
+        let listen =
+            if i == 0 { quiet.local_addr().unwrap() } else { SocketAddr::new(ANY.ip(), 9) };
+        Contact { name: format!("z{i}"), listen }
+    };
+    let others = (0..5 * CONTACTS_MAX).map(contact).collect();
+    let listen = SocketAddr::new(ANY.ip(), 9);
+    let (name, zone) = ("b".to_owned(), ZONE.to_owned());
+    let hello = Hello { version: VERSION, name, zone, listen, others, unpacks: false };
+    let link = connect(&ca.issue(Kind::Host, "b"), a.address).await.unwrap();
+    exchange(&link, &encode(&hello)).await.unwrap();
+    until("a contact", || a.peers.others().contains(&"z0".to_owned())).await;
+    assert!(a.peers.others().len() <= CONTACTS_MAX, "{} are known", a.peers.others().len());
+    let mut packet = [0; 2_000];
+    assert!(quiet.try_recv(&mut packet).is_err(), "it was dialled without need");
+    a.peers.send("z0", Topic::Member, Vec::new());
+    let dialled = timeout(PATIENCE, quiet.recv(&mut packet)).await;
+    assert!(matches!(dialled, Ok(Ok(n)) if n > 0), "it was not dialled: {dialled:?}");
+}
+
 #[tokio::test]
 async fn host_that_restarts_elsewhere_is_found_again() {
     let ca = Authority::new();
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use wisteriahead::core::document::{Admit, Document, Rules};
 use wisteriahead::core::endpoint::{Announcement, EndpointState, Holding};
@@ -47,6 +47,8 @@
     bytes: usize,
     /// Messages sent to compare or mend the registries, but for the digests.
     mends: usize,
+    /// Hosts that each compared its digests with.
+    compared: BTreeMap<usize, BTreeSet<Arc<str>>>,
     loss: f64,
     delay: Span,
     /// A host that no message reaches or leaves.
@@ -68,7 +70,20 @@
         let hosts = hosts.collect();
         let rng = StdRng::seed_from_u64(seed);
         let (wire, delay) = (BTreeMap::new(), Span::millis(2));
-        Self { now, rng, hosts, wire, sent: 0, bytes: 0, mends: 0, loss: 0.0, delay, cut: None }
+        let compared = BTreeMap::new();
+        Self {
+            now,
+            rng,
+            hosts,
+            wire,
+            sent: 0,
+            bytes: 0,
+            mends: 0,
+            compared,
+            loss: 0.0,
+            delay,
+            cut: None,
+        }
     }
 
     fn send(&mut self, from: usize, out: Vec<(Arc<str>, Message)>) {
@@ -76,6 +91,9 @@
             self.sent += 1;
             self.bytes += encode(&message).len();
             self.mends += usize::from(matches!(message, Message::Marks { .. }));
+            if matches!(message, Message::Digests(_)) {
+                self.compared.entry(from).or_default().insert(to.clone());
+            }
             if rand::RngExt::random_bool(&mut self.rng, self.loss) {
                 continue;
             }
@@ -208,6 +226,25 @@
     }
 }
 
+/// A host that compared with each in turn would open a connection for each comparison.
+#[test]
+fn hosts_of_a_large_tier_compare_with_the_same_few_and_agree() {
+    const HOSTS: usize = 60;
+    const FEW: usize = 3;
+    let mut net = Net::new(9, HOSTS);
+    net.loss = 1.0;
+    net.announce(0, announcement("leaf", 1, 1));
+    net.run(Span::secs(1));
+    net.loss = 0.0;
+    for beat in 2..32 {
+        net.announce(0, announcement("leaf", 1, beat));
+        net.run(Span::secs(1));
+    }
+    assert!((0..HOSTS).all(|at| net.latest(at, "leaf").is_some()));
+    let most = net.compared.values().map(BTreeSet::len).max();
+    assert!(most <= Some(FEW), "a host compared with {most:?} others");
+}
+
 /// The others do not hear of its heartbeats, forget it and learn of it again.
 #[test]
 fn endpoint_that_announced_itself_to_a_host_cut_off_is_known_to_all_afterwards() {
