Refuse early what cannot be served; let plans wait for their endpoints

Requests that could not reach their coverage were sent to half of the shards all the same.

Now: a plan that names cold endpoints waits for them up to 3/5 of the time in which it must be in force, as long as the plan before can be served (core/relay/settle.rs). Zones that give no word are asked last and knocked at (core/relay/reach.rs); a host to which all other zones are silent is not ready and refuses at once what its own zone cannot cover. A query begins only where enough shards have room (core/query/enter.rs). Half of a host's connections to an endpoint are kept while idle. A share of no connection is kept to.

--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod hits;
 pub mod latency;
 pub mod limits;
+pub mod lines;
 pub mod log;
 pub mod member;
 pub mod message;
--- a/src/wisteriahead/core/query/answer.rs
+++ b/src/wisteriahead/core/query/answer.rs
@@ -1,6 +1,6 @@
 //! What a query has come to: its snapshot, coverage, verdict and hits.
 
-use super::{Coverage, Gather, Wait};
+use super::{Coverage, Gather, Lack, Wait};
 use crate::core::hits::Hits;
 use crate::core::routes::{Snapshot, Target};
 use crate::core::time::Time;
@@ -27,6 +27,12 @@
         Coverage { shards, answered: shards - missing.len() as u32, missing }
     }
 
+    /// Shards that have not answered: attempts sent there, and what the next one lacked.
+    pub fn lacking(&self) -> impl Iterator<Item = (u32, u32, Option<Lack>)> {
+        let shards = (0u32..).zip(&self.shards).filter(|(_, s)| s.hits.is_none());
+        shards.map(|(i, s)| (i, s.sent, s.lack))
+    }
+
     /// Whether it has been sent to its first shard alone so far.
     pub fn is_alone(&self) -> bool {
         self.lead.is_some()
--- /dev/null
+++ b/src/wisteriahead/core/query/enter.rs
@@ -0,0 +1,26 @@
+//! Whether a query begins: one that is sent to some shards and then finds no room at the others
+//! has cost those their work for nothing.
+
+use super::{Fleet, Gather, Step, Wait};
+use crate::core::time::Span;
+
+/// Wait before room is looked for again.
+const ENTER_WAIT: Span = Span::millis(5);
+
+impl<T> Gather<T> {
+    /// Sends to all shards if enough of them have room, or waits for that; past its patience the
+    /// query ends without having been sent anywhere.
+    pub(super) fn enter<F: Fleet>(&mut self, step: &mut Step<'_, F>) {
+        let room = self.snapshot.shards.iter().filter(|r| step.fleet.has_room(step.now, r)).count();
+        let enough = room as f64 >= self.shards.len() as f64 * self.least;
+        let patient = self.is_patient(step.now);
+        self.enters = (!enough && patient).then_some(step.now + ENTER_WAIT);
+        for shard in 0..self.shards.len() {
+            self.shards[shard].wait =
+                if self.enters.is_some() { Wait::Held } else { Wait::Nothing };
+            if enough {
+                self.send(shard, step);
+            }
+        }
+    }
+}
--- a/src/wisteriahead/core/query/fleet.rs
+++ b/src/wisteriahead/core/query/fleet.rs
@@ -19,6 +19,12 @@
         tried: &[EndpointKey],
     ) -> Option<(Target, Self::Permit)>;
 
+    /// Whether one of `replicas` has room for a request now; where rights are lent, asking for one
+    /// is the only way to know.
+    fn has_room(&self, _now: Time, _replicas: &[Target]) -> bool {
+        true
+    }
+
     /// Takes one extra attempt at one of `replicas` from the budget.
     fn extra(&mut self, replicas: &[Target]) -> bool;
 
--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -9,6 +9,7 @@
 
 mod answer;
 mod coverage;
+mod enter;
 mod fleet;
 mod lead;
 mod policy;
@@ -21,6 +22,7 @@
 pub use self::policy::Policy;
 
 use self::lead::Lead;
+pub use self::shard::Lack;
 use self::shard::{Open, Shard, Wait};
 use super::endpoint::EndpointKey;
 use super::hits::Hits;
@@ -95,6 +97,8 @@
     proven: usize,
     replan: Option<Time>,
     lead: Option<Lead>,
+    /// When room is looked for again, as long as nothing is sent for lack of it.
+    enters: Option<Time>,
     banned: bool,
     finished: bool,
 }
@@ -125,6 +129,7 @@
             proven: 0,
             replan: None,
             lead: None,
+            enters: None,
             banned: false,
             finished: false,
         }
@@ -170,6 +175,8 @@
             self.lead = Some(lead.begun(step.now));
             self.shards.iter_mut().for_each(|s| s.wait = Wait::Held);
             self.send(lead.shard(), step);
+        } else if self.policy.whole {
+            self.enter(step);
         } else {
             for shard in 0..self.shards.len() {
                 self.send(shard, step);
@@ -239,6 +246,11 @@
             s.spent = true;
             return;
         }
+        if refusal.reason == Reason::Connection && not_run {
+            // It reached no endpoint, so the next is no extra arrival.
+            s.sent -= 1;
+            s.arrivals -= 1;
+        }
         if refusal.reason == Reason::Busy && not_run {
             // A busy endpoint may have room later; any other fault rules it out.
             s.tried.retain(|k| *k != open.key);
@@ -264,6 +276,9 @@
         if now >= self.deadline {
             return;
         }
+        if self.enters.is_some_and(|at| at <= now) {
+            self.enter(step);
+        }
         for shard in 0..self.shards.len() {
             match self.shards[shard].wait {
                 Wait::Room { until } | Wait::Later { until } if until <= now => {
@@ -301,7 +316,8 @@
         let lead = self.lead.and_then(|l| l.until());
         let waits = self.shards.iter().filter_map(|s| s.wait.until());
         let enough = self.policy.enough.filter(|at| *at > now);
-        waits.chain(self.replan).chain(lead).chain(enough).fold(self.deadline, Time::min)
+        let others = [self.replan, lead, enough, self.enters].into_iter().flatten();
+        waits.chain(others).fold(self.deadline, Time::min)
     }
 
     fn close_if_over<F: Fleet>(&mut self, step: &mut Step<'_, F>) {
--- a/src/wisteriahead/core/query/policy.rs
+++ b/src/wisteriahead/core/query/policy.rs
@@ -17,6 +17,8 @@
     /// Whether it starts again on another snapshot when this one falls short, and waits for one;
     /// otherwise it ends as soon as the least coverage is out of reach.
     pub replans: bool,
+    /// Whether it is sent nowhere before enough shards for the least coverage have room.
+    pub whole: bool,
     /// Whether a lost connection is taken for the death of its endpoint.
     pub suspects: bool,
     /// Time from which the least coverage is answered without waiting for more.
@@ -32,6 +34,7 @@
             repeats: true,
             paid: false,
             replans: true,
+            whole: false,
             suspects: true,
             enough: None,
             patience: None,
--- a/src/wisteriahead/core/query/send.rs
+++ b/src/wisteriahead/core/query/send.rs
@@ -1,6 +1,6 @@
 //! Sending attempts: the first of a shard, those after a failure, and hedges.
 
-use super::{Action, AttemptId, DEATH_WAIT, Fleet, Gather, Open, Step, Wait};
+use super::{Action, AttemptId, DEATH_WAIT, Fleet, Gather, Lack, Open, Step, Wait};
 use crate::core::quarantine::Trial;
 use crate::core::routes::Target;
 use crate::core::time::Span;
@@ -20,13 +20,6 @@
     Extra,
 }
 
-/// What an attempt could not be opened for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Lack {
-    Room,
-    Budget,
-}
-
 impl<T> Gather<T> {
     /// Sends an attempt for a shard, or has it wait for room.
     pub(super) fn send<F: Fleet>(&mut self, shard: usize, step: &mut Step<'_, F>) {
@@ -38,7 +31,7 @@
         if !self.may_send(shard) || !self.may_try(shard, step) {
             return;
         }
-        let paid = self.policy.paid && self.shards[shard].begun;
+        let paid = self.policy.paid && self.shards[shard].arrivals > 0;
         match self.open(shard, if paid { Cost::Extra } else { Cost::Free }, step) {
             Ok(()) => return self.plan_hedge(shard, step),
             Err(Lack::Budget) => return,
@@ -116,6 +109,17 @@
         shard: usize,
         cost: Cost,
         step: &mut Step<'_, F>,
+    ) -> Result<(), Lack> {
+        let opened = self.try_open(shard, cost, step);
+        self.shards[shard].lack = opened.err();
+        opened
+    }
+
+    fn try_open<F: Fleet>(
+        &mut self,
+        shard: usize,
+        cost: Cost,
+        step: &mut Step<'_, F>,
     ) -> Result<(), Lack> {
         let replicas = &self.snapshot.shards[shard];
         let tried = &self.shards[shard].tried;
@@ -142,7 +146,7 @@
         let s = &mut self.shards[shard];
         s.tried.push(target.key);
         s.sent += 1;
-        s.begun = true;
+        s.arrivals += 1;
         s.open.push(attempt);
         self.attempts.push(Some(Open { shard: shard as u32, key: target.key }));
         let snapshot = Arc::clone(&self.snapshot);
--- a/src/wisteriahead/core/query/shard.rs
+++ b/src/wisteriahead/core/query/shard.rs
@@ -21,7 +21,7 @@
     Room { until: Time },
     /// The time at which an endpoint that was busy is tried again.
     Later { until: Time },
-    /// The end of the lead of another shard.
+    /// The end of the lead of another shard, or room at enough shards.
     Held,
     /// The time at which the budget is asked again.
     Extra { until: Time },
@@ -42,6 +42,15 @@
     }
 }
 
+/// What an attempt could not be opened for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Lack {
+    /// No replica that was not tried has room.
+    Room,
+    /// The budget of extra attempts is spent.
+    Budget,
+}
+
 /// An attempt that has not ended.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Open {
@@ -55,11 +64,13 @@
     pub(super) hits: Option<T>,
     pub(super) tried: Vec<EndpointKey>,
     pub(super) sent: u32,
-    /// Whether any attempt was sent, refused ones included.
-    pub(super) begun: bool,
+    /// Attempts that may have reached an endpoint, refused ones included.
+    pub(super) arrivals: u32,
     /// Whether nothing more may be sent: an attempt that must not be repeated may have run.
     pub(super) spent: bool,
     busy: u32,
+    /// Why the last attempt that it needed was not sent.
+    pub(super) lack: Option<Lack>,
     pub(super) open: Vec<AttemptId>,
     pub(super) wait: Wait,
     /// Whether an endpoint said that it no longer holds the snapshot.
@@ -74,9 +85,10 @@
             hits: None,
             tried: Vec::new(),
             sent: 0,
-            begun: false,
+            arrivals: 0,
             spent: false,
             busy: 0,
+            lack: None,
             open: Vec::new(),
             wait: Wait::Nothing,
             moved: false,
--- a/src/wisteriahead/core/relay/mod.rs
+++ b/src/wisteriahead/core/relay/mod.rs
@@ -5,3 +5,5 @@
 pub mod absent;
 pub mod extras;
 pub mod pace;
+pub mod reach;
+pub mod settle;
--- a/src/wisteriahead/core/relay/pace.rs
+++ b/src/wisteriahead/core/relay/pace.rs
@@ -13,12 +13,18 @@
 }
 
 impl Pace {
+    /// Whether a request may be sent now, of at most `most` in a second.
+    pub fn allows(&self, now: Time, most: u32) -> bool {
+        let old = self.sent.iter().take_while(|at| now.since(**at) >= SECOND).count();
+        self.sent.len() - old < most as usize
+    }
+
     /// Takes the right to send one request now, of at most `most` in a second.
     pub fn take(&mut self, now: Time, most: u32) -> bool {
         while self.sent.front().is_some_and(|at| now.since(*at) >= SECOND) {
             self.sent.pop_front();
         }
-        let granted = self.sent.len() < most as usize;
+        let granted = self.allows(now, most);
         if granted {
             self.sent.push_back(now);
         }
--- a/src/wisteriahead/core/routes.rs
+++ b/src/wisteriahead/core/routes.rs
@@ -55,6 +55,11 @@
         self.shards.iter().filter(|r| !r.is_empty()).count()
     }
 
+    /// Number of shards with a replica outside of some zones.
+    pub fn held_outside(&self, zones: &[Arc<str>]) -> usize {
+        self.shards.iter().filter(|r| r.iter().any(|t| !zones.contains(&t.zone))).count()
+    }
+
     /// Number of shards, as endpoints announce it.
     pub fn count(&self) -> u32 {
         u32::try_from(self.shards.len()).unwrap_or(u32::MAX)
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -4,6 +4,7 @@
 use super::dialect::{Call, Outcome, Part};
 use super::learned::Flight;
 use super::links::Times;
+use super::story::Story;
 use super::table::{Entry, Table};
 use crate::core::plan::{Goal, Repeat, Route};
 use crate::core::quarantine::Trial;
@@ -30,6 +31,9 @@
 const CONNECT_MAX: Span = Span::millis(250);
 /// When a caller may come back after a refusal for lack of room.
 const AFTER: Span = Span::millis(30);
+/// When a caller may come back while too few endpoints are known: they announce themselves about
+/// once a second, each at its own time.
+const UNKNOWN_AFTER: Span = Span::millis(300);
 
 /// The time at which an answer must be under way to arrive in `span`.
 fn ahead(span: Span) -> Span {
@@ -58,6 +62,10 @@
         learned.acquire(now, replicas, tried, usual, &self.table.plan)
     }
 
+    fn has_room(&self, now: Time, replicas: &[Target]) -> bool {
+        self.relay.learned.has_room(now, replicas, &self.table.plan)
+    }
+
     fn extra(&mut self, replicas: &[Target]) -> bool {
         let service = replicas.first().map(|t| &t.service);
         service.is_some_and(|service| self.relay.learned.extra(self.now, service))
@@ -78,6 +86,7 @@
 
 struct Ended {
     id: AttemptId,
+    to: Target,
     result: Result<Part, Refusal>,
 }
 
@@ -94,6 +103,8 @@
     wake: Option<Time>,
     /// The last failure that an endpoint answered with.
     failure: Option<Part>,
+    begun: Time,
+    story: Story,
 }
 
 /// Runs one request to its answer.
@@ -112,10 +123,26 @@
     let Some(snapshot) = part.and_then(|part| table.snapshot(entry, part)) else {
         return refuse(Refusal::not_run(Reason::Internal, "the route leads nowhere"));
     };
+    let least = match &route.goal {
+        Goal::Split(_) => 1.0,
+        Goal::Gather { least, .. } => least.fraction(),
+    };
+    let (known, shards) = (snapshot.held(), snapshot.shards.len());
+    if (known as f64) < shards as f64 * least {
+        let detail = format!("endpoints of {known} of {shards} shards are known here");
+        let refusal = Refusal::not_run(Reason::NoSnapshot, detail);
+        return Outcome::Refused { refusal, after: Some(UNKNOWN_AFTER) };
+    }
+    let silent = relay.silent(begun, table);
+    if !silent.is_empty() && (snapshot.held_outside(&silent) as f64) < shards as f64 * least {
+        let detail = format!("no endpoint of {} answers this host", silent.join(", "));
+        return refuse(Refusal::not_run(Reason::Unavailable, detail));
+    }
     services(route, part.unwrap_or(0)).for_each(|s| relay.learned.request(begun, s));
     let patience = call.asked.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = begun + ahead(patience);
     let waited = relay.ctx.now().since(begun);
+    let id = call.asked.id.clone();
     let drive = Drive {
         relay,
         table,
@@ -126,15 +153,17 @@
         sent: IndexMap::new(),
         wake: None,
         failure: None,
+        begun,
+        story: Story::default(),
     };
-    let least = match &route.goal {
-        Goal::Split(_) => 1.0,
-        Goal::Gather { least, .. } => least.fraction(),
-    };
-    let shards = snapshot.shards.len() as u32;
-    let gather = Gather::new(snapshot, deadline, least).with_policy(policy(route, begun));
-    let (gather, failure) = drive.run(gather).await;
-    label(route, gather, shards, failure)
+    let shards = snapshot.count();
+    let gather = Gather::new(snapshot.clone(), deadline, least).with_policy(policy(route, begun));
+    let (gather, failure, mut story) = drive.run(gather).await;
+    story.lacking(&gather);
+    let outcome = label(route, gather, shards, failure);
+    let id = id.to_str().unwrap_or_default();
+    relay.teller.ended(relay.ctx.now(), id, route, &snapshot, &story, &outcome);
+    outcome
 }
 
 fn services(route: &Route, part: usize) -> impl Iterator<Item = &Arc<str>> {
@@ -148,6 +177,7 @@
         repeats: route.repeat == Repeat::Idempotent,
         paid: true,
         replans: false,
+        whole: matches!(route.goal, Goal::Gather { .. }),
         suspects: false,
         enough: Some(begun + ahead(route.objective)),
         patience: Some(begun + Span(route.objective.0 / PATIENCE_PART)),
@@ -184,7 +214,7 @@
 }
 
 impl Drive<'_> {
-    async fn run(mut self, mut gather: Gather<Part>) -> (Gather<Part>, Option<Part>) {
+    async fn run(mut self, mut gather: Gather<Part>) -> (Gather<Part>, Option<Part>, Story) {
         let mut event = Event::Start;
         loop {
             let now = self.relay.ctx.now();
@@ -192,7 +222,7 @@
             let mut fleet = Replicas { relay, table, route, now };
             let actions = gather.step(now, event, &mut fleet);
             if self.carry_out(actions) {
-                return (gather, self.failure.take());
+                return (gather, self.failure.take(), std::mem::take(&mut self.story));
             }
             event = self.next().await;
         }
@@ -215,6 +245,8 @@
 
     fn send(&mut self, id: AttemptId, to: Target, flight: Flight) {
         let (relay, call) = (Arc::clone(self.relay), Arc::clone(&self.call));
+        self.story.sent();
+        let endpoint = to.clone();
         let at = relay.ctx.now();
         let connect = Span(self.route.objective.0 / CONNECT_PART).clamp(CONNECT_MIN, CONNECT_MAX);
         let times = Times { connect, until: self.until };
@@ -225,8 +257,8 @@
             let result = sent.await;
             let now = relay.ctx.now();
             match &result {
-                Ok(_) => relay.learned.answered(now, &route, to.key, now.since(at)),
-                Err(r) if r.reason == Reason::Busy => relay.learned.refused(now, to.key),
+                Ok(_) => relay.learned.answered(now, &route, &to, now.since(at)),
+                Err(r) if r.reason == Reason::Busy => relay.learned.refused(now, &to),
                 Err(r) if r.reason == Reason::WrongEndpoint => relay.learned.absent(&to),
                 Err(_) => relay.learned.failed(now, to.key),
             }
@@ -236,7 +268,7 @@
         self.sent.insert(id, task.abort_handle());
         self.open.push(Box::pin(async move {
             let stopped = |_| Err(Refusal::may_have_run(Reason::Internal, "the call was stopped"));
-            Ended { id, result: task.await.unwrap_or_else(stopped) }
+            Ended { id, to: endpoint, result: task.await.unwrap_or_else(stopped) }
         }));
     }
 
@@ -254,7 +286,7 @@
     }
 
     fn ended(&mut self, ended: Ended) -> Event<Part> {
-        let Ended { id, result } = ended;
+        let Ended { id, to, result } = ended;
         self.sent.swap_remove(&id);
         let result = match result {
             Ok(part) if !part.status.is_success() => {
@@ -264,6 +296,9 @@
             }
             other => other,
         };
+        if let Err(refusal) = &result {
+            self.story.failed(&to, refusal, self.relay.ctx.now().since(self.begun));
+        }
         Event::Done(id, result)
     }
 }
--- a/src/wisteriahead/services/relay/learned.rs
+++ b/src/wisteriahead/services/relay/learned.rs
@@ -10,6 +10,7 @@
 use crate::core::relay::absent::Absent;
 use crate::core::relay::extras::{Bounds, Extras};
 use crate::core::relay::pace::Pace;
+use crate::core::relay::reach::Reach;
 use crate::core::routes::Target;
 use crate::prelude::*;
 use parking_lot::Mutex;
@@ -37,6 +38,8 @@
     pub cold_over: f64,
     /// Arrivals a second in cold start beyond those.
     pub cold_slack: f64,
+    /// Time in which a plan must be in force everywhere after it was acknowledged.
+    pub apply: Span,
 }
 
 #[derive(Default)]
@@ -54,6 +57,7 @@
     endpoints: SecondaryMap<EndpointKey, Endpoint>,
     latencies: Latencies,
     absent: Absent,
+    reach: Reach,
     hosts: Vec<Arc<str>>,
     serial: u64,
 }
@@ -91,14 +95,24 @@
         Self { host: host.into(), zone: zone.into(), bounds, state: Mutex::new(state) }
     }
 
+    /// Availability zone of this host.
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+
+    /// The bounds that the platform sets.
+    pub fn bounds(&self) -> &RelayBounds {
+        &self.bounds
+    }
+
     /// Sets the hosts that relay requests, this one included.
     pub fn set_hosts(&self, hosts: Vec<Arc<str>>) {
         self.state.lock().hosts = hosts;
     }
 
-    /// Connections to an endpoint that are this host's part.
+    /// Connections to an endpoint that are this host's part, at least the one of a request in flight.
     pub fn connections(&self, to: &Target) -> u32 {
-        share(&to.name, to.connections, &self.host, &self.state.lock().hosts).max(1)
+        links(to, &self.host, &self.state.lock().hosts).max(1)
     }
 
     /// Counts a request for a service.
@@ -140,7 +154,7 @@
     ) -> Option<(Target, Flight)> {
         let mut s = self.state.lock();
         s.serial += 1;
-        let State { endpoints, latencies, absent, serial, hosts, .. } = &mut *s;
+        let State { endpoints, latencies, absent, serial, hosts, reach, .. } = &mut *s;
         let in_flight = |key| endpoints.get(key).map_or(0, |e| e.sent.len() as u32);
         let here = Here { zone: &self.zone, in_flight: &in_flight, seed: *serial, away: AWAY };
         let mut order = latencies.order(now, replicas, tried, &here);
@@ -148,23 +162,40 @@
             let oldest = endpoints.get(t.key).and_then(|e| e.sent.first());
             oldest.is_some_and(|at| now.since(*at) > usual)
         };
-        order.sort_by_cached_key(|t| (t.cold, is_silent(t)));
+        let links = |t: &Target| links(t, &self.host, hosts);
+        // Where no replica has a connection for this host, one beyond the shares is the lesser harm.
+        let least = u32::from(replicas.iter().all(|t| links(t) == 0));
+        order.sort_by_cached_key(|t| (reach.is_silent(now, &t.zone), t.cold, is_silent(t)));
         for target in order.into_iter().filter(|t| !absent.holds(t)) {
             let Some(e) = endpoints.entry(target.key).map(|e| e.or_default()) else { continue };
-            let links = share(&target.name, target.connections, &self.host, hosts).max(1);
-            if e.sent.len() as u32 >= (target.allowed.max(1) * DEPTH).min(links) {
+            let links = links(target).max(least);
+            if e.sent.len() as u32 >= most(target, links) {
                 continue;
             }
             if target.cold && !e.pace.take(now, self.cold_rate(target, plan, hosts)) {
                 continue;
             }
             e.sent.push(now);
+            reach.asked(now, &target.zone, usual);
             let flight = Flight { learned: Arc::clone(self), key: target.key, at: now };
             return Some((target.clone(), flight));
         }
         None
     }
 
+    /// Whether a replica that may answer has room for a request from this host.
+    pub fn has_room(&self, now: Time, replicas: &[Target], plan: &Plan) -> bool {
+        let s = self.state.lock();
+        let least = u32::from(replicas.iter().all(|t| links(t, &self.host, &s.hosts) == 0));
+        let answers = |t: &&Target| !s.absent.holds(t) && !s.reach.is_silent(now, &t.zone);
+        replicas.iter().filter(answers).any(|t| {
+            let links = links(t, &self.host, &s.hosts).max(least);
+            let Some(e) = s.endpoints.get(t.key) else { return links > 0 };
+            let cold = || e.pace.allows(now, self.cold_rate(t, plan, &s.hosts));
+            (e.sent.len() as u32) < most(t, links) && (!t.cold || cold())
+        })
+    }
+
     /// Requests a second that are this host's part at an endpoint in cold start.
     fn cold_rate(&self, to: &Target, plan: &Plan, hosts: &[Arc<str>]) -> u32 {
         let said = plan.services.get(&to.service).map_or(0.0, |s| s.cold_rate as f64 / 1_000.0);
@@ -172,21 +203,38 @@
         share(&to.name, all as u32, &self.host, hosts)
     }
 
+    /// The other zones that do not answer.
+    pub fn silent(&self, now: Time) -> Vec<Arc<str>> {
+        let mut silent = self.state.lock().reach.silent(now);
+        silent.retain(|zone| *zone != self.zone);
+        silent
+    }
+
+    /// Takes note that an endpoint of a zone said something.
+    pub fn heard(&self, zone: &str) {
+        self.state.lock().reach.heard(zone);
+    }
+
     /// Takes note of an answer on a route.
-    pub fn answered(&self, now: Time, route: &Arc<str>, from: EndpointKey, time: Span) {
+    pub fn answered(&self, now: Time, route: &Arc<str>, from: &Target, time: Span) {
         let mut s = self.state.lock();
+        s.reach.heard(&from.zone);
         s.routes.entry(route.clone()).or_default().record(time);
-        s.latencies.answered(now, from, time);
+        s.latencies.answered(now, from.key, time);
     }
 
     /// Takes note that another endpoint answered at a target's address.
     pub fn absent(&self, target: &Target) {
-        self.state.lock().absent.note(target);
+        let mut s = self.state.lock();
+        s.reach.heard(&target.zone);
+        s.absent.note(target);
     }
 
     /// Takes note of a refusal for lack of room.
-    pub fn refused(&self, now: Time, from: EndpointKey) {
-        self.state.lock().latencies.refused(now, from);
+    pub fn refused(&self, now: Time, from: &Target) {
+        let mut s = self.state.lock();
+        s.reach.heard(&from.zone);
+        s.latencies.refused(now, from.key);
     }
 
     /// Takes note of an attempt that ended without an answer.
@@ -194,3 +242,13 @@
         self.state.lock().latencies.failed(now, from);
     }
 }
+
+/// Requests that may be in flight at an endpoint over `links` connections.
+fn most(to: &Target, links: u32) -> u32 {
+    (to.allowed.max(1) * DEPTH).min(links)
+}
+
+/// Connections to an endpoint that are a host's part.
+fn links(to: &Target, host: &str, hosts: &[Arc<str>]) -> u32 {
+    share(&to.name, to.connections, host, hosts)
+}
--- a/src/wisteriahead/services/relay/links.rs
+++ b/src/wisteriahead/services/relay/links.rs
@@ -20,6 +20,9 @@
 const ANSWER_MAX_BYTES: usize = 4 << 20;
 /// Silence after which the connections to an address are closed.
 const POOL_IDLE: Duration = Duration::from_secs(30);
+/// One connection in so many is kept while idle. An endpoint holds the connections of hosts that were
+/// cut off or lost power until they have been idle for long; the rest of what it accepts is free then.
+const SPARE_PART: u32 = 2;
 /// Least time left for which a call is sent: endpoints count in whole milliseconds.
 const LEFT_MIN: Span = Span::millis(1);
 
@@ -42,7 +45,7 @@
     fn pool(&self, to: SocketAddr, connections: u32) -> Arc<Pool> {
         let mut pools = self.pools.lock();
         let pool = pools.entry(to).or_insert_with(|| Arc::new(Pool::new(to)));
-        pool.set_max(connections);
+        pool.set_bounds(connections, connections.div_ceil(SPARE_PART));
         pool.touch();
         Arc::clone(pool)
     }
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -5,6 +5,7 @@
 mod drive;
 mod learned;
 mod links;
+mod story;
 mod table;
 
 pub use self::learned::RelayBounds;
@@ -13,9 +14,13 @@
 use self::dialect::{Call, Dialect, Outcome};
 use self::learned::Learned;
 use self::links::Links;
+use self::story::Teller;
 use self::table::Table;
 use super::{Control, Endpoints, Member, Members, Peers};
 use crate::core::member::Health;
+use crate::core::plan::Plan;
+use crate::core::relay::settle::Settle;
+use crate::core::routes::Routes;
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
 use crate::util::http::{self, Answer, Limits, Server};
@@ -25,14 +30,22 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 use parking_lot::Mutex;
+use rand::seq::IndexedRandom as _;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Time between two looks for connections that nobody uses.
 const SWEEP: Duration = Duration::from_secs(10);
 /// Time for which a caller's connection may be idle: over any limit that a plan is likely to name,
 /// since callers use connections again up to that limit.
 const IDLE: Duration = Duration::from_secs(60);
+/// Time between two knocks at a silent zone, and time for the answer.
+const KNOCK: Duration = Duration::from_millis(200);
+/// Part of the time in which a plan must be in force for which it may wait for its endpoints; the rest
+/// is for its way here.
+const SETTLE_PART: (u64, u64) = (3, 5);
 /// When a caller may come back to a host that knows no plan yet.
 const NO_PLAN_AFTER: Span = Span::millis(200);
 
@@ -58,6 +71,7 @@
     table: ArcSwapOption<Table>,
     learned: Arc<Learned>,
     links: Links,
+    teller: Teller,
 }
 
 impl Relay {
@@ -103,7 +117,62 @@
     }
 
     fn is_ready(&self) -> bool {
-        !self.ctx.is_leaving() && self.table.load().as_ref().is_some_and(|t| t.is_served())
+        !self.ctx.is_leaving()
+            && self.table.load().as_ref().is_some_and(|t| {
+                let silent = self.silent(self.ctx.now(), t);
+                t.is_served() && (silent.is_empty() || t.gathers(&silent))
+            })
+    }
+
+    /// The zones that this host is cut off from: all others that hold endpoints, or none. When some
+    /// others answer, the fault lies there, and another host would do no better.
+    fn silent(&self, now: Time, table: &Table) -> Vec<Arc<str>> {
+        let silent = self.learned.silent(now);
+        let own = self.learned.zone();
+        let mut others = table.zones().iter().filter(|zone| ***zone != *own);
+        if others.all(|zone| silent.contains(zone)) { silent } else { Vec::new() }
+    }
+
+    /// Knocks at an endpoint of each zone that is silent, so that its return is noticed without a
+    /// caller's request.
+    fn knock(self: &Arc<Self>) {
+        let Some(table) = self.table.load_full() else { return };
+        for zone in self.learned.silent(self.ctx.now()) {
+            let targets: Vec<_> = table.targets().filter(|t| t.zone == zone).collect();
+            let Some(target) = targets.choose(&mut rand::rng()) else { continue };
+            let (relay, address) = (Arc::clone(self), target.address);
+            tokio::spawn(async move {
+                let connected = timeout(KNOCK, TcpStream::connect(address)).await;
+                if matches!(connected, Ok(Ok(_))) {
+                    relay.learned.heard(&zone);
+                }
+            });
+        }
+    }
+
+    /// Relays by the newest plan and endpoints from here on; says whether the newest plan still
+    /// waits for its endpoints.
+    fn renew(&self, settle: &mut Settle, newest: Option<Arc<Plan>>, routes: Arc<Routes>) -> bool {
+        let Some(newest) = newest else {
+            self.table.store(None);
+            return false;
+        };
+        let next = Table::new(newest, routes.clone());
+        let held = self.table.load_full().map(|t| Arc::clone(&t.plan));
+        let Some(held) = held.filter(|held| held.number < next.plan.number) else {
+            self.table.store(Some(Arc::new(next)));
+            return false;
+        };
+        let old = Table::new(held, routes);
+        let fits = next.gathers(&[]) || !old.gathers(&[]);
+        let (parts, of) = SETTLE_PART;
+        let most = Span(self.learned.bounds().apply.0 / of * parts);
+        let takes = settle.takes(self.ctx.now(), fits, most);
+        if !takes {
+            log::debug!("plan {} waits for its endpoints", next.plan.number);
+        }
+        self.table.store(Some(Arc::new(if takes { next } else { old })));
+        !takes
     }
 
     fn set_members(&self, members: &[Member]) {
@@ -160,6 +229,7 @@
             table: ArcSwapOption::empty(),
             learned: Arc::new(Learned::new(peers.host(), peers.zone(), s.bounds)),
             links: Links::default(),
+            teller: Teller::default(),
         });
         let control = ctx.find::<dyn Control>(<dyn Control>::NAME)?;
         let endpoints = ctx.find::<dyn Endpoints>(<dyn Endpoints>::NAME)?;
@@ -208,15 +278,20 @@
     let mut changes = endpoints.changes();
     relay.set_members(&members.borrow_and_update());
     let mut sweep = tokio::time::interval(SWEEP);
-    let mut stale = true;
+    let mut knock = tokio::time::interval(KNOCK);
+    let (mut stale, mut settle) = (true, Settle::default());
     loop {
-        if std::mem::take(&mut stale) {
+        if stale {
             changes.mark_unchanged();
             let plan = accepted.borrow_and_update().plan.clone();
-            let table = plan.map(|plan| Arc::new(Table::new(plan, endpoints.routes())));
-            relay.table.store(table);
+            // As long as a plan waits, each knock looks again.
+            stale = relay.renew(&mut settle, plan, endpoints.routes());
         }
         let ended = tokio::select! {
+            _ = knock.tick() => {
+                relay.knock();
+                false
+            }
             changed = accepted.changed() => {
                 stale = true;
                 changed.is_err()
--- /dev/null
+++ b/src/wisteriahead/services/relay/story.rs
@@ -0,0 +1,143 @@
+//! What became of the attempts of one request, told in one log line when the request fails or its
+//! answer leaves shards out.
+//!
+//! Lines are bounded: past a number in a second they are counted and the count is told.
+
+use super::dialect::Outcome;
+use crate::core::lines::Lines;
+use crate::core::plan::Route;
+use crate::core::query::{Gather, Lack};
+use crate::core::routes::{Snapshot, Target};
+use crate::prelude::*;
+use parking_lot::Mutex;
+use std::fmt::Write as _;
+
+/// Lines of failed requests a second: what an entry host of the users' sheets fails at most while all
+/// its endpoints are gone.
+const FAILED_MAX: u32 = 100;
+/// Lines of answers that leave shards out a second: a sample is enough to tell why.
+const PARTIAL_MAX: u32 = 10;
+/// Most attempts told of one request.
+const FAULTS_MAX: usize = 8;
+
+/// An attempt that failed.
+struct Fault {
+    service: Arc<str>,
+    endpoint: Arc<str>,
+    zone: Arc<str>,
+    reason: Reason,
+    verdict: Verdict,
+    /// Time from the request's arrival to the end of the attempt.
+    after: Span,
+}
+
+/// The attempts of one request that failed so far.
+#[derive(Default)]
+pub struct Story {
+    faults: Vec<Fault>,
+    sent: usize,
+    /// Shards that had not answered at the end, by attempts sent and what the next lacked.
+    lacking: IndexMap<(u32, Option<Lack>), u32>,
+}
+
+impl Story {
+    /// Notes that an attempt is sent.
+    pub fn sent(&mut self) {
+        self.sent += 1;
+    }
+
+    /// Notes an attempt that failed.
+    pub fn failed(&mut self, to: &Target, refusal: &Refusal, after: Span) {
+        self.faults.push(Fault {
+            service: to.service.clone(),
+            endpoint: to.name.clone(),
+            zone: to.zone.clone(),
+            reason: refusal.reason,
+            verdict: refusal.verdict,
+            after,
+        });
+    }
+
+    /// Notes the shards that have not answered.
+    pub fn lacking<T>(&mut self, gather: &Gather<T>) {
+        for (_, sent, lack) in gather.lacking() {
+            *self.lacking.entry((sent, lack)).or_default() += 1;
+        }
+    }
+
+    /// The failed attempts by reason and zone, then the first of them one by one.
+    fn tell(&self) -> String {
+        let mut sums: IndexMap<(Reason, &str), usize> = IndexMap::new();
+        for f in &self.faults {
+            *sums.entry((f.reason, &f.zone)).or_default() += 1;
+        }
+        let mut text = String::new();
+        for ((sent, lack), n) in &self.lacking {
+            let next = match lack {
+                Some(Lack::Room) => ", no room for the next",
+                Some(Lack::Budget) => ", no budget for the next",
+                None => "",
+            };
+            let _ = write!(text, "{n} shards open after {sent} attempts{next}; ");
+        }
+        for ((reason, zone), n) in sums {
+            let _ = write!(text, "{n} {reason:?} in {zone}; ");
+        }
+        for f in self.faults.iter().take(FAULTS_MAX) {
+            let Fault { service, endpoint, zone, reason, verdict, after } = f;
+            let _ = write!(text, "{service}/{endpoint}@{zone} {reason:?} {verdict} at {after}; ");
+        }
+        text
+    }
+}
+
+/// Writes the lines of failed requests.
+#[derive(Default)]
+pub struct Teller {
+    failed: Mutex<Lines>,
+    partial: Mutex<Lines>,
+}
+
+impl Teller {
+    /// Tells of a request, if it failed.
+    pub fn ended(
+        &self,
+        now: Time,
+        id: &str,
+        route: &Route,
+        snapshot: &Snapshot,
+        story: &Story,
+        outcome: &Outcome,
+    ) {
+        let (verdict, reason) = match outcome {
+            Outcome::Refused { refusal, .. } => (refusal.verdict, refusal.reason),
+            Outcome::Passed(part) if !part.status.is_success() => (Verdict::Ran, Reason::Internal),
+            Outcome::Gathered { missing, .. } if *missing > 0 => (Verdict::Ran, Reason::Coverage),
+            Outcome::Passed(_) | Outcome::Gathered { .. } => return,
+        };
+        let partial = matches!(outcome, Outcome::Gathered { .. });
+        let dropped = if partial {
+            self.partial.lock().take(now, PARTIAL_MAX)
+        } else {
+            self.failed.lock().take(now, FAILED_MAX)
+        };
+        let Some(dropped) = dropped else { return };
+        if dropped > 0 {
+            log::info!(event = "lines-dropped", dropped; "{dropped} lines like the next were left out");
+        }
+        let (route, sent, shards) = (&route.name, story.sent, snapshot.shards.len());
+        let (known, faults) = (snapshot.held(), story.tell());
+        let (verdict, reason) = (verdict.name(), format!("{reason:?}"));
+        let answer = match outcome {
+            Outcome::Refused { refusal, .. } => refusal.detail.clone(),
+            Outcome::Passed(part) => format!("the endpoint's own answer {}", part.status),
+            Outcome::Gathered { missing, .. } => format!("{missing} shards are left out"),
+        };
+        let event = if partial { "answer-partial" } else { "request-failed" };
+        log::info!(
+            event, request = id, route = **route, plan = *snapshot.name, verdict, reason,
+            shards, known, sent, faults;
+            "request {id}: {answer}"
+        );
+    }
+}
--- a/src/wisteriahead/services/relay/table.rs
+++ b/src/wisteriahead/services/relay/table.rs
@@ -5,6 +5,9 @@
 use crate::prelude::*;
 use std::sync::OnceLock;
 
+/// One service in so many must be known.
+const SERVED_PART: usize = 2;
+
 /// A route and its endpoints.
 pub struct Entry {
     /// The route.
@@ -21,6 +24,8 @@
     index: RouteIndex,
     entries: Vec<Arc<Entry>>,
     endpoints: Arc<Routes>,
+    /// Zones of the endpoints.
+    zones: OnceLock<IndexSet<Arc<str>>>,
 }
 
 impl Table {
@@ -29,7 +34,31 @@
         let index = RouteIndex::new(&plan.routes);
         let entry = |r: &Route| Arc::new(Entry { route: r.clone(), snapshots: OnceLock::new() });
         let entries = plan.routes.iter().map(entry).collect();
-        Self { plan, index, entries, endpoints }
+        Self { plan, index, entries, endpoints, zones: OnceLock::new() }
+    }
+
+    /// The zones of the endpoints that take work.
+    pub fn zones(&self) -> &IndexSet<Arc<str>> {
+        self.zones.get_or_init(|| self.targets().map(|t| t.zone.clone()).collect())
+    }
+
+    /// The endpoints that take work.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.endpoints.services.values().flatten()
+    }
+
+    /// Whether each gathering route reaches its least coverage, not counting endpoints in cold start
+    /// or in some zones.
+    pub fn gathers(&self, besides: &[Arc<str>]) -> bool {
+        let serves = |t: &Target| !t.cold && !besides.contains(&t.zone);
+        let known = |s: &Arc<str>| self.endpoints.services.get(s);
+        self.plan.routes.iter().all(|route| match &route.goal {
+            Goal::Gather { shards, least, .. } => {
+                let held = shards.iter().filter(|s| known(s).is_some_and(|l| l.iter().any(serves)));
+                held.count() as f64 >= shards.len() as f64 * least.fraction()
+            }
+            Goal::Split(_) => true,
+        })
     }
 
     /// The route of a request.
@@ -37,9 +66,11 @@
         self.entries.get(self.index.find(host, path)?).cloned()
     }
 
-    /// Whether any endpoint takes work.
+    /// Whether endpoints are known for enough of the services that routes lead to.
     pub fn is_served(&self) -> bool {
-        !self.endpoints.services.is_empty()
+        let named: IndexSet<_> = self.plan.routes.iter().flat_map(|r| r.goal.services()).collect();
+        let known = named.iter().filter(|s| self.endpoints.services.contains_key(**s));
+        known.count() * SERVED_PART >= named.len().max(1)
     }
 
     /// The snapshot that a part of the route's goal goes to.
--- a/src/wisteriahead/services/transport/pool.rs
+++ b/src/wisteriahead/services/transport/pool.rs
@@ -20,6 +20,8 @@
     idle: Vec<Sender>,
     open: u32,
     max: u32,
+    /// Most idle connections that are kept.
+    spare: usize,
 }
 
 /// Connections to one address, at most `max` of them open.
@@ -42,9 +44,14 @@
 
     /// Sets how many connections may be open; idle ones above that are closed.
     pub fn set_max(&self, max: u32) {
+        self.set_bounds(max, max);
+    }
+
+    /// Sets how many connections may be open, and how many of them are kept while idle.
+    pub fn set_bounds(&self, max: u32, spare: u32) {
         let mut s = self.state.lock();
-        s.max = max;
-        while s.open > max && s.idle.pop().is_some() {
+        (s.max, s.spare) = (max, spare as usize);
+        while (s.open > max || s.idle.len() > s.spare) && s.idle.pop().is_some() {
             s.open -= 1;
         }
     }
@@ -152,7 +159,7 @@
         let Some(mut sender) = self.sender.take() else { return };
         if sender.ready().await.is_ok() {
             let mut s = self.pool.state.lock();
-            if s.open <= s.max {
+            if s.open <= s.max && s.idle.len() < s.spare {
                 s.idle.push(sender);
                 self.kept = true;
             }
