Ask for many shards of another zone through a host there

Now: the first attempts of a request at three or more shards of one other zone go as one message to a host there (services/relay/forward.rs). That host decides nothing: it sends to the endpoints named over its own connections, answers with the merged records of what it has at 3/5 of the wait for a hedge, and passes on each later part as it comes. Budgets, hedges, retries and cold limits stay with the host that took the request; hedges and retries go straight to endpoints. A host that keeps silent is done without for 2 s. What is no longer wanted is called off.

Parts of one message were fed to the query one by one, and it ended between two, so the merged records held a shard that was not named. They now count together (Event::Together), and a part that comes again in merged records takes the place of the hedge's.

Ruled out as the cause of the bytes: choice of replicas (40% of calls cross zones, 44% would by chance).

--- a/src/wisteriahead/core/message.rs
+++ b/src/wisteriahead/core/message.rs
@@ -35,6 +35,8 @@
     Orders,
     /// Quarantine of requests that stop endpoints.
     Quarantine,
+    /// Calls to endpoints of the receiver's zone.
+    Relay,
 }
 
 /// One message on the wire.
--- a/src/wisteriahead/core/query/answer.rs
+++ b/src/wisteriahead/core/query/answer.rs
@@ -27,6 +27,13 @@
         Coverage { shards, answered: shards - missing.len() as u32, missing }
     }
 
+    /// Puts another answer of a shard in the place of the one that it has.
+    pub fn replace(&mut self, shard: u32, hits: T) {
+        if let Some(s) = self.shards.get_mut(shard as usize).filter(|s| s.hits.is_some()) {
+            s.hits = Some(hits);
+        }
+    }
+
     /// Shards that have not answered: attempts sent there, and what the next one lacked.
     pub fn lacking(&self) -> impl Iterator<Item = (u32, u32, Option<Lack>)> {
         let shards = (0u32..).zip(&self.shards).filter(|(_, s)| s.hits.is_none());
--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -47,6 +47,8 @@
     Start,
     /// An attempt ended.
     Done(AttemptId, Result<T, Refusal>),
+    /// Attempts ended together: all of their answers count, or none.
+    Together(Vec<(AttemptId, Result<T, Refusal>)>),
     /// The time asked for by [`Action::Wake`] has come.
     Wake,
     /// Endpoints of [`Gather::waiting`] have room.
@@ -161,6 +163,9 @@
         match event {
             Event::Start => self.start(&mut step),
             Event::Done(id, result) => self.done(id, result, &mut step),
+            Event::Together(list) => {
+                list.into_iter().for_each(|(id, result)| self.done(id, result, &mut step));
+            }
             Event::Wake => self.wake(&mut step),
             Event::Room(at) => self.room(&at, &mut step),
         }
--- a/src/wisteriahead/services/peers/traffic.rs
+++ b/src/wisteriahead/services/peers/traffic.rs
@@ -131,6 +131,7 @@
             Topic::Control => "peers.control.sent_bytes",
             Topic::Orders => "peers.orders.sent_bytes",
             Topic::Quarantine => "peers.quarantine.sent_bytes",
+            Topic::Relay => "peers.relay.sent_bytes",
         },
         bytes.sent,
     );
@@ -142,6 +143,7 @@
             Topic::Control => "peers.control.received_bytes",
             Topic::Orders => "peers.orders.received_bytes",
             Topic::Quarantine => "peers.quarantine.received_bytes",
+            Topic::Relay => "peers.relay.received_bytes",
         },
         bytes.received,
     );
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -2,6 +2,7 @@
 
 use super::Relay;
 use super::dialect::{Call, Outcome, Part};
+use super::forward::{BUNDLE_MIN, Bundle, Came, Ticket};
 use super::learned::Flight;
 use super::links::Times;
 use super::story::Story;
@@ -15,6 +16,7 @@
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt as _};
 use std::time::Instant;
+use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinHandle};
 
 /// Time that a request and its answer are under way between caller and host, and some work: callers
@@ -35,6 +37,10 @@
 /// once a second, each at its own time.
 const UNKNOWN_AFTER: Span = Span::millis(300);
 
+/// Part of the wait for a hedge after which a host that is sent through answers with what it has: the
+/// rest must come before the hedges of what it lacks.
+const FLUSH_PART: (u64, u64) = (3, 5);
+
 /// The time at which an answer must be under way to arrive in `span`.
 fn ahead(span: Span) -> Span {
     Span(span.0.saturating_sub(WAY.0.min(span.0 / WAY_PART)))
@@ -88,6 +94,30 @@
     id: AttemptId,
     to: Target,
     result: Result<Part, Refusal>,
+    /// Whether its records may be merged with those of other shards.
+    merged: bool,
+}
+
+/// An attempt that is to be sent.
+struct Attempt {
+    id: AttemptId,
+    shard: u32,
+    to: Target,
+    flight: Flight,
+}
+
+/// What comes next to a request.
+struct Next {
+    event: Event<Part>,
+    /// Parts of shards that have answered already, whose records are merged with those of others:
+    /// they take the place of the answers.
+    again: Vec<(u32, Part)>,
+}
+
+impl From<Event<Part>> for Next {
+    fn from(event: Event<Part>) -> Self {
+        Self { event, again: Vec::new() }
+    }
 }
 
 /// A request on its way.
@@ -97,9 +127,10 @@
     route: &'a Route,
     call: Arc<Call>,
     until: Instant,
-    open: FuturesUnordered<BoxFuture<'a, Ended>>,
+    open: FuturesUnordered<BoxFuture<'a, (Vec<Ended>, Option<Bundled>)>>,
     /// Tasks of the attempts that are waited for.
     sent: IndexMap<AttemptId, AbortHandle>,
+    shards: IndexMap<AttemptId, u32>,
     wake: Option<Time>,
     /// The last failure that an endpoint answered with.
     failure: Option<Part>,
@@ -150,6 +181,7 @@
         call: Arc::new(call),
         until: Instant::now() + Span(patience.0.saturating_sub(waited.0)).to_std(),
         open: FuturesUnordered::new(),
+        shards: IndexMap::new(),
         sent: IndexMap::new(),
         wake: None,
         failure: None,
@@ -215,8 +247,10 @@
 
 impl Drive<'_> {
     async fn run(mut self, mut gather: Gather<Part>) -> (Gather<Part>, Option<Part>, Story) {
-        let mut event = Event::Start;
+        let mut next = Next::from(Event::Start);
         loop {
+            let Next { event, again } = next;
+            again.into_iter().for_each(|(shard, part)| gather.replace(shard, part));
             let now = self.relay.ctx.now();
             let (relay, table, route) = (self.relay, self.table, self.route);
             let mut fleet = Replicas { relay, table, route, now };
@@ -224,70 +258,154 @@
             if self.carry_out(actions) {
                 return (gather, self.failure.take(), std::mem::take(&mut self.story));
             }
-            event = self.next().await;
+            next = self.next().await;
         }
     }
 
     /// Carries out the actions; says whether the query is finished.
     fn carry_out(&mut self, actions: Vec<Action<Flight>>) -> bool {
         let mut finished = false;
+        let mut sends = Vec::new();
         for action in actions {
             match action {
-                Action::Send { attempt, target, permit, .. } => self.send(attempt, target, permit),
+                Action::Send { attempt, shard, target, permit, .. } => {
+                    sends.push(Attempt { id: attempt, shard, to: target, flight: permit });
+                }
                 // It runs to its end unheard, so that its connection can be used again.
                 Action::Cancel(id) => drop(self.sent.swap_remove(&id)),
                 Action::Wake(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
                 Action::Finish => finished = true,
             }
         }
+        self.send_all(sends);
         finished
     }
 
-    fn send(&mut self, id: AttemptId, to: Target, flight: Flight) {
+    /// Sends attempts: many to one other zone through a host there, the others one by one.
+    fn send_all(&mut self, attempts: Vec<Attempt>) {
+        let mut zones: IndexMap<Arc<str>, Vec<Attempt>> = IndexMap::new();
+        for attempt in attempts {
+            self.story.sent();
+            // A shard is in the merged records of one bundle at most.
+            let first = !self.shards.values().any(|shard| *shard == attempt.shard);
+            self.shards.insert(attempt.id, attempt.shard);
+            if !first || *attempt.to.zone == *self.relay.learned.zone() {
+                self.send(attempt);
+                continue;
+            }
+            zones.entry(attempt.to.zone.clone()).or_default().push(attempt);
+        }
+        let now = self.relay.ctx.now();
+        for (zone, attempts) in zones {
+            let bundled = attempts.len() >= BUNDLE_MIN;
+            match self.relay.forward.choose(now, &zone).filter(|_| bundled) {
+                Some(host) => self.bundle(host, attempts),
+                None => attempts.into_iter().for_each(|attempt| self.send(attempt)),
+            }
+        }
+    }
+
+    fn times(&self) -> Times {
+        let connect = Span(self.route.objective.0 / CONNECT_PART).clamp(CONNECT_MIN, CONNECT_MAX);
+        Times { connect, until: self.until }
+    }
+
+    fn send(&mut self, attempt: Attempt) {
+        let Attempt { id, to, flight, .. } = attempt;
         let (relay, call) = (Arc::clone(self.relay), Arc::clone(&self.call));
-        self.story.sent();
         let endpoint = to.clone();
         let at = relay.ctx.now();
-        let connect = Span(self.route.objective.0 / CONNECT_PART).clamp(CONNECT_MIN, CONNECT_MAX);
-        let times = Times { connect, until: self.until };
+        let times = self.times();
         let route = self.route.name.clone();
         let task: JoinHandle<Result<Part, Refusal>> = tokio::spawn(async move {
             let connections = relay.learned.connections(&to);
             let sent = relay.links.run(&*relay.dialect, &call, &to, connections, times);
             let result = sent.await;
             let now = relay.ctx.now();
-            match &result {
-                Ok(_) => relay.learned.answered(now, &route, &to, now.since(at)),
-                Err(r) if r.reason == Reason::Busy => relay.learned.refused(now, &to),
-                Err(r) if r.reason == Reason::WrongEndpoint => relay.learned.absent(&to),
-                Err(_) => relay.learned.failed(now, to.key),
-            }
+            relay.learned.ended(now, &route, &to, result.as_ref().err(), now.since(at));
             drop(flight);
             result
         });
         self.sent.insert(id, task.abort_handle());
         self.open.push(Box::pin(async move {
             let stopped = |_| Err(Refusal::may_have_run(Reason::Internal, "the call was stopped"));
-            Ended { id, to: endpoint, result: task.await.unwrap_or_else(stopped) }
+            let result = task.await.unwrap_or_else(stopped);
+            (vec![Ended { id, to: endpoint, result, merged: false }], None)
         }));
     }
 
-    async fn next(&mut self) -> Event<Part> {
+    /// Sends attempts through another host.
+    fn bundle(&mut self, host: Arc<str>, attempts: Vec<Attempt>) {
+        let relay = Arc::clone(self.relay);
+        let top = match &self.route.goal {
+            Goal::Gather { top, .. } => *top,
+            Goal::Split(_) => 0,
+        };
+        let usual = relay.learned.hedge_delay(&self.route.name, self.route.objective);
+        let (parts, of) = FLUSH_PART;
+        let flush = Span(usual.0 / of * parts);
+        let bundle = Bundle {
+            call: &self.call,
+            to: attempts.iter().map(|a| &a.to).collect(),
+            top,
+            times: self.times(),
+            flush,
+        };
+        let ticket = relay.forward.send(host, &bundle);
+        let (tx, rx) = mpsc::unbounded_channel();
+        let ids: Vec<AttemptId> = attempts.iter().map(|a| a.id).collect();
+        let route = self.route.name.clone();
+        let until = tokio::time::Instant::from_std(self.until);
+        let overdue = Span(flush.0 + usual.0);
+        let task = tokio::spawn(async move {
+            let heard = hear(&relay, ticket, attempts, &route, overdue, &tx);
+            // Past that time no caller waits.
+            let _ = tokio::time::timeout_at(until, heard).await;
+        });
+        ids.into_iter().for_each(|id| drop(self.sent.insert(id, task.abort_handle())));
+        self.open.push(Bundled(rx).next());
+    }
+
+    async fn next(&mut self) -> Next {
         let now = self.relay.ctx.now();
         let wait = self.wake.map_or(Span::ZERO, |at| at.since(now));
-        tokio::select! {
-            biased;
-            Some(ended) = self.open.next() => self.ended(ended),
-            () = tokio::time::sleep(wait.to_std()) => {
-                self.wake = None;
-                Event::Wake
+        let mut timer = std::pin::pin!(tokio::time::sleep(wait.to_std()));
+        loop {
+            tokio::select! {
+                biased;
+                Some((ended, rest)) = self.open.next() => {
+                    if let Some(bundle) = rest {
+                        self.open.push(bundle.next());
+                    }
+                    if !ended.is_empty() {
+                        return self.take(ended);
+                    }
+                }
+                () = &mut timer => {
+                    self.wake = None;
+                    return Event::Wake.into();
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, list: Vec<Ended>) -> Next {
+        let mut again = Vec::new();
+        let mut done = Vec::new();
+        for ended in list {
+            let wanted = self.sent.swap_remove(&ended.id).is_some();
+            match (self.shards.get(&ended.id), ended) {
+                (Some(shard), Ended { result: Ok(part), merged: true, .. }) if !wanted => {
+                    again.push((*shard, part));
+                }
+                (_, ended) => done.push(self.ended(ended)),
             }
         }
+        Next { event: Event::Together(done), again }
     }
 
-    fn ended(&mut self, ended: Ended) -> Event<Part> {
-        let Ended { id, to, result } = ended;
-        self.sent.swap_remove(&id);
+    fn ended(&mut self, ended: Ended) -> (AttemptId, Result<Part, Refusal>) {
+        let Ended { id, to, result, .. } = ended;
         let result = match result {
             Ok(part) if !part.status.is_success() => {
                 let detail = format!("the endpoint answered {}", part.status);
@@ -299,7 +417,7 @@
         if let Err(refusal) = &result {
             self.story.failed(&to, refusal, self.relay.ctx.now().since(self.begun));
         }
-        Event::Done(id, result)
+        (id, result)
     }
 }
 
@@ -309,3 +427,53 @@
         self.sent.values().for_each(AbortHandle::abort);
     }
 }
+
+/// A bundle whose answers still come.
+struct Bundled(mpsc::UnboundedReceiver<Vec<Ended>>);
+
+impl Bundled {
+    fn next<'a>(mut self) -> BoxFuture<'a, (Vec<Ended>, Option<Self>)> {
+        Box::pin(async move {
+            match self.0.recv().await {
+                Some(ended) => (ended, Some(self)),
+                None => (Vec::new(), None),
+            }
+        })
+    }
+}
+
+/// Takes the answers of a bundle, learns from them and passes them on.
+async fn hear(
+    relay: &Relay,
+    mut ticket: Ticket,
+    attempts: Vec<Attempt>,
+    route: &Arc<str>,
+    overdue: Span,
+    tx: &mpsc::UnboundedSender<Vec<Ended>>,
+) {
+    let mut attempts: Vec<Option<Attempt>> = attempts.into_iter().map(Some).collect();
+    let mut heard = false;
+    while ticket.left > 0 {
+        let came = match tokio::time::timeout(overdue.to_std(), ticket.next()).await {
+            Ok(came) => came,
+            Err(_) if heard => ticket.next().await,
+            Err(_) => {
+                relay.forward.avoid(relay.ctx.now(), ticket.host());
+                ticket.next().await
+            }
+        };
+        heard = true;
+        let now = relay.ctx.now();
+        let mut list = Vec::new();
+        for Came { place, result, time } in came {
+            let Some(Attempt { id, to, .. }) = attempts.get_mut(place).and_then(Option::take)
+            else {
+                continue;
+            };
+            relay.learned.ended(now, route, &to, result.as_ref().err(), time);
+            list.push(Ended { id, to, result, merged: true });
+        }
+        // The request may have ended meanwhile.
+        let _ = tx.send(list);
+    }
+}
--- a/src/wisteriahead/services/relay/learned.rs
+++ b/src/wisteriahead/services/relay/learned.rs
@@ -215,8 +215,25 @@
         self.state.lock().reach.heard(zone);
     }
 
+    /// Takes note of how an attempt on a route ended.
+    pub fn ended(
+        &self,
+        now: Time,
+        route: &Arc<str>,
+        to: &Target,
+        refusal: Option<&Refusal>,
+        time: Span,
+    ) {
+        match refusal.map(|r| r.reason) {
+            None => self.answered(now, route, to, time),
+            Some(Reason::Busy) => self.refused(now, to),
+            Some(Reason::WrongEndpoint) => self.absent(to),
+            Some(_) => self.failed(now, to.key),
+        }
+    }
+
     /// Takes note of an answer on a route.
-    pub fn answered(&self, now: Time, route: &Arc<str>, from: &Target, time: Span) {
+    fn answered(&self, now: Time, route: &Arc<str>, from: &Target, time: Span) {
         let mut s = self.state.lock();
         s.reach.heard(&from.zone);
         s.routes.entry(route.clone()).or_default().record(time);
@@ -224,21 +241,21 @@
     }
 
     /// Takes note that another endpoint answered at a target's address.
-    pub fn absent(&self, target: &Target) {
+    fn absent(&self, target: &Target) {
         let mut s = self.state.lock();
         s.reach.heard(&target.zone);
         s.absent.note(target);
     }
 
     /// Takes note of a refusal for lack of room.
-    pub fn refused(&self, now: Time, from: &Target) {
+    fn refused(&self, now: Time, from: &Target) {
         let mut s = self.state.lock();
         s.reach.heard(&from.zone);
         s.latencies.refused(now, from.key);
     }
 
     /// Takes note of an attempt that ended without an answer.
-    pub fn failed(&self, now: Time, from: EndpointKey) {
+    fn failed(&self, now: Time, from: EndpointKey) {
         self.state.lock().latencies.failed(now, from);
     }
 }
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod dialect;
 mod drive;
+mod forward;
 mod learned;
 mod links;
 mod story;
@@ -12,12 +13,14 @@
 pub use self::links::end_to_end;
 
 use self::dialect::{Call, Dialect, Outcome};
+use self::forward::Forward;
 use self::learned::Learned;
 use self::links::Links;
 use self::story::Teller;
 use self::table::Table;
 use super::{Control, Endpoints, Member, Members, Peers};
 use crate::core::member::Health;
+use crate::core::message::Topic;
 use crate::core::plan::Plan;
 use crate::core::relay::settle::Settle;
 use crate::core::routes::Routes;
@@ -32,6 +35,7 @@
 use parking_lot::Mutex;
 use rand::seq::IndexedRandom as _;
 use std::net::SocketAddr;
+use std::sync::Weak;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -71,7 +75,9 @@
     table: ArcSwapOption<Table>,
     learned: Arc<Learned>,
     links: Links,
+    forward: Arc<Forward>,
     teller: Teller,
+    me: Weak<Self>,
 }
 
 impl Relay {
@@ -181,6 +187,8 @@
         let relays: Vec<_> = relays.map(|m| m.host.clone()).collect();
         log::info!(relays = relays.len(); "{} hosts share the budgets", relays.len());
         self.learned.set_hosts(relays);
+        let alive = members.iter().filter(|m| !m.durable && m.health == Health::Alive);
+        self.forward.set_hosts(alive.map(|m| (m.host.clone(), m.zone.clone())));
     }
 }
 
@@ -220,17 +228,25 @@
         Self { settings, servers: Mutex::default() }
     }
 
+    /// Address for callers, once started.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.servers.lock().first().map(|s| s.address())
+    }
+
     async fn run(&self, ctx: &Context) -> Result<()> {
         let peers = ctx.find::<dyn Peers>(<dyn Peers>::NAME)?;
         let s = &self.settings;
-        let relay = Arc::new(Relay {
+        let relay = Arc::new_cyclic(|me| Relay {
+            me: me.clone(),
             ctx: ctx.clone(),
             dialect: s.dialect.clone(),
             table: ArcSwapOption::empty(),
             learned: Arc::new(Learned::new(peers.host(), peers.zone(), s.bounds)),
             links: Links::default(),
+            forward: Arc::new(Forward::new(peers.clone())),
             teller: Teller::default(),
         });
+        peers.handle(Topic::Relay, relay.clone());
         let control = ctx.find::<dyn Control>(<dyn Control>::NAME)?;
         let endpoints = ctx.find::<dyn Endpoints>(<dyn Endpoints>::NAME)?;
         let members = ctx.find::<dyn Members>(<dyn Members>::NAME)?;
--- /dev/null
+++ b/tests/testsuite/forward.rs
@@ -0,0 +1,340 @@
+//! Requests that gather from another zone, through a host there: two relays, their endpoints, and
+//! the messages between them.
+
+use crate::support::{ANY, PATIENCE};
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http_body_util::{BodyExt as _, Empty, Full};
+use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::http::{request, response};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use indexmap::{IndexMap, IndexSet};
+use parking_lot::Mutex;
+use slotmap::SlotMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use wisteria_testkit::wait::until;
+use wisteriahead::core::endpoint::EndpointKey;
+use wisteriahead::core::member::{Health, Member};
+use wisteriahead::core::message::Topic;
+use wisteriahead::core::plan::{Goal, Plan, Repeat, Route, Service as PlanService, Share};
+use wisteriahead::core::relay::extras::Bounds;
+use wisteriahead::core::routes::{Routes, Target};
+use wisteriahead::kernel::Kernel;
+use wisteriahead::prelude::*;
+use wisteriahead::services::relay::dialect::{Asked, Call, Dialect, Outcome, Reply};
+use wisteriahead::services::relay::{RelayBounds, RelayService, RelaySettings};
+use wisteriahead::services::{Accepted, Change, Control, Endpoints, Handler, Members, Peers};
+use wisteriahead::util::http::{self, Answer, Server};
+
+const ID: &str = "id";
+const SIGNATURE: &str = "signature";
+const MISSING: &str = "missing";
+const SHARDS: usize = 4;
+const TOP: u32 = 3;
+
+/// A dialect of three headers.
+struct Plain;
+
+impl Dialect for Plain {
+    fn read(&self, head: &request::Parts) -> Result<Asked, Refusal> {
+        let id = head.headers.get(ID).cloned();
+        let id = id.ok_or_else(|| Refusal::not_run(Reason::BadRequest, "no id"))?;
+        Ok(Asked { id, patience: None })
+    }
+
+    fn headers(&self, call: &Call, _: &Target, _: Span) -> HeaderMap {
+        call.headers.clone()
+    }
+
+    fn reply(&self, _: &Call, head: &response::Parts) -> Reply {
+        let signature = head.headers.get(SIGNATURE).cloned();
+        Reply::Ran { success: head.status.is_success(), signature }
+    }
+
+    fn answer(&self, outcome: Outcome) -> Answer {
+        let mut r = Response::new(Full::default());
+        match outcome {
+            Outcome::Passed(part) => *r.status_mut() = part.status,
+            Outcome::Gathered { body, signatures, missing } => {
+                r.headers_mut().insert(MISSING, missing.into());
+                for s in signatures {
+                    r.headers_mut().append(SIGNATURE, s);
+                }
+                *r.body_mut() = Full::new(body);
+            }
+            Outcome::Refused { refusal, .. } => {
+                *r.status_mut() = http::status(refusal.reason);
+                *r.body_mut() = Full::new(refusal.to_string().into());
+            }
+        }
+        r
+    }
+}
+
+/// An endpoint that answers with one record of its own.
+struct Leaf {
+    name: String,
+    asked: Arc<AtomicUsize>,
+}
+
+impl http::Routes for Leaf {
+    fn answer(&self, _: Request<Incoming>) -> BoxFuture<'_, Answer> {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        let mut r = Response::new(Full::from(record(&self.name)));
+        r.headers_mut().insert(SIGNATURE, HeaderValue::from_str(&self.name).unwrap());
+        Box::pin(async move { r })
+    }
+}
+
+fn record(name: &str) -> Bytes {
+    format!("{name:>16}").into()
+}
+
+/// Messages between the two hosts; all are lost while it is `cut`.
+#[derive(Default)]
+struct Wire {
+    handlers: Mutex<IndexMap<String, Arc<dyn Handler>>>,
+    cut: AtomicBool,
+    sent: AtomicUsize,
+}
+
+struct Line {
+    host: &'static str,
+    wire: Arc<Wire>,
+}
+
+impl Peers for Line {
+    fn host(&self) -> &str {
+        self.host
+    }
+
+    fn zone(&self) -> &str {
+        self.host
+    }
+
+    fn others(&self) -> Vec<String> {
+        Vec::new()
+    }
+
+    fn handle(&self, _: Topic, handler: Arc<dyn Handler>) {
+        self.wire.handlers.lock().insert(self.host.to_owned(), handler);
+    }
+
+    fn send(&self, to: &str, _: Topic, body: Vec<u8>) {
+        self.wire.sent.fetch_add(1, Ordering::Relaxed);
+        let handler = self.wire.handlers.lock().get(to).cloned();
+        if let Some(handler) = handler.filter(|_| !self.wire.cut.load(Ordering::Relaxed)) {
+            let from = self.host;
+            tokio::spawn(async move { handler.receive(from, &body) });
+        }
+    }
+
+    fn call<'a>(
+        &'a self,
+        _: &'a str,
+        _: Topic,
+        _: Vec<u8>,
+    ) -> BoxFuture<'a, anyhow::Result<Vec<u8>>> {
+        Box::pin(async { anyhow::bail!("no calls") })
+    }
+}
+
+/// What a host knows: a plan, endpoints and members that do not change.
+struct Known {
+    accepted: watch::Sender<Accepted>,
+    routes: Arc<Routes>,
+    members: watch::Sender<Arc<Vec<Member>>>,
+}
+
+impl Control for Known {
+    fn watch(&self) -> watch::Receiver<Accepted> {
+        self.accepted.subscribe()
+    }
+
+    fn propose(&self, _: Change) -> BoxFuture<'_, Result<u64, Refusal>> {
+        Box::pin(async { Err(Refusal::not_run(Reason::Unavailable, "")) })
+    }
+}
+
+impl Endpoints for Known {
+    fn routes(&self) -> Arc<Routes> {
+        self.routes.clone()
+    }
+}
+
+impl Members for Known {
+    fn watch(&self) -> watch::Receiver<Arc<Vec<Member>>> {
+        self.members.subscribe()
+    }
+}
+
+fn plan() -> Plan {
+    let shards: Vec<Arc<str>> = (0..SHARDS).map(|i| format!("s{i}").into()).collect();
+    let service = PlanService { connections: 8, cold_rate: 0 };
+    let services = shards.iter().map(|s| (s.clone(), service.clone())).collect();
+    let route = Route {
+        name: "all".into(),
+        host: "tier".into(),
+        prefix: "/".into(),
+        repeat: Repeat::Idempotent,
+        timeout: Span::secs(20),
+        objective: Span::secs(1),
+        priority: 0,
+        attempts: 2,
+        goal: Goal::Gather { shards, top: TOP, least: Share::from_fraction(1.0) },
+    };
+    Plan { number: 1, routes: vec![route], services, ..Plan::default() }
+}
+
+/// Two hosts, `north` and `south`, each the only one of its zone; all endpoints stand in the south.
+struct Tier {
+    wire: Arc<Wire>,
+    asked: Arc<AtomicUsize>,
+    north: SocketAddr,
+    _leaves: Vec<Server>,
+    _kernels: Vec<Kernel>,
+}
+
+impl Tier {
+    async fn start() -> Self {
+        let asked = Arc::new(AtomicUsize::new(0));
+        let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+        let (mut services, mut leaves) = (IndexMap::new(), Vec::new());
+        for shard in 0..SHARDS {
+            let list = (0..2).map(async |i| {
+                let name = format!("s{shard}-{i}");
+                let leaf = Arc::new(Leaf { name: name.clone(), asked: asked.clone() });
+                (name, Server::start(http::bind(ANY).await.unwrap(), leaf).unwrap())
+            });
+            let mut targets = Vec::new();
+            for started in list {
+                let (name, server) = started.await;
+                targets.push(Target {
+                    key: keys.insert(()),
+                    name: name.into(),
+                    service: format!("s{shard}").into(),
+                    zone: "south".into(),
+                    address: server.address(),
+                    incarnation: 1,
+                    allowed: 4,
+                    bearable: 4,
+                    connections: 8,
+                    cold: false,
+                });
+                leaves.push(server);
+            }
+            services.insert(format!("s{shard}").into(), targets);
+        }
+        let routes = Arc::new(Routes { services, ..Routes::default() });
+        let member = |name: &str| Member {
+            host: name.into(),
+            zone: name.into(),
+            health: Health::Alive,
+            incarnation: 1,
+            durable: false,
+        };
+        let members = Arc::new(vec![member("north"), member("south")]);
+        let wire = Arc::new(Wire::default());
+        let (mut kernels, mut addresses) = (Vec::new(), Vec::new());
+        for host in ["north", "south"] {
+            let accepted = Accepted { plan: Some(Arc::new(plan())), ..Accepted::default() };
+            let known = Arc::new(Known {
+                accepted: watch::channel(accepted).0,
+                routes: routes.clone(),
+                members: watch::channel(members.clone()).0,
+            });
+            let mut kernel = Kernel::default();
+            let ctx = kernel.context();
+            let line: Arc<dyn Peers> = Arc::new(Line { host, wire: wire.clone() });
+            ctx.publish(<dyn Peers>::NAME, line);
+            ctx.publish::<dyn Control>(<dyn Control>::NAME, known.clone());
+            ctx.publish::<dyn Endpoints>(<dyn Endpoints>::NAME, known.clone());
+            ctx.publish::<dyn Members>(<dyn Members>::NAME, known);
+            let extras = Bounds { ratio: 1.0, slack: 100.0, window: Span::secs(10) };
+            let relay = Arc::new(RelayService::new(RelaySettings {
+                listen: ANY,
+                ready: ANY,
+                ready_path: "/ready",
+                bounds: RelayBounds {
+                    extras,
+                    cold_over: 1.0,
+                    cold_slack: 0.0,
+                    apply: Span::secs(1),
+                },
+                dialect: Arc::new(Plain),
+            }));
+            kernel.start(relay.clone()).await.unwrap();
+            addresses.push(relay.address().unwrap());
+            kernels.push(kernel);
+        }
+        Self { wire, asked, north: addresses[0], _leaves: leaves, _kernels: kernels }
+    }
+
+    /// Asks the host in the north, once it knows the plan.
+    async fn ask(&self) -> (Vec<String>, Bytes) {
+        let asked = async {
+            loop {
+                let r = self.get().await;
+                if r.status() == StatusCode::OK {
+                    return r;
+                }
+                assert_eq!(r.status(), StatusCode::SERVICE_UNAVAILABLE);
+            }
+        };
+        let r = timeout(PATIENCE, asked).await.unwrap();
+        assert_eq!(r.headers()[MISSING], "0");
+        let names = r.headers().get_all(SIGNATURE).iter();
+        let names = names.map(|s| s.to_str().unwrap().to_owned()).collect();
+        (names, r.into_body().collect().await.unwrap().to_bytes())
+    }
+
+    async fn get(&self) -> Response<Incoming> {
+        let stream = TcpStream::connect(self.north).await.unwrap();
+        let (mut tx, link) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.unwrap();
+        tokio::spawn(link);
+        let request = Request::get("/q").header(HOST, "tier").header(ID, "r1");
+        tx.send_request(request.body(Empty::<Bytes>::new()).unwrap()).await.unwrap()
+    }
+}
+
+/// One name of each shard, and the greatest records of the endpoints named.
+fn check(names: &[String], body: &Bytes) {
+    let shards: IndexSet<_> = names.iter().map(|n| n.split_once('-').unwrap().0).collect();
+    assert_eq!((shards.len(), names.len()), (SHARDS, SHARDS), "{names:?}");
+    let mut records: Vec<_> = names.iter().map(|n| record(n)).collect();
+    records.sort();
+    let want: Vec<u8> = records.iter().rev().take(TOP as usize).flatten().copied().collect();
+    assert_eq!(body[..], want[..]);
+}
+
+#[tokio::test]
+async fn shards_of_another_zone_are_asked_through_a_host_there() {
+    let tier = Tier::start().await;
+    let (names, body) = tier.ask().await;
+    check(&names, &body);
+    assert_eq!(tier.asked.load(Ordering::Relaxed), SHARDS, "each shard once");
+    assert_eq!(tier.wire.sent.load(Ordering::Relaxed), 2, "one message there, one back");
+}
+
+#[tokio::test]
+async fn host_that_is_sent_through_and_does_not_answer_is_done_without() {
+    let tier = Tier::start().await;
+    tier.ask().await;
+    tier.wire.cut.store(true, Ordering::Relaxed);
+    // The first is hedged; a later one goes past the host at once.
+    until("a request that is sent to the endpoints at once", async || {
+        let before = tier.wire.sent.load(Ordering::Relaxed);
+        let (names, body) = tier.ask().await;
+        check(&names, &body);
+        tier.wire.sent.load(Ordering::Relaxed) == before
+    })
+    .await;
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod docs;
 mod document;
 mod fleet;
+mod forward;
 mod gathering;
 mod hedge;
 mod homes;
--- a/tests/testsuite/policy.rs
+++ b/tests/testsuite/policy.rs
@@ -3,7 +3,7 @@
 use crate::props::Endpoints;
 use crate::query::World;
 use std::sync::Arc;
-use wisteriahead::core::query::{Action, AttemptId, Event, Gather, Policy};
+use wisteriahead::core::query::{Action, AttemptId, Event, Gather, Lack, Policy};
 use wisteriahead::prelude::*;
 use yare::parameterized;
 
@@ -120,3 +120,67 @@
     run.step(60, Event::Wake);
     assert!(run.finished && run.sent.is_empty());
 }
+
+/// Sent to the shards with room, it would cost those their work for nothing.
+#[test]
+fn whole_query_without_room_for_its_coverage_is_sent_nowhere() {
+    let patience = Some(Time(0) + Span::millis(20));
+    let snapshot = Endpoints::default().snapshot("1", &[2; 4]);
+    let policy = Policy { patience, whole: true, ..policy() };
+    let start = |full: usize| {
+        let mut world = World::new(vec![Arc::clone(&snapshot)]);
+        world.full = snapshot.shards[..full].iter().flatten().map(|t| t.key).collect();
+        let gather = Gather::new(Arc::clone(&snapshot), DEADLINE, 0.75).with_policy(policy);
+        let mut run = Run { gather, world, sent: Vec::new(), finished: false };
+        run.step(0, Event::Start);
+        run
+    };
+    assert_eq!(start(1).sent.len(), 3, "3 of 4 are enough");
+    let mut run = start(2);
+    run.step(10, Event::Wake);
+    assert!(!run.finished && run.sent.is_empty(), "it waits for room");
+    let mut other = start(2);
+    other.world.full.clear();
+    other.step(10, Event::Wake);
+    assert_eq!(other.sent.len(), 4, "room has come");
+    run.step(20, Event::Wake);
+    assert!(run.finished && run.sent.is_empty());
+    assert_eq!(run.gather.verdict(), Verdict::NotRun);
+}
+
+#[test]
+fn attempt_that_reached_no_endpoint_is_replaced_without_budget() {
+    let mut run = Run::new(1, 1.0, 0, policy());
+    run.fail(1, Refusal::not_run(Reason::Connection, ""));
+    assert_eq!(run.sent.len(), 2);
+    run.fail(2, Refusal::may_have_run(Reason::Connection, ""));
+    assert!(run.finished, "an arrival is paid for");
+}
+
+/// The records of parts that came together are merged: one without the other would be wrong.
+#[test]
+fn answers_that_came_together_all_count() {
+    let enough = Some(Time(0) + Span::millis(10));
+    let mut run = Run::new(4, 0.25, 0, Policy { enough, ..policy() });
+    let together = run.sent[..3].iter().map(|id| (*id, Ok(0))).collect();
+    run.step(11, Event::Together(together));
+    assert!(run.finished);
+    assert_eq!(run.gather.parts().count(), 3);
+}
+
+#[test]
+fn answer_is_replaced_only_where_there_is_one() {
+    let mut run = Run::new(2, 1.0, 0, policy());
+    run.step(1, Event::Done(run.sent[0], Ok(1)));
+    run.gather.replace(0, 7);
+    run.gather.replace(1, 7);
+    assert_eq!(run.gather.parts().collect::<Vec<_>>(), [(0, 7)]);
+}
+
+#[test]
+fn what_a_shard_lacked_is_told() {
+    let mut run = Run::new(2, 1.0, 0, policy());
+    run.step(100, Event::Wake);
+    let lacking: Vec<_> = run.gather.lacking().collect();
+    assert_eq!(lacking, [(0, 1, Some(Lack::Budget)), (1, 1, Some(Lack::Budget))]);
+}
--- a/tests/testsuite/query.rs
+++ b/tests/testsuite/query.rs
@@ -46,6 +46,10 @@
         replicas.iter().find(free).map(|t| (t.clone(), ()))
     }
 
+    fn has_room(&self, _: Time, replicas: &[Target]) -> bool {
+        replicas.iter().any(|t| !self.full.contains(&t.key))
+    }
+
     fn extra(&mut self, _: &[Target]) -> bool {
         let granted = self.spent < self.extras;
         self.spent += usize::from(granted);
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -3,10 +3,14 @@
 use crate::props::Endpoints;
 use crate::support::config;
 use proptest::prelude::*;
+use std::sync::Arc;
+use wisteriahead::core::lines::Lines;
 use wisteriahead::core::records::{RECORD_BYTES, merge};
 use wisteriahead::core::relay::absent::Absent;
 use wisteriahead::core::relay::extras::{Bounds, Extras};
 use wisteriahead::core::relay::pace::Pace;
+use wisteriahead::core::relay::reach::Reach;
+use wisteriahead::core::relay::settle::Settle;
 use wisteriahead::core::routes::Target;
 use wisteriahead::core::time::{Span, Time};
 
@@ -86,3 +90,54 @@
     let address = "127.0.0.1:2".parse().unwrap();
     assert!(!absent.holds(&Target { address, ..target }));
 }
+
+fn at(millis: u64) -> Time {
+    Time(0) + Span::millis(millis)
+}
+
+#[test]
+fn zone_is_silent_when_several_requests_have_no_word_in_time() {
+    let south: Arc<str> = "south".into();
+    let mut reach = Reach::default();
+    let usual = Span::millis(100);
+    (0..7).for_each(|i| reach.asked(at(i), &south, usual));
+    assert!(!reach.is_silent(at(10_000), &south), "few requests may meet one slow endpoint");
+    reach.asked(at(7), &south, usual);
+    assert!(!reach.is_silent(at(299), &south), "the first is not overdue");
+    assert!(reach.is_silent(at(300), &south));
+    assert_eq!(reach.silent(at(300)), std::slice::from_ref(&south));
+    reach.heard(&south);
+    assert!(!reach.is_silent(at(10_000), &south));
+    reach.heard("unknown");
+    assert!(!reach.is_silent(at(10_000), "unknown"));
+}
+
+#[test]
+fn quick_requests_leave_a_zone_time_for_a_pause() {
+    let south: Arc<str> = "south".into();
+    let mut reach = Reach::default();
+    (0..20).for_each(|_| reach.asked(at(0), &south, Span::millis(1)));
+    assert!(!reach.is_silent(at(249), &south));
+    assert!(reach.is_silent(at(250), &south));
+}
+
+#[test]
+fn plan_waits_for_its_endpoints_within_the_bound() {
+    let most = Span::millis(1_800);
+    let mut settle = Settle::default();
+    assert!(settle.takes(at(0), true, most), "what fits is taken at once");
+    assert!(!settle.takes(at(1_000), false, most));
+    assert!(settle.takes(at(1_500), true, most), "its endpoints are there");
+    assert!(!settle.takes(at(5_000), false, most), "another plan waits anew");
+    assert!(!settle.takes(at(6_799), false, most));
+    assert!(settle.takes(at(6_800), false, most), "no longer than the bound, however many come");
+}
+
+#[test]
+fn lines_past_the_bound_are_counted() {
+    let mut lines = Lines::default();
+    assert_eq!([0, 1, 2].map(|i| lines.take(at(i), 2)), [Some(0), Some(0), None]);
+    assert_eq!(lines.take(at(999), 2), None);
+    assert_eq!(lines.take(at(1_000), 2), Some(2));
+    assert_eq!(lines.take(at(1_001), 2), Some(0));
+}
