--- a/src/wisteriahead/services/relay/learned.rs
+++ b/src/wisteriahead/services/relay/learned.rs
@@ -19,6 +19,8 @@
 /// Quantile of a route's times after which an attempt is hedged: at 1 in 12 the budget of 1 in 5
 /// leaves room for retries.
 const HEDGE_QUANTILE: f64 = 0.92;
+/// Answers on a route after which the quantile is found anew.
+const REFRESH: u32 = 32;
 /// Part of the objective after which an attempt is hedged before enough is known.
 const HEDGE_FIRST: u64 = 4;
 /// Shortest wait for a hedge: the time of a message there and back between zones.
@@ -47,11 +49,39 @@
     /// When the requests in flight were sent, the oldest first.
     sent: Vec<Time>,
     pace: Pace,
+    /// Connections that the endpoint accepts, and this host's part of them.
+    links: Option<(u32, u32)>,
+}
+
+impl Endpoint {
+    /// This host's part of the connections, if it was found for as many as are accepted now.
+    fn part(&self, to: &Target) -> Option<u32> {
+        self.links.filter(|(accepted, _)| *accepted == to.connections).map(|(_, part)| part)
+    }
+}
+
+/// Times of the answers on one route.
+#[derive(Default)]
+struct Times {
+    sketch: Sketch,
+    /// Its quantile for hedges, as of some answers ago: to find it takes as long as many of them.
+    hedge: Option<Span>,
+    answers: u32,
+}
+
+impl Times {
+    fn record(&mut self, time: Span) {
+        self.sketch.record(time);
+        if self.answers.is_multiple_of(REFRESH) {
+            self.hedge = self.sketch.quantile(HEDGE_QUANTILE);
+        }
+        self.answers = self.answers.wrapping_add(1);
+    }
 }
 
 #[derive(Default)]
 struct State {
-    routes: IndexMap<Arc<str>, Sketch>,
+    routes: IndexMap<Arc<str>, Times>,
     extras: IndexMap<Arc<str>, Extras>,
     splitters: IndexMap<Arc<str>, Splitter>,
     endpoints: SecondaryMap<EndpointKey, Endpoint>,
@@ -107,12 +137,20 @@
 
     /// Sets the hosts that relay requests, this one included.
     pub fn set_hosts(&self, hosts: Vec<Arc<str>>) {
-        self.state.lock().hosts = hosts;
+        let mut s = self.state.lock();
+        s.hosts = hosts;
+        s.endpoints.values_mut().for_each(|e| e.links = None);
     }
 
     /// Connections to an endpoint that are this host's part, at least the one of a request in flight.
     pub fn connections(&self, to: &Target) -> u32 {
-        links(to, &self.host, &self.state.lock().hosts).max(1)
+        let s = &self.state.lock();
+        self.part(s, to).max(1)
+    }
+
+    fn part(&self, s: &State, to: &Target) -> u32 {
+        let known = s.endpoints.get(to.key).and_then(|e| e.part(to));
+        known.unwrap_or_else(|| links(to, &self.host, &s.hosts))
     }
 
     /// Counts a request for a service.
@@ -138,7 +176,7 @@
     pub fn hedge_delay(&self, route: &Arc<str>, objective: Span) -> Span {
         let s = self.state.lock();
         let first = Span(objective.0 / HEDGE_FIRST);
-        let learnt = s.routes.get(route).and_then(|r| r.quantile(HEDGE_QUANTILE));
+        let learnt = s.routes.get(route).and_then(|r| r.hedge);
         learnt.unwrap_or(first).clamp(HEDGE_MIN, Span(objective.0 / 2).max(HEDGE_MIN))
     }
 
@@ -155,6 +193,12 @@
         let mut s = self.state.lock();
         s.serial += 1;
         let State { endpoints, latencies, absent, serial, hosts, reach, .. } = &mut *s;
+        for t in replicas {
+            let Some(e) = endpoints.entry(t.key).map(|e| e.or_default()) else { continue };
+            if e.part(t).is_none() {
+                e.links = Some((t.connections, links(t, &self.host, hosts)));
+            }
+        }
         let in_flight = |key| endpoints.get(key).map_or(0, |e| e.sent.len() as u32);
         let here = Here { zone: &self.zone, in_flight: &in_flight, seed: *serial, away: AWAY };
         let mut order = latencies.order(now, replicas, tried, &here);
@@ -162,13 +206,13 @@
             let oldest = endpoints.get(t.key).and_then(|e| e.sent.first());
             oldest.is_some_and(|at| now.since(*at) > usual)
         };
-        let links = |t: &Target| links(t, &self.host, hosts);
         // Where no replica has a connection for this host, one beyond the shares is the lesser harm.
-        let least = u32::from(replicas.iter().all(|t| links(t) == 0));
+        let part = |t: &Target| endpoints.get(t.key).and_then(|e| e.part(t));
+        let least = u32::from(replicas.iter().all(|t| part(t) == Some(0)));
         order.sort_by_cached_key(|t| (reach.is_silent(now, &t.zone), t.cold, is_silent(t)));
         for target in order.into_iter().filter(|t| !absent.holds(t)) {
             let Some(e) = endpoints.entry(target.key).map(|e| e.or_default()) else { continue };
-            let links = links(target).max(least);
+            let links = e.part(target).unwrap_or(0).max(least);
             if e.sent.len() as u32 >= most(target, links) {
                 continue;
             }
@@ -186,10 +230,10 @@
     /// Whether a replica that may answer has room for a request from this host.
     pub fn has_room(&self, now: Time, replicas: &[Target], plan: &Plan) -> bool {
         let s = self.state.lock();
-        let least = u32::from(replicas.iter().all(|t| links(t, &self.host, &s.hosts) == 0));
+        let least = u32::from(replicas.iter().all(|t| self.part(&s, t) == 0));
         let answers = |t: &&Target| !s.absent.holds(t) && !s.reach.is_silent(now, &t.zone);
         replicas.iter().filter(answers).any(|t| {
-            let links = links(t, &self.host, &s.hosts).max(least);
+            let links = self.part(&s, t).max(least);
             let Some(e) = s.endpoints.get(t.key) else { return links > 0 };
             let cold = || e.pace.allows(now, self.cold_rate(t, plan, &s.hosts));
             (e.sent.len() as u32) < most(t, links) && (!t.cold || cold())
