Grow the voters to what the losses to be borne need

The site is to bear the loss of 2 hosts with disks at once; the tier kept the 3 voters that its seeds founded, of which 2 may be lost together.

--- a/src/wisteriahead/core/log/mod.rs
+++ b/src/wisteriahead/core/log/mod.rs
@@ -22,7 +22,7 @@
 
 pub use entries::Entries;
 pub use node::Node;
-pub use repair::{repair, succeed};
+pub use repair::{grow, repair, succeed};
 
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
--- a/src/wisteriahead/core/log/repair.rs
+++ b/src/wisteriahead/core/log/repair.rs
@@ -40,12 +40,30 @@
     if config.voters.len().is_multiple_of(2) || config.learners.iter().any(|l| ready.contains(l)) {
         return Some(Change::Remove(lost.clone()));
     }
-    repair(config, ready, seen).or_else(|| {
-        let spare = seen.iter().filter(|s| config.all().all(|r| r.host != s.host));
-        let in_zone =
-            |s: &&Replica| config.voters.iter().filter(|v| *v != lost && v.zone == s.zone).count();
-        // Voters of one zone are lost together.
-        let best = spare.min_by_key(in_zone).filter(|_| config.learners.is_empty());
-        best.map(|s| Change::Learn(s.clone()))
-    })
+    repair(config, ready, seen).or_else(|| enlist(config, seen, Some(lost)))
+}
+
+/// The next change that brings the voters nearer to `wanted`, when nothing is to be repaired.
+pub fn grow(config: &Config, seen: &[Replica], wanted: usize) -> Option<Change> {
+    let spares = spares(config, seen).count();
+    // An even number of voters bears no more losses than one voter less.
+    let odd = !config.voters.len().is_multiple_of(2);
+    if config.voters.len() >= wanted || (odd && spares < 2) {
+        return None;
+    }
+    enlist(config, seen, None)
+}
+
+/// Hosts that hold a disk and no place in the log.
+fn spares<'a>(config: &'a Config, seen: &'a [Replica]) -> impl Iterator<Item = &'a Replica> {
+    seen.iter().filter(|s| config.all().all(|r| r.host != s.host))
+}
+
+/// Has a spare host learn, one of the zone with the fewest voters besides the lost one: voters of one
+/// zone are lost together.
+fn enlist(config: &Config, seen: &[Replica], lost: Option<&Replica>) -> Option<Change> {
+    let others = || config.voters.iter().filter(|v| Some(*v) != lost);
+    let in_zone = |s: &&Replica| others().filter(|v| v.zone == s.zone).count();
+    let best = spares(config, seen).min_by_key(in_zone).filter(|_| config.learners.is_empty());
+    best.map(|s| Change::Learn(s.clone()))
 }
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -61,9 +61,17 @@
     pub voters: Vec<String>,
     /// Whether other hosts are known from the settings, to be asked before this one serves.
     pub joins: bool,
-    /// Silence after which a voter's place goes to a host that holds a disk and no vote; without
-    /// it operators replace voters.
-    pub succession: Option<Span>,
+    /// How voters are replaced and added; without it operators do that.
+    pub succession: Option<Succession>,
+}
+
+/// How hosts that hold a disk and no vote become voters.
+#[derive(Clone, Copy, Debug)]
+pub struct Succession {
+    /// Silence after which a voter's place goes to such a host.
+    pub silence: Span,
+    /// Voters wanted, as far as there are hosts.
+    pub voters: usize,
 }
 
 /// The service: publishes [`Control`] and [`Admin`].
@@ -90,7 +98,7 @@
     group: Mutex<Option<Group>>,
     seen: Mutex<IndexMap<String, Seen>>,
     started: Instant,
-    succession: Option<Span>,
+    succession: Option<Succession>,
     /// Since when this host leads.
     leads: Mutex<Option<Instant>>,
 }
--- a/src/wisteriahead/services/control/rounds.rs
+++ b/src/wisteriahead/services/control/rounds.rs
@@ -4,12 +4,12 @@
 use super::form::{self, TIER};
 use super::submit;
 use super::wire::{Here, Mark, Note};
-use super::{Seen, Shared};
+use super::{Seen, Shared, Succession};
 use crate::core::control::lockout::retired;
 use crate::core::control::{Command, Reply};
 use crate::core::digest;
 use crate::core::document::ZoneState;
-use crate::core::log::{Config, Replica, succeed};
+use crate::core::log::{Config, Replica, grow, succeed};
 use crate::core::message::{Topic, encode};
 use crate::kernel::Context;
 use crate::prelude::*;
@@ -184,7 +184,7 @@
     /// Voters without word for so long that their places go to others, once this host has led for as
     /// long: before that it may not have been told.
     fn gone(&self, config: &Config) -> Vec<Replica> {
-        let Some(silence) = self.succession else { return Vec::new() };
+        let Some(Succession { silence, .. }) = self.succession else { return Vec::new() };
         let led = *self.leads.lock().get_or_insert_with(Instant::now);
         if Span::from(led.elapsed()) < silence {
             return Vec::new();
@@ -206,7 +206,8 @@
             return;
         }
         let (seen, gone) = (self.disks(), self.gone(&view.config));
-        if let Some(change) = succeed(&view.config, &view.ready, &seen, &gone) {
+        let grown = || grow(&view.config, &seen, self.succession?.voters);
+        if let Some(change) = succeed(&view.config, &view.ready, &seen, &gone).or_else(grown) {
             log::info!("repairing the voters: {change:?}");
             let done = timeout(REPAIR_MAX.to_std(), group.change(change)).await;
             if !matches!(done, Ok(Ok(_))) {
--- a/tests/testsuite/succession.rs
+++ b/tests/testsuite/succession.rs
@@ -2,7 +2,7 @@
 
 use crate::support::config;
 use proptest::prelude::*;
-use wisteriahead::core::log::{Change, Config, Replica, succeed};
+use wisteriahead::core::log::{Change, Config, Replica, grow, succeed};
 
 fn replica(i: usize) -> Replica {
     Replica { host: format!("h{i}"), zone: format!("z{}", i % 4), disk: i as u64 }
@@ -85,3 +85,29 @@
         prop_assert!(!gone || (spares == 0 && voters % 2 == 1), "{config:?}");
     }
 }
+
+/// Where two hosts may be lost at once, three voters are too few.
+#[test]
+fn voters_are_added_one_by_one_up_to_the_number_wanted() {
+    let mut config = Config { voters: (0..3).map(replica).collect(), learners: Vec::new() };
+    let seen: Vec<_> = (0..8).map(replica).collect();
+    let mut made = 0;
+    while let Some(change) = {
+        let ready = config.learners.clone();
+        succeed(&config, &ready, &seen, &[]).or_else(|| grow(&config, &seen, 5))
+    } {
+        make(&mut config, change);
+        made += 1;
+        assert!(made < 20, "it does not end: {config:?}");
+    }
+    assert_eq!((config.voters.len(), config.learners.len()), (5, 0));
+    assert_eq!(config.voters[3], replica(3), "the zone without a voter goes first");
+}
+
+#[test]
+fn voters_are_not_made_even() {
+    let config = Config { voters: (0..3).map(replica).collect(), learners: Vec::new() };
+    let seen: Vec<_> = (0..4).map(replica).collect();
+    assert_eq!(grow(&config, &seen, 5), None);
+    assert_eq!(grow(&config, &seen, 3), None);
+}
