--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -36,7 +36,6 @@
 /// When a caller may come back while too few endpoints are known: they announce themselves about
 /// once a second, each at its own time.
 const UNKNOWN_AFTER: Span = Span::millis(300);
-
 /// Part of the wait for a hedge after which a host that is sent through answers with what it has: the
 /// rest must come before the hedges of what it lacks.
 const FLUSH_PART: (u64, u64) = (3, 5);
@@ -127,9 +126,11 @@
     route: &'a Route,
     call: Arc<Call>,
     until: Instant,
+    /// What has ended next, and the bundle that it came from as long as more comes.
     open: FuturesUnordered<BoxFuture<'a, (Vec<Ended>, Option<Bundled>)>>,
     /// Tasks of the attempts that are waited for.
     sent: IndexMap<AttemptId, AbortHandle>,
+    /// Shards of all attempts sent.
     shards: IndexMap<AttemptId, u32>,
     wake: Option<Time>,
     /// The last failure that an endpoint answered with.
