--- a/src/wisteriahead/core/log/mod.rs
+++ b/src/wisteriahead/core/log/mod.rs
@@ -22,7 +22,7 @@
 
 pub use entries::Entries;
 pub use node::Node;
-pub use repair::{grow, repair, succeed};
+pub use repair::{grow, repair, succeed, voters_for};
 
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
--- a/src/wisteriahead/core/log/repair.rs
+++ b/src/wisteriahead/core/log/repair.rs
@@ -2,6 +2,9 @@
 
 use super::{Change, Config, Replica};
 
+/// Most voters: each more makes a commit wait for one more disk.
+const VOTERS_MAX: usize = 7;
+
 /// The next change, given the learners that have caught up and the disks that hosts were
 /// last seen with.
 ///
@@ -43,6 +46,11 @@
     repair(config, ready, seen).or_else(|| enlist(config, seen, Some(lost)))
 }
 
+/// Voters of which so many may be lost at once that the rest still decides.
+pub fn voters_for(losses: usize) -> usize {
+    (2 * losses + 1).min(VOTERS_MAX)
+}
+
 /// The next change that brings the voters nearer to `wanted`, when nothing is to be repaired.
 pub fn grow(config: &Config, seen: &[Replica], wanted: usize) -> Option<Change> {
     let spares = spares(config, seen).count();
--- a/src/wisteriahead/core/plan.rs
+++ b/src/wisteriahead/core/plan.rs
@@ -59,6 +59,14 @@
 }
 
 impl Goal {
+    /// Least share of its services that an answer covers, 0 to 1.
+    pub fn least(&self) -> f64 {
+        match self {
+            Self::Split(_) => 1.0,
+            Self::Gather { least, .. } => least.fraction(),
+        }
+    }
+
     /// The services that it names.
     pub fn services(&self) -> Box<dyn Iterator<Item = &Arc<str>> + '_> {
         match self {
--- a/src/wisteriahead/core/query/coverage.rs
+++ b/src/wisteriahead/core/query/coverage.rs
@@ -14,6 +14,11 @@
 impl Coverage {
     /// Whether the share answered reaches `least`, 0 to 1.
     pub fn reaches(&self, least: f64) -> bool {
-        f64::from(self.answered) >= f64::from(self.shards) * least
+        reaches(self.answered as usize, self.shards as usize, least)
     }
 }
+
+/// Whether so many of the shards reach the share `least`, 0 to 1.
+pub fn reaches(answered: usize, shards: usize, least: f64) -> bool {
+    answered as f64 >= shards as f64 * least
+}
--- a/src/wisteriahead/core/query/enter.rs
+++ b/src/wisteriahead/core/query/enter.rs
@@ -1,7 +1,7 @@
 //! Whether a query begins: one that is sent to some shards and then finds no room at the others
 //! has cost those their work for nothing.
 
-use super::{Fleet, Gather, Step, Wait};
+use super::{Fleet, Gather, Step, Wait, reaches};
 use crate::core::time::Span;
 
 /// Wait before room is looked for again.
@@ -12,7 +12,7 @@
     /// query ends without having been sent anywhere.
     pub(super) fn enter<F: Fleet>(&mut self, step: &mut Step<'_, F>) {
         let room = self.snapshot.shards.iter().filter(|r| step.fleet.has_room(step.now, r)).count();
-        let enough = room as f64 >= self.shards.len() as f64 * self.least;
+        let enough = reaches(room, self.shards.len(), self.least);
         let patient = self.is_patient(step.now);
         self.enters = (!enough && patient).then_some(step.now + ENTER_WAIT);
         for shard in 0..self.shards.len() {
--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -17,7 +17,7 @@
 mod send;
 mod shard;
 
-pub use self::coverage::Coverage;
+pub use self::coverage::{Coverage, reaches};
 pub use self::fleet::Fleet;
 pub use self::policy::Policy;
 
--- a/src/wisteriahead/core/query/policy.rs
+++ b/src/wisteriahead/core/query/policy.rs
@@ -1,7 +1,7 @@
 //! How a query may be repeated, and when it is cut short.
 
-use super::Gather;
 use super::shard::ATTEMPTS_MAX;
+use super::{Gather, reaches};
 use crate::core::time::Time;
 
 /// How a query may be repeated, and when it is cut short.
@@ -45,7 +45,7 @@
 impl<T> Gather<T> {
     /// Whether the answer stands: what is in is enough by now, or can never be.
     pub(super) fn is_cut_short(&self, now: Time) -> bool {
-        let share = |shards: usize| shards as f64 >= self.shards.len() as f64 * self.least;
+        let share = |shards: usize| reaches(shards, self.shards.len(), self.least);
         let answered = self.shards.len() - self.missing;
         if answered > 0 && self.policy.enough.is_some_and(|at| at <= now) && share(answered) {
             return true;
--- a/src/wisteriahead/core/query/restart.rs
+++ b/src/wisteriahead/core/query/restart.rs
@@ -1,6 +1,6 @@
 //! Starting a query again, whole, on another snapshot.
 
-use super::{Fleet, Gather, Shard, Step};
+use super::{Fleet, Gather, Shard, Step, reaches};
 use crate::core::routes::Snapshot;
 use crate::core::time::Span;
 use std::sync::Arc;
@@ -19,7 +19,7 @@
         self.replan = None;
         let moved = self.shards.iter().any(|s| s.moved && s.exhausted());
         let reachable = self.shards.len() - self.exhausted;
-        let short = (reachable as f64) < self.shards.len() as f64 * self.least;
+        let short = !reaches(reachable, self.shards.len(), self.least);
         if !(moved || short) || self.lost.len() + 1 >= PLANS_MAX {
             return false;
         }
--- a/src/wisteriahead/ops/keys.rs
+++ b/src/wisteriahead/ops/keys.rs
@@ -7,12 +7,9 @@
 use crate::core::endpoint::check_name;
 use crate::prelude::*;
 use crate::util::certificate::Certificate;
-use crate::util::tls::{Identity, Kind, SCHEME, SERVER_NAME};
+use crate::util::tls::{Identity, Kind};
 use anyhow::{anyhow, bail};
-use rcgen::{
-    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
-    KeyUsagePurpose, SanType,
-};
+use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair, KeyUsagePurpose};
 use serde::Serialize;
 use std::fs::{self, OpenOptions};
 use std::io::Write;
@@ -119,26 +116,15 @@
 fn params(opts: &IssueOptions) -> Result<CertificateParams> {
     check_name("name", &opts.name).map_err(|e| anyhow!(e))?;
     let mut params = lasting(opts.days)?;
-    params.distinguished_name.push(DnType::CommonName, opts.name.as_str());
-    params.subject_alt_names.push(uri(opts.kind.name(), &opts.name)?);
     if let Some(zone) = &opts.zone {
         check_name("zone", zone).map_err(|e| anyhow!(e))?;
-        params.subject_alt_names.push(uri("zone", zone)?);
-    }
-    params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
-    params.extended_key_usages = vec![ExtendedKeyUsagePurpose::ClientAuth];
-    if opts.kind == Kind::Host {
-        params.extended_key_usages.push(ExtendedKeyUsagePurpose::ServerAuth);
-        params.subject_alt_names.push(SanType::DnsName(SERVER_NAME.try_into()?));
     }
+    let (name, zone) = (opts.name.clone(), opts.zone.clone());
+    Identity { kind: opts.kind, name, zone }.write(&mut params)?;
     params.use_authority_key_identifier_extension = true;
     Ok(params)
 }
 
-fn uri(field: &str, value: &str) -> Result<SanType> {
-    Ok(SanType::URI(format!("{SCHEME}:{field}:{value}").try_into()?))
-}
-
 fn load(folder: &Path) -> Result<Issuer<'static, KeyPair>> {
     let read = |ext: &str| {
         let path = folder.join(format!("{CA}.{ext}"));
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -70,8 +70,8 @@
 pub struct Succession {
     /// Silence after which a voter's place goes to such a host.
     pub silence: Span,
-    /// Voters wanted, as far as there are hosts.
-    pub voters: usize,
+    /// Voters that may be lost at once so that the rest still decides.
+    pub losses: usize,
 }
 
 /// The service: publishes [`Control`] and [`Admin`].
--- a/src/wisteriahead/services/entry/mod.rs
+++ b/src/wisteriahead/services/entry/mod.rs
@@ -253,9 +253,8 @@
     fn stop(&self, bound: Span) -> BoxFuture<'_, ()> {
         let server = self.server.lock().clone();
         Box::pin(async move {
-            let Some(server) = server else { return };
-            if let Err(e) = server.stop(bound).await {
-                log::warn!("callers: {e}");
+            if let Some(server) = server {
+                server.end("callers", bound).await;
             }
         })
     }
--- a/src/wisteriahead/services/registry.rs
+++ b/src/wisteriahead/services/registry.rs
@@ -281,10 +281,8 @@
     fn stop(&self, bound: Span) -> BoxFuture<'_, ()> {
         let server = self.server.lock().clone();
         Box::pin(async move {
-            if let Some(Err(e)) =
-                futures::future::OptionFuture::from(server.as_ref().map(|s| s.stop(bound))).await
-            {
-                log::warn!("announcements: {e}");
+            if let Some(server) = server {
+                server.end("announcements", bound).await;
             }
         })
     }
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -9,7 +9,7 @@
 use super::table::{Entry, Table};
 use crate::core::plan::{Goal, Repeat, Route};
 use crate::core::quarantine::Trial;
-use crate::core::query::{Action, AttemptId, Event, Fleet, Gather, Policy};
+use crate::core::query::{Action, AttemptId, Event, Fleet, Gather, Policy, reaches};
 use crate::core::records;
 use crate::core::routes::{Snapshot, Target};
 use crate::prelude::*;
@@ -49,8 +49,9 @@
 struct Replicas<'a> {
     relay: &'a Relay,
     table: &'a Table,
-    route: &'a Route,
     now: Time,
+    /// Time after which an attempt is hedged.
+    usual: Span,
 }
 
 impl Fleet for Replicas<'_> {
@@ -62,9 +63,7 @@
         replicas: &[Target],
         tried: &[EndpointKey],
     ) -> Option<(Target, Flight)> {
-        let learned = &self.relay.learned;
-        let usual = learned.hedge_delay(&self.route.name, self.route.objective);
-        learned.acquire(now, replicas, tried, usual, &self.table.plan)
+        self.relay.learned.acquire(now, replicas, tried, self.usual, &self.table.plan)
     }
 
     fn has_room(&self, now: Time, replicas: &[Target]) -> bool {
@@ -77,7 +76,7 @@
     }
 
     fn hedge_delay(&self, _replicas: &[Target]) -> Option<Span> {
-        Some(self.relay.learned.hedge_delay(&self.route.name, self.route.objective))
+        Some(self.usual)
     }
 
     fn plan(&self, _lost: &[Arc<Snapshot>]) -> Option<Arc<Snapshot>> {
@@ -155,18 +154,15 @@
     let Some(snapshot) = part.and_then(|part| table.snapshot(entry, part)) else {
         return refuse(Refusal::not_run(Reason::Internal, "the route leads nowhere"));
     };
-    let least = match &route.goal {
-        Goal::Split(_) => 1.0,
-        Goal::Gather { least, .. } => least.fraction(),
-    };
+    let least = route.goal.least();
     let (known, shards) = (snapshot.held(), snapshot.shards.len());
-    if (known as f64) < shards as f64 * least {
+    if !reaches(known, shards, least) {
         let detail = format!("endpoints of {known} of {shards} shards are known here");
         let refusal = Refusal::not_run(Reason::NoSnapshot, detail);
         return Outcome::Refused { refusal, after: Some(UNKNOWN_AFTER) };
     }
     let silent = relay.silent(begun, table);
-    if !silent.is_empty() && (snapshot.held_outside(&silent) as f64) < shards as f64 * least {
+    if !silent.is_empty() && !reaches(snapshot.held_outside(&silent), shards, least) {
         let detail = format!("no endpoint of {} answers this host", silent.join(", "));
         return refuse(Refusal::not_run(Reason::Unavailable, detail));
     }
@@ -234,8 +230,8 @@
             (Some((_, part)), _) | (None, Some(part)) => Outcome::Passed(part),
             (None, None) => lacking(Reason::Unavailable),
         },
-        Goal::Gather { top, least, .. } => {
-            if coverage.answered == 0 || !coverage.reaches(least.fraction()) {
+        Goal::Gather { top, .. } => {
+            if coverage.answered == 0 || !coverage.reaches(route.goal.least()) {
                 return lacking(Reason::Coverage);
             }
             let parts: Vec<Part> = gather.parts().map(|(_, part)| part).collect();
@@ -253,8 +249,8 @@
             let Next { event, again } = next;
             again.into_iter().for_each(|(shard, part)| gather.replace(shard, part));
             let now = self.relay.ctx.now();
-            let (relay, table, route) = (self.relay, self.table, self.route);
-            let mut fleet = Replicas { relay, table, route, now };
+            let (relay, table) = (self.relay, self.table);
+            let mut fleet = Replicas { relay, table, now, usual: self.usual() };
             let actions = gather.step(now, event, &mut fleet);
             if self.carry_out(actions) {
                 return (gather, self.failure.take(), std::mem::take(&mut self.story));
@@ -306,6 +302,11 @@
         }
     }
 
+    /// Time after which an attempt is hedged.
+    fn usual(&self) -> Span {
+        self.relay.learned.hedge_delay(&self.route.name, self.route.objective)
+    }
+
     fn times(&self) -> Times {
         let connect = Span(self.route.objective.0 / CONNECT_PART).clamp(CONNECT_MIN, CONNECT_MAX);
         Times { connect, until: self.until }
@@ -342,7 +343,7 @@
             Goal::Gather { top, .. } => *top,
             Goal::Split(_) => 0,
         };
-        let usual = relay.learned.hedge_delay(&self.route.name, self.route.objective);
+        let usual = self.usual();
         let (parts, of) = FLUSH_PART;
         let flush = Span(usual.0 / of * parts);
         let bundle = Bundle {
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -185,8 +185,9 @@
         // Lost ones count too: behind a cut they may still be at work.
         let relays = members.iter().filter(|m| !m.durable && m.health < Health::Left);
         let relays: Vec<_> = relays.map(|m| m.host.clone()).collect();
-        if self.learned.set_hosts(relays.clone()) {
-            log::info!(relays = relays.len(); "{} hosts share the budgets", relays.len());
+        let count = relays.len();
+        if self.learned.set_hosts(relays) {
+            log::info!(relays = count; "{count} hosts share the budgets");
         }
         let alive = members.iter().filter(|m| !m.durable && m.health == Health::Alive);
         self.forward.set_hosts(alive.map(|m| (m.host.clone(), m.zone.clone())));
@@ -274,12 +275,7 @@
     fn stop(&self, bound: Span) -> BoxFuture<'_, ()> {
         let servers = self.servers.lock().clone();
         Box::pin(async move {
-            let stops = servers.iter().map(|s| s.stop(bound));
-            for stopped in futures::future::join_all(stops).await {
-                if let Err(e) = stopped {
-                    log::warn!("relay: {e}");
-                }
-            }
+            futures::future::join_all(servers.iter().map(|s| s.end("relay", bound))).await;
         })
     }
 }
--- a/src/wisteriahead/services/relay/table.rs
+++ b/src/wisteriahead/services/relay/table.rs
@@ -1,6 +1,7 @@
 //! The routes of the plan in force, each with the endpoints that serve it now.
 
 use crate::core::plan::{Goal, Plan, Route, RouteIndex};
+use crate::core::query::reaches;
 use crate::core::routes::{Routes, Snapshot, Target};
 use crate::prelude::*;
 use std::sync::OnceLock;
@@ -53,9 +54,9 @@
         let serves = |t: &Target| !t.cold && !besides.contains(&t.zone);
         let known = |s: &Arc<str>| self.endpoints.services.get(s);
         self.plan.routes.iter().all(|route| match &route.goal {
-            Goal::Gather { shards, least, .. } => {
+            Goal::Gather { shards, .. } => {
                 let held = shards.iter().filter(|s| known(s).is_some_and(|l| l.iter().any(serves)));
-                held.count() as f64 >= shards.len() as f64 * least.fraction()
+                reaches(held.count(), shards.len(), route.goal.least())
             }
             Goal::Split(_) => true,
         })
--- a/src/wisteriahead/util/http.rs
+++ b/src/wisteriahead/util/http.rs
@@ -187,6 +187,14 @@
             )),
         }
     }
+
+    /// Stops as the last act of the service `of`, which has no one to tell of requests that are cut
+    /// off but the log.
+    pub async fn end(&self, of: &str, bound: Span) {
+        if let Err(e) = self.stop(bound).await {
+            log::warn!("{of}: {e}");
+        }
+    }
 }
 
 async fn accept(
--- a/src/wisteriahead/util/secret.rs
+++ b/src/wisteriahead/util/secret.rs
@@ -4,14 +4,11 @@
 //! certificate at its start and keeps it in memory. The certificates hold at any time of day,
 //! since hosts' clocks may differ by years.
 
-use super::tls::{Identity, Kind, SCHEME, SERVER_NAME};
+use super::tls::{Identity, Kind};
 use crate::core::endpoint::check_name;
 use crate::prelude::*;
 use anyhow::{anyhow, ensure};
-use rcgen::{
-    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
-    KeyUsagePurpose, SanType,
-};
+use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair, KeyUsagePurpose};
 use rustls::RootCertStore;
 use rustls::crypto::ring::default_provider;
 use rustls::sign::CertifiedKey;
@@ -90,18 +87,8 @@
 fn host_params(host: &str, zone: &str) -> Result<CertificateParams> {
     check_name("host", host).map_err(|e| anyhow!(e))?;
     check_name("zone", zone).map_err(|e| anyhow!(e))?;
-    let uri = |field: &str, value: &str| -> Result<SanType> {
-        Ok(SanType::URI(format!("{SCHEME}:{field}:{value}").try_into()?))
-    };
     let mut params = CertificateParams::default();
-    params.distinguished_name.push(DnType::CommonName, host);
-    params.subject_alt_names = vec![
-        uri(Kind::Host.name(), host)?,
-        uri("zone", zone)?,
-        SanType::DnsName(SERVER_NAME.try_into()?),
-    ];
-    params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
-    params.extended_key_usages =
-        vec![ExtendedKeyUsagePurpose::ClientAuth, ExtendedKeyUsagePurpose::ServerAuth];
+    let (name, zone) = (host.to_owned(), Some(zone.to_owned()));
+    Identity { kind: Kind::Host, name, zone }.write(&mut params)?;
     Ok(params)
 }
--- a/src/wisteriahead/util/tls.rs
+++ b/src/wisteriahead/util/tls.rs
@@ -9,6 +9,7 @@
 use super::secret::Secret;
 use crate::prelude::*;
 use anyhow::{anyhow, bail};
+use rcgen::{CertificateParams, DnType, ExtendedKeyUsagePurpose, KeyUsagePurpose, SanType};
 use rustls::client::Resumption;
 use rustls::server::{NoServerSessionStorage, WebPkiClientVerifier};
 use rustls::{ClientConfig, RootCertStore, ServerConfig};
@@ -95,6 +96,30 @@
         Self::collect(uris)
     }
 
+    /// Writes the holder into the certificate that is to be issued, as [`Self::read`] reads it, and
+    /// what a holder of that kind may do with it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the name or zone cannot stand in a certificate.
+    pub fn write(&self, params: &mut CertificateParams) -> Result<()> {
+        let uri = |field: &str, value: &str| -> Result<SanType> {
+            Ok(SanType::URI(format!("{SCHEME}:{field}:{value}").try_into()?))
+        };
+        params.distinguished_name.push(DnType::CommonName, self.name.as_str());
+        params.subject_alt_names.push(uri(self.kind.name(), &self.name)?);
+        if let Some(zone) = &self.zone {
+            params.subject_alt_names.push(uri("zone", zone)?);
+        }
+        params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
+        params.extended_key_usages = vec![ExtendedKeyUsagePurpose::ClientAuth];
+        if self.kind == Kind::Host {
+            params.extended_key_usages.push(ExtendedKeyUsagePurpose::ServerAuth);
+            params.subject_alt_names.push(SanType::DnsName(SERVER_NAME.try_into()?));
+        }
+        Ok(())
+    }
+
     fn collect<'a>(fields: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Self> {
         let (mut holder, mut zone) = (None, None);
         for (field, value) in fields {
--- a/tests/testsuite/succession.rs
+++ b/tests/testsuite/succession.rs
@@ -2,7 +2,7 @@
 
 use crate::support::config;
 use proptest::prelude::*;
-use wisteriahead::core::log::{Change, Config, Replica, grow, succeed};
+use wisteriahead::core::log::{Change, Config, Replica, grow, succeed, voters_for};
 
 fn replica(i: usize) -> Replica {
     Replica { host: format!("h{i}"), zone: format!("z{}", i % 4), disk: i as u64 }
@@ -111,3 +111,8 @@
     assert_eq!(grow(&config, &seen, 5), None);
     assert_eq!(grow(&config, &seen, 3), None);
 }
+
+#[test]
+fn voters_are_as_many_as_the_losses_to_be_borne_need() {
+    assert_eq!([1, 2, 9].map(voters_for), [3, 5, 7]);
+}
