--- a/src/wisteriahead/core/control/mod.rs
+++ b/src/wisteriahead/core/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod audit;
 pub mod changes;
 pub mod claims;
+pub mod currency;
 pub mod homes;
 pub mod lockout;
 
--- a/src/wisteriahead/core/gossip.rs
+++ b/src/wisteriahead/core/gossip.rs
@@ -75,6 +75,8 @@
     last_heartbeat: Time,
     last_digest: Time,
     partner_index: usize,
+    /// Number of times that a host was ranked for an endpoint.
+    rankings: u64,
 }
 
 impl Gossip {
@@ -91,8 +93,14 @@
         self.update_monitored(now);
     }
 
+    /// Number of times that a host was ranked for an endpoint, a measure of the work done here.
+    pub fn rankings(&self) -> u64 {
+        self.rankings
+    }
+
     /// Updates which endpoints this host monitors.
     fn update_monitored(&mut self, now: Time) {
+        self.rankings += (self.registry.iter().count() * (self.others.len() + 1)) as u64;
         let (host, others) = (&self.host, &self.others);
         self.registry.set_monitored(now, |name| monitors(name, host, others).contains(host));
     }
@@ -195,6 +203,7 @@
     fn send_heartbeats(&mut self, out: &mut Vec<Outgoing>) {
         let mut by_monitor: IndexMap<Arc<str>, Vec<_>> = IndexMap::new();
         for (name, version) in std::mem::take(&mut self.refreshed) {
+            self.rankings += self.others.len() as u64 + 1;
             for monitor in monitors(&name, &self.host, &self.others) {
                 if monitor != self.host {
                     by_monitor.entry(monitor).or_default().push((name.clone(), version));
--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod gossip;
 pub mod hedge;
 pub mod hits;
+pub mod lag;
 pub mod latency;
 pub mod limits;
 pub mod log;
--- a/src/wisteriahead/core/relay/plan_switch.rs
+++ b/src/wisteriahead/core/relay/plan_switch.rs
@@ -13,6 +13,11 @@
 }
 
 impl PlanSwitch {
+    /// Time for which a newer plan has been held back.
+    pub fn waiting_for(&self, now: Time) -> Span {
+        self.waiting_since.map_or(Span::ZERO, |since| now.since(since))
+    }
+
     /// Whether to switch to a newer plan: it `fits`, or has waited for `max_wait`.
     ///
     /// Plans that arrive while one waits share its deadline.
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -26,6 +26,7 @@
 use super::{
     AcceptedDocument, Admin, Change, Commands, Control, Handler, Peers, Plans, ReplicaStorage,
 };
+use crate::core::control::currency::Currency;
 use crate::core::control::lockout::{lockout, retired_hosts};
 use crate::core::control::{Command, Reply};
 use crate::core::document::{Document, Revision};
@@ -39,6 +40,7 @@
 use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -103,6 +105,9 @@
     identity: Mutex<Option<DiskIdentity>>,
     group: Mutex<Option<Group>>,
     statuses: Mutex<IndexMap<String, PeerStatus>>,
+    /// Newest revision applied by this host's replica.
+    published: Arc<AtomicU64>,
+    currency: Mutex<Currency>,
     started: Instant,
     voter_repair: Option<VoterRepair>,
     /// When this host became leader, as far as its repair task has noticed.
@@ -184,6 +189,8 @@
             identity: Mutex::new(identity),
             group: Mutex::new(None),
             statuses: Mutex::default(),
+            published: Arc::default(),
+            currency: Mutex::default(),
             started: Instant::now(),
             voter_repair: settings.voter_repair,
             leader_since: Mutex::new(None),
@@ -196,6 +203,11 @@
         tier.map_or(Ok(()), |tier| self.join_tier(tier))
     }
 
+    /// Time since this service was created, as the state machines take it.
+    fn now(&self) -> Time {
+        Time(0) + Span::from(self.started.elapsed())
+    }
+
     fn tier_info(&self) -> Option<TierInfo> {
         self.identity.lock().as_ref().and_then(|i| i.tier.clone())
     }
@@ -211,7 +223,8 @@
         let stored =
             bootstrap::open_store(self, TIER_GROUP, bootstrap::initial_checkpoint(&me, &tier))?;
         identity.add_group(TIER_GROUP)?;
-        let machine = TierState::new(self.revisions.clone(), self.peers.clone())?;
+        let published = self.published.clone();
+        let machine = TierState::new(self.revisions.clone(), self.peers.clone(), published)?;
         let sender = GroupSender {
             peers: self.peers.clone(),
             group: TIER_GROUP.to_owned(),
@@ -229,6 +242,12 @@
         group.filter(|g| name == TIER_GROUP && g.is_running())
     }
 
+    /// Newest revision committed to the log, if this host leads.
+    fn newest_revision(&self) -> Option<Revision> {
+        let leads = self.group(TIER_GROUP).is_some_and(|g| g.status().leads);
+        leads.then(|| self.published.load(Ordering::Relaxed))
+    }
+
     /// Name of a group's leader, if it is known and another host.
     fn leader(&self, name: &str) -> Option<String> {
         if let Some(group) = self.group(name)
@@ -383,6 +402,10 @@
         self.revisions.watch()
     }
 
+    fn unconfirmed_for(&self) -> Option<Span> {
+        self.currency.lock().unconfirmed_for(self.now())
+    }
+
     fn propose(&self, change: Change) -> BoxFuture<'_, Result<Revision, Refusal>> {
         Box::pin(self.edit(change))
     }
--- a/src/wisteriahead/services/control/state_machine.rs
+++ b/src/wisteriahead/services/control/state_machine.rs
@@ -5,20 +5,20 @@
 use super::wire::{Notification, Request};
 use crate::core::control::State;
 use crate::core::control::changes::ActiveRevision;
-use crate::core::document::Revision;
 use crate::core::log::{Message, Replica};
 use crate::core::message::{Topic, decode, encode};
 use crate::prelude::*;
 use crate::services::Peers;
 use crate::services::replica::{MessageSender, StateMachine};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 
 /// State of the tier, replicated by its log.
 pub struct TierState {
     state: State,
     peers: Arc<dyn Peers>,
-    /// Last revision passed on.
-    published: Revision,
+    /// Last revision passed on; shared with the status that this host sends.
+    published: Arc<AtomicU64>,
     /// Revisions for the thread that puts them in force at this host.
     to_adopt: Sender<ActiveRevision>,
 }
@@ -29,14 +29,18 @@
     /// # Errors
     ///
     /// Fails if the thread cannot be started.
-    pub fn new(revisions: Arc<RevisionStore>, peers: Arc<dyn Peers>) -> Result<Self> {
+    pub fn new(
+        revisions: Arc<RevisionStore>,
+        peers: Arc<dyn Peers>,
+        published: Arc<AtomicU64>,
+    ) -> Result<Self> {
         let (to_adopt, rx) = channel();
         // The revision store writes to disk; on a thread of its own it does not delay the log.
         std::thread::Builder::new()
             .name("in-force".to_owned())
             .spawn(move || adopt_loop(&revisions, &rx))
             .context("could not start a thread")?;
-        Ok(Self { state: State::default(), peers, published: 0, to_adopt })
+        Ok(Self { state: State::default(), peers, published, to_adopt })
     }
 }
 
@@ -68,11 +72,11 @@
     }
 
     fn after_batch(&mut self, leads: bool) {
-        if self.state.changes.revision <= self.published {
+        if self.state.changes.revision <= self.published.load(Ordering::Relaxed) {
             return;
         }
         let active = self.state.changes.active();
-        self.published = active.revision;
+        self.published.store(active.revision, Ordering::Relaxed);
         if leads {
             let body = encode(&Notification::Push(active.clone()));
             for host in self.peers.others() {
--- a/src/wisteriahead/services/control/tasks.rs
+++ b/src/wisteriahead/services/control/tasks.rs
@@ -130,6 +130,20 @@
             disk: self.me.as_ref().map(|me| me.disk),
             leader,
             marks: self.revisions.overrides(),
+            newest: self.newest_revision(),
+        }
+    }
+
+    /// Takes from a host's status whether this host lacks no change.
+    fn update_currency(&self, from: &str, status: &HostStatus) {
+        let Some((term, leader)) = &status.leader else { return };
+        let mut currency = self.currency.lock();
+        match status.newest {
+            Some(newest) if *leader == from => {
+                let own = self.revisions.revision();
+                currency.heard_leader(self.now(), *term, newest, own);
+            }
+            _ => currency.heard_term(*term),
         }
     }
 
@@ -137,7 +151,9 @@
     /// in turn, so that they know the leader.
     pub(super) fn send_status(&self, round: usize) {
         let others = self.peers.others();
-        let body = encode(&Notification::Here(self.host_status()));
+        let status = self.host_status();
+        self.update_currency(self.peers.host(), &status);
+        let body = encode(&Notification::Here(status));
         let targets = digest::rank(self.peers.host(), others.iter().map(String::as_str));
         let targets = targets.into_iter().take(FANOUT).map(str::to_owned);
         let leads = self.group(TIER_GROUP).is_some_and(|g| g.status().leads);
@@ -159,6 +175,7 @@
     /// Records the status of another host. Sends it the revision in force here if its own is older;
     /// if its own is newer, sends it this host's status, so that it pushes the newer one.
     pub(super) fn handle_status(&self, from: &str, status: HostStatus) {
+        self.update_currency(from, &status);
         let (own, theirs) = (self.revisions.revision(), status.revision);
         if status.zone == self.peers.zone() {
             for zone_override in status.marks.clone() {
--- a/src/wisteriahead/services/control/wire.rs
+++ b/src/wisteriahead/services/control/wire.rs
@@ -31,6 +31,9 @@
     pub leader: Option<(Term, String)>,
     /// Zones taken out locally at the sender, each until the log has accepted or refused the change.
     pub marks: Vec<ZoneOverride>,
+    /// Newest committed revision, if the sender leads; older releases omit the field.
+    #[serde(default)]
+    pub newest: Option<Revision>,
 }
 
 /// One-way message.
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -124,6 +124,9 @@
     /// Follows the document in force at this host.
     fn watch(&self) -> watch::Receiver<AcceptedDocument>;
 
+    /// Time since the leader last confirmed that this host lacks no change; `None` if it never did.
+    fn unconfirmed_for(&self) -> Option<Span>;
+
     /// Proposes a change and waits until a quorum accepts it or it is refused.
     ///
     /// # Errors
--- a/src/wisteriahead/services/registry.rs
+++ b/src/wisteriahead/services/registry.rs
@@ -4,6 +4,7 @@
 
 use super::{Announce, Control, Endpoints, Handler, Health, Members, Peers, Views};
 use crate::core::gossip::{Gossip, Message, Outgoing};
+use crate::core::lag::LagMonitor;
 use crate::core::message::{Topic, decode, encode};
 use crate::core::registry::ApplyOutcome;
 use crate::core::routes::Routes;
@@ -66,9 +67,22 @@
         self.send(out);
     }
 
+    /// Logs that timers fire late, with the work that this service has done since the last line.
+    fn report_lag(&self, late: Span, rankings: &mut u64) {
+        let gossip = self.gossip.lock();
+        let (endpoints, total) = (gossip.registry.iter().count(), gossip.rankings());
+        drop(gossip);
+        let ranked = total - std::mem::replace(rankings, total);
+        log::warn!(
+            event = "host-late", late_ms = late.as_millis(), endpoints, ranked;
+            "this host is short of processor time: a timer fired {late} late"
+        );
+    }
+
     fn report(&self) {
-        let known = self.gossip.lock().registry.iter().count();
-        self.metrics.gauge("endpoints.known", known as u64);
+        let gossip = self.gossip.lock();
+        self.metrics.gauge("endpoints.known", gossip.registry.iter().count() as u64);
+        self.metrics.gauge("endpoints.rankings", gossip.rankings());
     }
 
     fn set_members(&self, members: &[super::Member]) {
@@ -308,7 +322,7 @@
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stopped = std::pin::pin!(ctx.stopped());
-    let mut ticks = 0u32;
+    let (mut ticks, mut lag, mut rankings) = (0u32, LagMonitor::default(), 0);
     loop {
         tokio::select! {
             () = &mut stopped => return,
@@ -329,6 +343,9 @@
                 driver.set_members(&current);
             }
             _ = tick.tick() => {
+                if let Some(late) = lag.fired(ctx.now(), TICK.into()) {
+                    driver.report_lag(late, &mut rankings);
+                }
                 driver.tick();
                 ticks = ticks.wrapping_add(1);
                 if ticks.is_multiple_of(REPORT_TICKS) {
--- a/src/wisteriahead/services/relay/failure_log.rs
+++ b/src/wisteriahead/services/relay/failure_log.rs
@@ -9,6 +9,7 @@
 use crate::core::query::{Gather, Shortage};
 use crate::core::routes::{Snapshot, Target};
 use crate::prelude::*;
+use hyper::header::HeaderValue;
 use parking_lot::Mutex;
 use std::fmt::Write as _;
 
@@ -17,6 +18,8 @@
 const FAILED_LINES_PER_SECOND: u32 = 100;
 /// Maximum lines per second for answers that lack shards; a sample is enough to see the cause.
 const PARTIAL_LINES_PER_SECOND: u32 = 10;
+/// Maximum lines per second for requests that match no route; callers may send any number of them.
+const UNKNOWN_LINES_PER_SECOND: u32 = 10;
 /// Maximum number of attempts listed one by one in a line.
 const ATTEMPTS_MAX: usize = 8;
 
@@ -97,9 +100,38 @@
 pub struct FailureLogger {
     failed: Mutex<LogLimiter>,
     partial: Mutex<LogLimiter>,
+    unknown: Mutex<LogLimiter>,
+}
+
+/// What a host knew when it refused a request that matches no route.
+pub struct UnknownRoute<'a> {
+    /// Identifier of the request, if it has one.
+    pub request: Option<HeaderValue>,
+    /// Path of the request.
+    pub path: &'a str,
+    /// Plan that requests follow.
+    pub plan: u64,
+    /// Newer plan that waits for its endpoints.
+    pub pending: Option<u64>,
+    /// Time since the leader last confirmed that this host lacks no change.
+    pub unconfirmed: Option<Span>,
 }
 
 impl FailureLogger {
+    /// Logs a request that was refused because it matches no route.
+    pub fn log_unknown_route(&self, now: Time, refusal: &Refusal, at: &UnknownRoute<'_>) {
+        let Some(dropped) = self.unknown.lock().admit(now, UNKNOWN_LINES_PER_SECOND) else {
+            return;
+        };
+        let request = at.request.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let unconfirmed_ms = at.unconfirmed.map(Span::as_millis);
+        log::info!(
+            event = "route-unknown", request, path = at.path, plan = at.plan, pending = at.pending,
+            unconfirmed_ms, reason = format!("{:?}", refusal.reason), dropped;
+            "request {request}: {}", refusal.detail
+        );
+    }
+
     /// Logs a request if it failed or its answer lacks shards.
     pub fn log(
         &self,
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -14,7 +14,7 @@
 pub use self::pools::end_to_end;
 pub use self::traffic::RelayBounds;
 
-use self::failure_log::FailureLogger;
+use self::failure_log::{FailureLogger, UnknownRoute};
 use self::forward::Forwarder;
 use self::pools::ConnectionPools;
 use self::protocol::{Call, Outcome, Protocol};
@@ -33,6 +33,7 @@
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::http::request;
 use hyper::{Request, StatusCode};
 use parking_lot::Mutex;
 use rand::seq::IndexedRandom as _;
@@ -79,6 +80,9 @@
     pools: ConnectionPools,
     forwarder: Arc<Forwarder>,
     failure_logger: FailureLogger,
+    control: Arc<dyn Control>,
+    /// Newer plan that waits for its endpoints.
+    pending: ArcSwapOption<Plan>,
     /// Reference to the relay itself, for the tasks that it spawns.
     weak: Weak<Self>,
 }
@@ -110,8 +114,7 @@
         };
         let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
         let Some(entry) = table.find(host, head.uri.path()) else {
-            let detail = format!("no route for host `{host}` and this path");
-            return Err(refuse(Refusal::not_run(Reason::UnknownCollection, detail)));
+            return Err(refuse(self.refuse_unknown_route(&table, started, host, &head)));
         };
         let meta = self.protocol.read_request(&head).map_err(refuse)?;
         let limit = table.plan.limits.body_bytes;
@@ -125,6 +128,31 @@
         Ok(drive::run(self, &table, &entry, call, started).await)
     }
 
+    /// Refuses a request that no route of the table matches.
+    fn refuse_unknown_route(
+        &self,
+        table: &RouteTable,
+        now: Time,
+        host: &str,
+        head: &request::Parts,
+    ) -> Refusal {
+        let detail = format!("no route for host `{host}` and this path");
+        let refusal = Refusal::not_run(Reason::UnknownCollection, detail);
+        let pending = self.pending.load();
+        self.failure_logger.log_unknown_route(
+            now,
+            &refusal,
+            &UnknownRoute {
+                request: self.protocol.read_request(head).ok().map(|meta| meta.id),
+                path: head.uri.path(),
+                plan: table.plan.number,
+                pending: pending.as_ref().map(|plan| plan.number),
+                unconfirmed: self.control.unconfirmed_for(),
+            },
+        );
+        refusal
+    }
+
     /// Whether this host takes new requests from the load balancer.
     fn is_ready(&self) -> bool {
         !self.ctx.is_lame_duck()
@@ -178,20 +206,29 @@
         let current = self.table.load_full().map(|t| Arc::clone(&t.plan));
         let Some(current) = current.filter(|current| current.number < next.plan.number) else {
             self.table.store(Some(Arc::new(next)));
+            self.pending.store(None);
             return false;
         };
         let old = RouteTable::new(current, routes);
         let fits = next.covers_gather_routes(&[]) || !old.covers_gather_routes(&[]);
         let (numerator, denominator) = PLAN_WAIT_FRACTION;
         let max_wait = Span(self.traffic.bounds().plan_apply.0 / denominator * numerator);
-        let switches = switch.should_switch(self.ctx.now(), fits, max_wait);
-        if !switches {
-            log::debug!(
-                "plan {} waits for its endpoints; requests still follow plan {}",
-                next.plan.number,
-                old.plan.number
+        let now = self.ctx.now();
+        let waited = switch.waiting_for(now);
+        let switches = switch.should_switch(now, fits, max_wait);
+        let (plan, previous) = (next.plan.number, old.plan.number);
+        if switches {
+            log::info!(
+                event = "plan-followed", plan, previous, waited_ms = waited.as_millis(), fits;
+                "requests follow plan {plan}"
+            );
+        } else if self.pending.load().as_ref().is_none_or(|p| p.number != plan) {
+            log::info!(
+                event = "plan-waits", plan, previous;
+                "plan {plan} waits for its endpoints; requests still follow plan {previous}"
             );
         }
+        self.pending.store((!switches).then(|| next.plan.clone()));
         self.table.store(Some(Arc::new(if switches { next } else { old })));
         !switches
     }
@@ -254,6 +291,7 @@
 
     async fn run(&self, ctx: &Context) -> Result<()> {
         let peers = ctx.find::<dyn Peers>(<dyn Peers>::NAME)?;
+        let control = ctx.find::<dyn Control>(<dyn Control>::NAME)?;
         let s = &self.settings;
         let relay = Arc::new_cyclic(|weak| Relay {
             weak: weak.clone(),
@@ -264,9 +302,10 @@
             pools: ConnectionPools::default(),
             forwarder: Arc::new(Forwarder::new(peers.clone())),
             failure_logger: FailureLogger::default(),
+            control: control.clone(),
+            pending: ArcSwapOption::empty(),
         });
         peers.set_handler(Topic::Relay, relay.clone());
-        let control = ctx.find::<dyn Control>(<dyn Control>::NAME)?;
         let endpoints = ctx.find::<dyn Endpoints>(<dyn Endpoints>::NAME)?;
         let members = ctx.find::<dyn Members>(<dyn Members>::NAME)?;
         tokio::spawn(follow_changes(relay.clone(), control, endpoints, members));
--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -190,6 +190,10 @@
         self.accepted.subscribe()
     }
 
+    fn unconfirmed_for(&self) -> Option<Span> {
+        Some(Span::ZERO)
+    }
+
     fn propose(&self, _: Change) -> BoxFuture<'_, Result<u64, Refusal>> {
         Box::pin(async { Err(Refusal::not_run(Reason::Unavailable, "")) })
     }
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -1,10 +1,12 @@
-//! The relay's retry budget, rate limiter, merge, stale addresses, zone monitor, plan switch and
-//! log limiter.
+//! The relay's retry budget, rate limiter, merge, stale addresses, zone monitor, plan switch, log
+//! limiter, currency and lag monitor.
 
 use crate::props::Endpoints;
 use crate::support::config;
 use proptest::prelude::*;
 use std::sync::Arc;
+use wisteriahead::core::control::currency::Currency;
+use wisteriahead::core::lag::LagMonitor;
 use wisteriahead::core::log_limiter::LogLimiter;
 use wisteriahead::core::records::{RECORD_BYTES, merge};
 use wisteriahead::core::relay::plan_switch::PlanSwitch;
@@ -152,3 +154,29 @@
     assert_eq!(limiter.admit(at(1_000), 2), Some(2));
     assert_eq!(limiter.admit(at(1_001), 2), Some(0));
 }
+
+#[test]
+fn leader_that_was_replaced_confirms_nothing() {
+    let mut currency = Currency::default();
+    assert_eq!(currency.unconfirmed_for(at(0)), None);
+    assert!(!currency.heard_leader(at(0), 3, 8, 7), "a newer revision is committed");
+    assert_eq!(currency.unconfirmed_for(at(0)), None);
+    assert!(currency.heard_leader(at(100), 3, 8, 8));
+    assert_eq!(currency.unconfirmed_for(at(350)), Some(Span::millis(250)));
+    currency.heard_term(4);
+    assert!(!currency.heard_leader(at(400), 3, 8, 8), "another host leads by now");
+    assert_eq!(currency.unconfirmed_for(at(400)), Some(Span::millis(300)));
+    assert!(currency.heard_leader(at(500), 4, 8, 9));
+    assert_eq!(currency.unconfirmed_for(at(500)), Some(Span::ZERO));
+}
+
+#[test]
+fn late_timers_are_reported_once_a_second() {
+    let (mut lag, period) = (LagMonitor::default(), Span::millis(50));
+    assert_eq!(lag.fired(at(1_000), period), None);
+    assert_eq!(lag.fired(at(1_100), period), None, "50 ms late");
+    assert_eq!(lag.fired(at(1_450), period), Some(Span::millis(300)));
+    assert_eq!(lag.fired(at(2_000), period), None, "already reported within the second");
+    assert_eq!(lag.fired(at(2_451), period), Some(Span::millis(500)), "the worst of the second");
+    assert_eq!(lag.fired(at(4_000), period), Some(Span::millis(1_499)));
+}
