--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -42,6 +42,7 @@
 const MISSING: &str = "missing";
 const SHARDS: usize = 4;
 const TOP_RECORDS: u32 = 3;
+const PLAN_APPLY: Span = Span::secs(1);
 
 /// Protocol that consists of three headers.
 struct HeaderProtocol;
@@ -178,9 +179,11 @@
     }
 }
 
-/// Control, endpoints and members of a host, with a plan and lists that never change.
+/// Control, endpoints and members of a host. Tests publish plans; the lists never change.
 struct StaticServices {
     accepted: watch::Sender<AcceptedDocument>,
+    /// What the host is told of the time since its plan was confirmed.
+    unconfirmed: Mutex<Option<Span>>,
     routes: Arc<Routes>,
     members: watch::Sender<Arc<Vec<Member>>>,
 }
@@ -191,7 +194,7 @@
     }
 
     fn unconfirmed_for(&self) -> Option<Span> {
-        Some(Span::ZERO)
+        *self.unconfirmed.lock()
     }
 
     fn propose(&self, _: Change) -> BoxFuture<'_, Result<u64, Refusal>> {
@@ -239,6 +242,7 @@
     network: Arc<Network>,
     leaf_state: Arc<LeafState>,
     north: SocketAddr,
+    north_services: Arc<StaticServices>,
     _leaves: Vec<Server>,
     _kernels: Vec<Kernel>,
 }
@@ -283,15 +287,17 @@
         };
         let members = Arc::new(vec![member("north"), member("south")]);
         let network = Arc::new(Network::default());
-        let (mut kernels, mut addresses) = (Vec::new(), Vec::new());
+        let (mut kernels, mut addresses, mut all_services) = (Vec::new(), Vec::new(), Vec::new());
         for host in ["north", "south"] {
             let accepted =
                 AcceptedDocument { plan: Some(Arc::new(plan())), ..AcceptedDocument::default() };
             let services_of_host = Arc::new(StaticServices {
                 accepted: watch::channel(accepted).0,
+                unconfirmed: Mutex::new(Some(Span::ZERO)),
                 routes: routes.clone(),
                 members: watch::channel(members.clone()).0,
             });
+            all_services.push(services_of_host.clone());
             let mut kernel = Kernel::default();
             let ctx = kernel.context();
             let peers: Arc<dyn Peers> = Arc::new(PeerLink { host, network: network.clone() });
@@ -308,7 +314,7 @@
                     retry_budget,
                     cold_ratio: 1.0,
                     cold_slack: 0.0,
-                    plan_apply: Span::secs(1),
+                    plan_apply: PLAN_APPLY,
                 },
                 protocol: Arc::new(HeaderProtocol),
             }));
@@ -316,7 +322,14 @@
             addresses.push(relay.address().unwrap());
             kernels.push(kernel);
         }
-        Self { network, leaf_state, north: addresses[0], _leaves: leaves, _kernels: kernels }
+        Self {
+            network,
+            leaf_state,
+            north: addresses[0],
+            north_services: all_services.swap_remove(0),
+            _leaves: leaves,
+            _kernels: kernels,
+        }
     }
 
     /// Gathers through the host in the north, retrying until it has applied the plan; returns the
@@ -339,11 +352,15 @@
     }
 
     async fn get(&self) -> Response<Incoming> {
+        self.get_from("tier").await
+    }
+
+    async fn get_from(&self, virtual_host: &str) -> Response<Incoming> {
         let stream = TcpStream::connect(self.north).await.unwrap();
         let (mut tx, link) =
             hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.unwrap();
         tokio::spawn(link);
-        let request = Request::get("/q").header(HOST, "tier").header(ID, "r1");
+        let request = Request::get("/q").header(HOST, virtual_host).header(ID, "r1");
         tx.send_request(request.body(Empty::<Bytes>::new()).unwrap()).await.unwrap()
     }
 }
@@ -397,3 +414,43 @@
     }
     wait_until("no endpoint works on it", async || hanging() == 0).await;
 }
+
+/// Guards against 404 for a route that was added: a host that is behind, or cut off, cannot know
+/// that a route does not exist.
+#[tokio::test]
+async fn unknown_route_is_denied_only_by_a_host_that_lacks_no_change() {
+    let tier = Tier::start().await;
+    tier.gather().await;
+    assert_eq!(tier.get_from("absent").await.status(), StatusCode::NOT_FOUND);
+    for unconfirmed in [None, Some(Span(PLAN_APPLY.0 + 1))] {
+        *tier.north_services.unconfirmed.lock() = unconfirmed;
+        let r = tier.get_from("absent").await;
+        assert_eq!(r.status(), StatusCode::SERVICE_UNAVAILABLE, "{unconfirmed:?}");
+        tier.gather().await;
+    }
+}
+
+/// Guards against 404 for a route of a plan that this host holds back until its endpoints are warm.
+#[tokio::test]
+async fn route_of_a_waiting_plan_is_not_denied() {
+    let tier = Tier::start().await;
+    tier.gather().await;
+    let mut next = plan();
+    next.number += 1;
+    let service = next.services[0].clone();
+    next.services.insert("unannounced".into(), service);
+    let mut added = Route { name: "added".into(), host: "added".into(), ..next.routes[0].clone() };
+    if let Destination::Gather { shards, .. } = &mut added.destination {
+        *shards = vec!["unannounced".into()];
+    }
+    next.routes.push(added);
+    tier.north_services.accepted.send_modify(|a| a.plan = Some(Arc::new(next)));
+    // Before and after the switch the route is known here, though nothing can serve it.
+    let waiting = async || tier.get_from("added").await.status();
+    for _ in 0..20 {
+        let status = waiting().await;
+        assert_ne!(status, StatusCode::NOT_FOUND);
+        tokio::time::sleep(PLAN_APPLY.to_std() / 20).await;
+    }
+    assert_eq!(waiting().await, StatusCode::SERVICE_UNAVAILABLE);
+}
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -261,6 +261,44 @@
     assert!((0..7).all(|at| network.latest(at, "leaf").is_some()));
 }
 
+/// Guards against hosts that fall behind their own messages: a host of a large tier took
+/// milliseconds of processor time for each changed endpoint, more than it has.
+#[test]
+fn change_of_one_endpoint_ranks_hosts_for_that_endpoint_alone() {
+    const ENDPOINTS: u64 = 500;
+    const HOSTS: usize = 76;
+    let mut host = Gossip::new(name(0));
+    host.set_others(Time(1), (1..HOSTS).map(name).collect());
+    let push = |host: &mut Gossip, e: u64, state| {
+        let a = Announcement { state, ..announcement(&format!("leaf-{e}"), 1, 1 + e) };
+        host.receive(Time(1), &name(1), Message::Push(vec![a]));
+    };
+    (0..ENDPOINTS).for_each(|e| push(&mut host, e, EndpointState::Starting));
+    assert!(host.rankings() <= ENDPOINTS * HOSTS as u64, "{} rankings", host.rankings());
+    let before = host.rankings();
+    host.receive(Time(1), &name(1), Message::Push(vec![announcement("leaf-7", 1, 1_000)]));
+    let ranked = host.rankings() - before;
+    assert!(ranked <= HOSTS as u64, "{ranked} rankings for one changed endpoint");
+}
+
+/// Guards against the same work at each change of the hosts: all hosts ranked for all endpoints.
+#[test]
+fn change_of_one_host_ranks_only_that_host_for_most_endpoints() {
+    const ENDPOINTS: usize = 500;
+    const HOSTS: usize = 76;
+    let mut host = Gossip::new(name(0));
+    host.set_others(Time(1), (1..HOSTS).map(name).collect());
+    let list = (0..ENDPOINTS).map(|e| announcement(&format!("leaf-{e}"), 1, 1)).collect();
+    host.receive(Time(1), &name(1), Message::Push(list));
+    // Of the endpoints, 2 in 76 are monitored by one host; these are ranked anew when it goes.
+    for hosts in [HOSTS - 1, HOSTS, HOSTS + 1, HOSTS + 1] {
+        let before = host.rankings();
+        host.set_others(Time(1), (1..hosts).map(name).collect());
+        let ranked = host.rankings() - before;
+        assert!(ranked <= (6 * ENDPOINTS) as u64, "{ranked} rankings for {hosts} hosts");
+    }
+}
+
 /// Each endpoint announces itself to one host every second.
 #[test]
 fn unchanged_heartbeats_stay_within_their_bandwidth() {
