Rank hosts for an endpoint once instead of at each change of any endpoint

Cause: to know which endpoints it monitors, each host ranked all hosts by hash, with a sort, for all endpoints, on each message with a changed endpoint: endpoints x hosts a message, and messages grow with endpoints and hosts too. Plans, announcements and requests wait in the same process.

Now each endpoint's monitors are kept. A new endpoint ranks all hosts once; a new host is ranked once for each endpoint; a lost one has only the endpoints that it monitored ranked anew. The ranks themselves are unchanged, so that hosts of two releases agree.

--- a/src/wisteriahead/core/gossip.rs
+++ b/src/wisteriahead/core/gossip.rs
@@ -7,12 +7,13 @@
 //! partners per period. Every host has its own partners, so that a change known to one host reaches
 //! all.
 
+use super::monitors::Monitors;
 use super::registry::{ApplyOutcome, Registry};
 use crate::core::budget::{BUCKETS, bucket};
 use crate::core::digest;
 use crate::core::endpoint::Announcement;
 use crate::core::time::{Span, Time};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -22,8 +23,6 @@
 pub const DIGEST_PERIOD: Span = Span::secs(1);
 /// Delay after which a change is pushed a second time, in case the first push was lost.
 pub const REPUSH_DELAY: Span = Span::millis(500);
-/// Number of hosts that monitor each endpoint.
-pub const MONITOR_COUNT: usize = 2;
 /// Number of hosts that each host sends digests to, in turn. With this many random partners per
 /// host, the hosts form a connected graph even at the design size. A connection to each partner
 /// stays open.
@@ -87,10 +86,24 @@
 
     /// Sets the other hosts that are alive.
     pub fn set_others(&mut self, now: Time, others: Vec<Arc<str>>) {
-        let ranked = digest::rank(&self.host, others.iter().map(|h| &**h));
-        self.partners = ranked.into_iter().take(PARTNER_COUNT).map(Arc::from).collect();
+        let before: IndexSet<_> = std::mem::take(&mut self.others).into_iter().collect();
         self.others = others;
-        self.update_monitored(now);
+        let after: IndexSet<_> = self.others.iter().cloned().collect();
+        if before == after {
+            return;
+        }
+        let ranked = digest::rank(&self.host, self.others.iter().map(|h| &**h));
+        self.partners = ranked.into_iter().take(PARTNER_COUNT).map(Arc::from).collect();
+        let (host, others, rankings) = (&self.host, &self.others, &mut self.rankings);
+        let added: Vec<_> = after.difference(&before).collect();
+        self.registry.update_monitors(now, host, |endpoint, monitors| {
+            if monitors.hosts().any(|h| !after.contains(h) && h != host) {
+                *monitors = rank_all(endpoint, host, others, rankings);
+                return;
+            }
+            *rankings += added.len() as u64;
+            added.iter().for_each(|h| monitors.add_host(endpoint, h));
+        });
     }
 
     /// Number of times that a host was ranked for an endpoint, a measure of the work done here.
@@ -98,11 +111,14 @@
         self.rankings
     }
 
-    /// Updates which endpoints this host monitors.
-    fn update_monitored(&mut self, now: Time) {
-        self.rankings += (self.registry.iter().count() * (self.others.len() + 1)) as u64;
-        let (host, others) = (&self.host, &self.others);
-        self.registry.set_monitored(now, |name| monitors(name, host, others).contains(host));
+    /// Ranks the hosts for the endpoints that are new.
+    fn assign_monitors(&mut self, now: Time) {
+        let (host, others, rankings) = (&self.host, &self.others, &mut self.rankings);
+        self.registry.update_monitors(now, host, |endpoint, monitors| {
+            if monitors.is_empty() {
+                *monitors = rank_all(endpoint, host, others, rankings);
+            }
+        });
     }
 
     /// Handles an announcement that the endpoint sent to this host.
@@ -111,7 +127,7 @@
         let version = (a.incarnation, a.sequence);
         let applied = self.registry.announce(now, a.clone());
         if applied == ApplyOutcome::Changed {
-            self.update_monitored(now);
+            self.assign_monitors(now);
         }
         let out = match applied {
             ApplyOutcome::Changed => {
@@ -152,7 +168,7 @@
                 let applied = valid.map(|a| self.registry.merge(now, a));
                 let changed = applied.filter(|a| *a == ApplyOutcome::Changed).count() > 0;
                 if changed {
-                    self.update_monitored(now);
+                    self.assign_monitors(now);
                 }
                 (changed, Vec::new())
             }
@@ -203,11 +219,9 @@
     fn send_heartbeats(&mut self, out: &mut Vec<Outgoing>) {
         let mut by_monitor: IndexMap<Arc<str>, Vec<_>> = IndexMap::new();
         for (name, version) in std::mem::take(&mut self.refreshed) {
-            self.rankings += self.others.len() as u64 + 1;
-            for monitor in monitors(&name, &self.host, &self.others) {
-                if monitor != self.host {
-                    by_monitor.entry(monitor).or_default().push((name.clone(), version));
-                }
+            let monitors = self.registry.monitors(&name).into_iter().flat_map(Monitors::hosts);
+            for monitor in monitors.filter(|m| **m != self.host) {
+                by_monitor.entry(monitor.clone()).or_default().push((name.clone(), version));
             }
         }
         out.extend(by_monitor.into_iter().map(|(to, list)| (to, Message::Beats(list))));
@@ -270,8 +284,8 @@
     }
 }
 
-/// The hosts that monitor an endpoint.
-fn monitors(endpoint: &str, host: &Arc<str>, others: &[Arc<str>]) -> Vec<Arc<str>> {
-    let all = others.iter().chain([host]).map(|h| &**h);
-    digest::rank(endpoint, all).into_iter().take(MONITOR_COUNT).map(Arc::from).collect()
+/// Ranks all hosts for an endpoint, and counts them.
+fn rank_all(endpoint: &str, host: &Arc<str>, others: &[Arc<str>], rankings: &mut u64) -> Monitors {
+    *rankings += others.len() as u64 + 1;
+    Monitors::rank(endpoint, others.iter().chain([host]))
 }
--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -21,6 +21,7 @@
 pub mod log_limiter;
 pub mod member;
 pub mod message;
+pub mod monitors;
 pub mod order;
 pub mod plan;
 pub mod quarantine;
--- a/src/wisteriahead/core/registry.rs
+++ b/src/wisteriahead/core/registry.rs
@@ -7,6 +7,7 @@
 use super::document::{Admit, Document, HostState, ZoneState};
 use super::endpoint::{Announcement, EndpointKey, EndpointState};
 use super::gossip::Version;
+use super::monitors::Monitors;
 use super::routes::{Collection, Routes, Snapshot, Target};
 use super::time::{Span, Time};
 use indexmap::IndexMap;
@@ -35,14 +36,17 @@
     direct: Version,
     /// Newest announcement that another host reported in a heartbeat.
     heartbeat: Version,
-    /// Whether this host removes it when it stays silent.
+    /// Hosts that remove it when it stays silent.
+    monitors: Monitors,
+    /// Whether this host is one of them.
     monitored: bool,
 }
 
 impl Endpoint {
     fn new(now: Time, latest: Announcement) -> Self {
         let zero = Version::default();
-        Self { latest, seen: now, direct: zero, heartbeat: zero, monitored: false }
+        let monitors = Monitors::default();
+        Self { latest, seen: now, direct: zero, heartbeat: zero, monitors, monitored: false }
     }
 
     fn version(&self) -> Version {
@@ -184,12 +188,17 @@
         self.arena.get(*self.names.get(name)?).map(|e| &e.latest)
     }
 
-    /// Sets which endpoints this host removes when they stay silent.
-    ///
-    /// The expiry of newly monitored endpoints starts anew.
-    pub fn set_monitored(&mut self, now: Time, is_monitored: impl Fn(&str) -> bool) {
+    /// Updates the monitors of each endpoint with `update`. This host removes those that it monitors
+    /// when they stay silent; the expiry of newly monitored ones starts anew.
+    pub fn update_monitors(
+        &mut self,
+        now: Time,
+        host: &str,
+        mut update: impl FnMut(&str, &mut Monitors),
+    ) {
         for e in self.arena.values_mut() {
-            let monitored = is_monitored(&e.latest.endpoint);
+            update(&e.latest.endpoint, &mut e.monitors);
+            let monitored = e.monitors.contains(host);
             if monitored && !e.monitored {
                 e.seen = now;
             }
@@ -197,6 +206,11 @@
         }
     }
 
+    /// Monitors of an endpoint.
+    pub fn monitors(&self, name: &str) -> Option<&Monitors> {
+        self.arena.get(*self.names.get(name)?).map(|e| &e.monitors)
+    }
+
     /// Sets the time without a heartbeat after which an endpoint is removed.
     pub fn set_expiry(&mut self, expiry: Span) {
         self.expiry = Some(expiry);
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -6,10 +6,12 @@
 use rand::rngs::StdRng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use wisteriahead::core::digest::rank;
 use wisteriahead::core::document::{Admit, Document, Rules};
 use wisteriahead::core::endpoint::{Announcement, EndpointState, Holding};
 use wisteriahead::core::gossip::{Gossip, Message};
 use wisteriahead::core::message::encode;
+use wisteriahead::core::monitors::MONITOR_COUNT;
 use wisteriahead::core::registry::{ApplyOutcome, EXPIRY, Registry};
 use wisteriahead::core::time::{Span, Time};
 
@@ -281,6 +283,31 @@
     assert!(ranked <= HOSTS as u64, "{ranked} rankings for one changed endpoint");
 }
 
+proptest! {
+    #![proptest_config(config(64))]
+
+    /// The monitors that are kept while hosts come and go are those that a host which knows only the
+    /// present hosts determines, whatever release it runs.
+    #[test]
+    fn kept_monitors_are_the_highest_ranked_hosts(
+        rounds in prop::collection::vec(prop::collection::btree_set(1usize..12, 0..11), 1..12),
+    ) {
+        let mut host = Gossip::new(name(0));
+        for (e, others) in rounds.iter().enumerate() {
+            let others: Vec<_> = others.iter().copied().map(name).collect();
+            host.set_others(Time(1), others.clone());
+            let push = Message::Push(vec![announcement(&format!("leaf-{e}"), 1, 1)]);
+            host.receive(Time(1), &name(1), push);
+            let own = name(0);
+            for leaf in (0..=e).map(|e| format!("leaf-{e}")) {
+                let ranked = rank(&leaf, others.iter().chain([&own]).map(|h| &**h));
+                let kept = host.registry.monitors(&leaf).unwrap().hosts().map(|h| &**h);
+                prop_assert_eq!(kept.collect::<Vec<_>>(), &ranked[..ranked.len().min(MONITOR_COUNT)]);
+            }
+        }
+    }
+}
+
 /// Guards against the same work at each change of the hosts: all hosts ranked for all endpoints.
 #[test]
 fn change_of_one_host_ranks_only_that_host_for_most_endpoints() {
