Answer 404 only from a host that lacks no plan

Cause: a path without a route in the plan that this host follows was refused with 404 whatever the host knew of its own plan. Callers do not repeat a request after 404.

Now a path without a route is answered 404 only if the plan followed here is the newest one in force here, and the leader has confirmed within the time in which a plan must be in force that this host lacks no change. Otherwise the request is refused as not run, with a time after which to ask again: another host, or this one, may know by then.

--- a/src/wisteriahead/services/relay/failure_log.rs
+++ b/src/wisteriahead/services/relay/failure_log.rs
@@ -111,7 +111,7 @@
     pub path: &'a str,
     /// Plan that requests follow.
     pub plan: u64,
-    /// Newer plan that waits for its endpoints.
+    /// Newer plan that is in force but not followed here yet.
     pub pending: Option<u64>,
     /// Time since the leader last confirmed that this host lacks no change.
     pub unconfirmed: Option<Span>,
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -20,7 +20,7 @@
 use self::protocol::{Call, Outcome, Protocol};
 use self::table::RouteTable;
 use self::traffic::TrafficState;
-use super::{Control, Endpoints, Member, Members, Peers};
+use super::{AcceptedDocument, Control, Endpoints, Member, Members, Peers};
 use crate::core::member::Health;
 use crate::core::message::Topic;
 use crate::core::plan::Plan;
@@ -41,6 +41,7 @@
 use std::sync::Weak;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// Interval at which idle connection pools are removed.
@@ -53,7 +54,7 @@
 /// Fraction of the time to apply a plan for which a new plan may wait for its endpoints; the rest is
 /// for its distribution to this host.
 const PLAN_WAIT_FRACTION: (u64, u64) = (3, 5);
-/// Retry delay for a caller while this host has no plan.
+/// Retry delay for a caller while this host has no plan, or not the one that the request needs.
 const NO_PLAN_RETRY_AFTER: Span = Span::millis(200);
 
 /// Settings of the relay service.
@@ -81,8 +82,7 @@
     forwarder: Arc<Forwarder>,
     failure_logger: FailureLogger,
     control: Arc<dyn Control>,
-    /// Newer plan that waits for its endpoints.
-    pending: ArcSwapOption<Plan>,
+    accepted: watch::Receiver<AcceptedDocument>,
     /// Reference to the relay itself, for the tasks that it spawns.
     weak: Weak<Self>,
 }
@@ -114,7 +114,7 @@
         };
         let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
         let Some(entry) = table.find(host, head.uri.path()) else {
-            return Err(refuse(self.refuse_unknown_route(&table, started, host, &head)));
+            return Err(self.refuse_unknown_route(&table, started, host, &head));
         };
         let meta = self.protocol.read_request(&head).map_err(refuse)?;
         let limit = table.plan.limits.body_bytes;
@@ -128,29 +128,43 @@
         Ok(drive::run(self, &table, &entry, call, started).await)
     }
 
-    /// Refuses a request that no route of the table matches.
+    /// Refuses a request that no route of the table matches. That there is no such route is said only
+    /// by a host that lacks no plan which must be in force by now; another host may know it.
     fn refuse_unknown_route(
         &self,
         table: &RouteTable,
         now: Time,
         host: &str,
         head: &request::Parts,
-    ) -> Refusal {
-        let detail = format!("no route for host `{host}` and this path");
-        let refusal = Refusal::not_run(Reason::UnknownCollection, detail);
-        let pending = self.pending.load();
+    ) -> Outcome {
+        let plan = table.plan.number;
+        let newest = self.accepted.borrow().plan.as_ref().map(|newest| newest.number);
+        let pending = newest.filter(|newest| *newest > plan);
+        let unconfirmed = self.control.unconfirmed_for();
+        let (reason, detail) = if let Some(pending) = pending {
+            let detail = format!("plan {pending} is not followed here yet");
+            (Reason::Unavailable, detail)
+        } else if unconfirmed.is_none_or(|span| span > self.traffic.bounds().plan_apply) {
+            let detail = format!("this host may lack plans later than {plan}");
+            (Reason::Unavailable, detail)
+        } else {
+            let detail = format!("no route for host `{host}` and this path");
+            (Reason::UnknownCollection, detail)
+        };
+        let retry_after = (reason == Reason::Unavailable).then_some(NO_PLAN_RETRY_AFTER);
+        let refusal = Refusal::not_run(reason, detail);
         self.failure_logger.log_unknown_route(
             now,
             &refusal,
             &UnknownRoute {
                 request: self.protocol.read_request(head).ok().map(|meta| meta.id),
                 path: head.uri.path(),
-                plan: table.plan.number,
-                pending: pending.as_ref().map(|plan| plan.number),
-                unconfirmed: self.control.unconfirmed_for(),
+                plan,
+                pending,
+                unconfirmed,
             },
         );
-        refusal
+        Outcome::Refused { refusal, retry_after }
     }
 
     /// Whether this host takes new requests from the load balancer.
@@ -206,7 +220,6 @@
         let current = self.table.load_full().map(|t| Arc::clone(&t.plan));
         let Some(current) = current.filter(|current| current.number < next.plan.number) else {
             self.table.store(Some(Arc::new(next)));
-            self.pending.store(None);
             return false;
         };
         let old = RouteTable::new(current, routes);
@@ -222,13 +235,12 @@
                 event = "plan-followed", plan, previous, waited_ms = waited.as_millis(), fits;
                 "requests follow plan {plan}"
             );
-        } else if self.pending.load().as_ref().is_none_or(|p| p.number != plan) {
+        } else if waited == Span::ZERO {
             log::info!(
                 event = "plan-waits", plan, previous;
                 "plan {plan} waits for its endpoints; requests still follow plan {previous}"
             );
         }
-        self.pending.store((!switches).then(|| next.plan.clone()));
         self.table.store(Some(Arc::new(if switches { next } else { old })));
         !switches
     }
@@ -302,8 +314,8 @@
             pools: ConnectionPools::default(),
             forwarder: Arc::new(Forwarder::new(peers.clone())),
             failure_logger: FailureLogger::default(),
+            accepted: control.watch(),
             control: control.clone(),
-            pending: ArcSwapOption::empty(),
         });
         peers.set_handler(Topic::Relay, relay.clone());
         let endpoints = ctx.find::<dyn Endpoints>(<dyn Endpoints>::NAME)?;
