Pass a request for a single endpoint through no other host

Cause: a message through another host returns merged records. A host without a connection of its own to an endpoint sent even a single call through an owner, also on routes to one endpoint, whose status, headers and body were lost.

Now only the attempts of a gather go through other hosts, and only they may take an endpoint without a connection of this host.

--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -57,6 +57,8 @@
     now: Time,
     /// Delay after which an attempt is hedged.
     hedge_delay: Span,
+    /// Whether first attempts may go through other hosts.
+    gathers: bool,
 }
 
 impl Environment for RelayEnvironment<'_> {
@@ -68,7 +70,9 @@
         replicas: &[Target],
         tried: &[EndpointKey],
     ) -> Option<(Target, Permit)> {
-        self.relay.traffic.acquire(now, replicas, tried, self.hedge_delay, &self.table.plan)
+        let through_owner = self.gathers && tried.is_empty();
+        let expected = self.hedge_delay;
+        self.relay.traffic.acquire(now, replicas, tried, expected, through_owner, &self.table.plan)
     }
 
     fn has_free_slot(&self, now: Time, replicas: &[Target]) -> bool {
@@ -274,8 +278,9 @@
             replacements.into_iter().for_each(|(shard, part)| gather.replace(shard, part));
             let now = self.relay.ctx.now();
             let (relay, table) = (self.relay, self.table);
-            let mut environment =
-                RelayEnvironment { relay, table, now, hedge_delay: self.hedge_delay() };
+            let hedge_delay = self.hedge_delay();
+            let gathers = self.gathers();
+            let mut environment = RelayEnvironment { relay, table, now, hedge_delay, gathers };
             let actions = gather.step(now, event, &mut environment);
             if self.execute(actions) {
                 return (gather, self.last_failure.take(), std::mem::take(&mut self.attempt_log));
@@ -303,6 +308,11 @@
         finished
     }
 
+    /// Whether the answers of several shards are merged.
+    fn gathers(&self) -> bool {
+        matches!(self.route.destination, Destination::Gather { .. })
+    }
+
     /// Sends attempts: several to endpoints that other hosts own, or that are in another zone, as
     /// batches through a host there, the others directly.
     fn send_all(&mut self, attempts: Vec<Attempt>) {
@@ -312,12 +322,16 @@
         let mut batches: IndexMap<(Arc<str>, usize), Vec<Attempt>> = IndexMap::new();
         for attempt in attempts {
             self.attempt_log.record_sent();
-            // Only the first attempt for a shard may be batched: merged records cannot be separated
-            // again, so a shard must not be in those of two batches.
+            // A batch returns merged records only, so the answer of a single endpoint, which must stay
+            // as it is, cannot come in one. Only the first attempt for a shard may be batched: merged
+            // records cannot be separated again, so a shard must not be in those of two batches.
             let first = self.sent_shards.insert(attempt.shard);
             self.shards.insert(attempt.id, attempt.shard);
             let to = &attempt.to;
-            if !first || (*to.zone == *traffic.zone() && groups.owns(traffic.host(), to)) {
+            if !self.gathers()
+                || !first
+                || (*to.zone == *traffic.zone() && groups.owns(traffic.host(), to))
+            {
                 direct.push(attempt);
                 continue;
             }
--- a/src/wisteriahead/services/relay/traffic.rs
+++ b/src/wisteriahead/services/relay/traffic.rs
@@ -75,9 +75,9 @@
 }
 
 impl Access {
-    /// Connections for an attempt, of this host or of the owner that it goes through.
-    fn connections(self, first: bool) -> u32 {
-        if first && self.through_owner { self.share.max(1) } else { self.share }
+    /// Connections for an attempt, of this host or, if it may go through one, of an owner.
+    fn connections(self, through_owner: bool) -> u32 {
+        if through_owner && self.through_owner { self.share.max(1) } else { self.share }
     }
 }
 
@@ -240,13 +240,15 @@
     }
 
     /// Takes a permit for a replica that is not in `tried` and has room. Replicas with a request in
-    /// flight for longer than `expected` rank last.
+    /// flight for longer than `expected` rank last. An attempt that may go `through_owner` needs no
+    /// connection of this host to an endpoint that others own.
     pub fn acquire(
         self: &Arc<Self>,
         now: Time,
         replicas: &[Target],
         tried: &[EndpointKey],
         expected: Span,
+        through_owner: bool,
         plan: &Plan,
     ) -> Option<(Target, Permit)> {
         let mut s = self.state.lock();
@@ -267,7 +269,6 @@
                 e.access = Some(self.find_access(groups, t));
             }
         }
-        let first = tried.is_empty();
         let in_flight = |key| endpoints.get(key).map_or(0, |e| e.sent.len() as u32);
         let context = ChoiceContext {
             zone: &self.zone,
@@ -283,7 +284,8 @@
         };
         // If this host has a share of no connection at any replica left, it may use one beyond its
         // share, since it could not serve the request otherwise.
-        let usable = |e: &Endpoint, t: &Target| e.access(t).map_or(0, |a| a.connections(first));
+        let usable =
+            |e: &Endpoint, t: &Target| e.access(t).map_or(0, |a| a.connections(through_owner));
         let unusable = |t: &Target| endpoints.get(t.key).is_some_and(|e| usable(e, t) == 0);
         let min_connections = u32::from(order.iter().all(|t| unusable(t)));
         order.sort_by_cached_key(|t| {
