Obey what endpoints ask for in their answers: Server-Leaving and Retry-After

An endpoint that says in an answer that it is leaving is chosen last from then on and gets nothing after the drain time; one that answers 503 with a time gets nothing from this host until it is over. Both bind the incarnation, are checked when a replica is chosen and again when a connection is there, and reach the host that a batch was sent for. A request that cannot be covered without such endpoints is refused at once with the time at which it can be.

Tests: relay::word_of_an_endpoint_is_kept (random orders of answers, attempts, clock steps, incarnations), relay::quiet_is_bounded_and_reported_once, relay::closed_shards_reopen_when_enough_endpoints_take_requests_again, protocol::notice_is_read (bad values), and four in forward.rs with relays and endpoints over loopback, which fail when the notices are not read (tried: all four).

--- a/src/wisteriahead/core/query/coverage.rs
+++ b/src/wisteriahead/core/query/coverage.rs
@@ -18,6 +18,11 @@
     }
 }
 
+/// Least number of `shards` that is at least the fraction `min_coverage`, 0 to 1.
+pub fn shards_for_coverage(shards: usize, min_coverage: f64) -> usize {
+    (shards as f64 * min_coverage).ceil() as usize
+}
+
 /// Whether `answered` out of `shards` is at least the fraction `min_coverage`, 0 to 1.
 pub fn meets_coverage(answered: usize, shards: usize, min_coverage: f64) -> bool {
     answered as f64 >= shards as f64 * min_coverage
--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -16,7 +16,7 @@
 mod send;
 mod shard;
 
-pub use self::coverage::{Coverage, meets_coverage};
+pub use self::coverage::{Coverage, meets_coverage, shards_for_coverage};
 pub use self::environment::Environment;
 pub use self::policy::Policy;
 
@@ -258,7 +258,7 @@
             s.no_resend = true;
             return;
         }
-        if refusal.reason == Reason::Connection && not_run {
+        if matches!(refusal.reason, Reason::Connection | Reason::Unavailable) && not_run {
             // The attempt reached no endpoint, so the next one does not count as an extra attempt.
             s.sent -= 1;
             s.arrivals -= 1;
--- a/src/wisteriahead/core/relay/mod.rs
+++ b/src/wisteriahead/core/relay/mod.rs
@@ -6,6 +6,7 @@
 //! each host keeps to its own share, and the shares add up to less than the whole.
 
 pub mod groups;
+pub mod notices;
 pub mod plan_switch;
 pub mod rate;
 pub mod retry_budget;
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -10,7 +10,9 @@
 use super::traffic::Permit;
 use crate::core::plan::{Destination, Idempotency, Route};
 use crate::core::quarantine::SuspectRun;
-use crate::core::query::{Action, AttemptId, Environment, Event, Gather, Policy, meets_coverage};
+use crate::core::query::{
+    Action, AttemptId, Environment, Event, Gather, Policy, meets_coverage, shards_for_coverage,
+};
 use crate::core::records;
 use crate::core::routes::{Snapshot, Target};
 use crate::prelude::*;
@@ -180,6 +182,14 @@
         let detail = format!("no endpoint of {} answers this host", unreachable.join(", "));
         return refuse(Refusal::not_run(Reason::Unavailable, detail));
     }
+    let shards_min = shards_for_coverage(shards, min_coverage);
+    if let Some(until) = relay.traffic.closed_until(started, &snapshot, shards_min) {
+        let detail =
+            format!("endpoints of more than {} shards want no requests", shards - shards_min);
+        let refusal = Refusal::not_run(Reason::Unavailable, detail);
+        let retry_after = Some(until.map_or(UNKNOWN_RETRY_AFTER, |at| at.since(started)));
+        return Outcome::Refused { refusal, retry_after };
+    }
     services(route, part.unwrap_or(0)).for_each(|s| relay.traffic.record_request(started, s));
     let timeout = call.meta.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started + subtract_margin(timeout);
@@ -374,7 +384,7 @@
         let task: JoinHandle<Result<EndpointResponse, Refusal>> = tokio::spawn(async move {
             // At least one, since a request may be sent even if the share is zero.
             let connections = relay.traffic.max_connections(&to).max(1);
-            let sent = relay.pools.send(&*relay.protocol, &call, &to, connections, times);
+            let sent = relay.pools.send(&relay, &call, &to, connections, times);
             let result = sent.await;
             let now = relay.ctx.now();
             relay.traffic.record_end(now, &route, &to, result.as_ref().err(), now.since(at));
@@ -409,11 +419,12 @@
         let pending = relay.forwarder.send(host, &batch);
         let (tx, rx) = mpsc::unbounded_channel();
         let ids: Vec<AttemptId> = attempts.iter().map(|a| a.id).collect();
-        let route = self.route.name.clone();
+        let (route, call) = (self.route.name.clone(), Arc::clone(&self.call));
         let until = tokio::time::Instant::from_std(self.deadline);
         let response_timeout = Span(flush.0 + hedge_delay.0);
         let task = tokio::spawn(async move {
-            let receive = receive_batch(&relay, pending, attempts, &route, response_timeout, &tx);
+            let names = (&route, call.meta.id.to_str().unwrap_or_default());
+            let receive = receive_batch(&relay, pending, attempts, names, response_timeout, &tx);
             // After the deadline the caller no longer waits for an answer.
             let _ = tokio::time::timeout_at(until, receive).await;
         });
@@ -503,12 +514,13 @@
 }
 
 /// Receives the results of a batch, records them in the traffic state and passes them on. If none
-/// arrives within `response_timeout`, the host that relays the batch is avoided for a while.
+/// arrives within `response_timeout`, the host that relays the batch is avoided for a while. The
+/// batch belongs to a route and a request, given by name and identifier.
 async fn receive_batch(
     relay: &Relay,
     mut batch: PendingBatch,
     attempts: Vec<Attempt>,
-    route: &Arc<str>,
+    (route, request): (&Arc<str>, &str),
     response_timeout: Span,
     tx: &mpsc::UnboundedSender<Vec<EndedAttempt>>,
 ) {
@@ -526,11 +538,12 @@
         responded = true;
         let now = relay.ctx.now();
         let mut list = Vec::new();
-        for BatchResult { index, result, time } in results {
+        for BatchResult { index, result, time, notice } in results {
             let Some(Attempt { id, to, .. }) = attempts.get_mut(index).and_then(Option::take)
             else {
                 continue;
             };
+            relay.traffic.record_notice(now, request, &to, notice);
             relay.traffic.record_end(now, route, &to, result.as_ref().err(), time);
             list.push(EndedAttempt { id, to, result, batched: true });
         }
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -15,6 +15,7 @@
 use crate::core::endpoint::EndpointKey;
 use crate::core::message::{Topic, decode, encode};
 use crate::core::records;
+use crate::core::relay::notices::Notice;
 use crate::core::routes::Target;
 use crate::prelude::*;
 use crate::services::{Handler, Peers};
@@ -52,6 +53,11 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct CallResult(u32, Result<Option<serde_bytes::ByteBuf>, Refusal>, u64);
 
+/// What the endpoint of a call said about further requests: the call's index in the batch, whether
+/// the endpoint is leaving, and the microseconds for which it wants none.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct CalleeNotice(u32, bool, Option<u64>);
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 enum Message {
     /// Requests a batch of calls.
@@ -65,6 +71,9 @@
         /// Highest-ranked records, merged from the successful responses.
         #[serde(with = "serde_bytes")]
         records: Vec<u8>,
+        /// What the endpoints said about further requests.
+        #[serde(default)]
+        notices: Vec<CalleeNotice>,
     },
     /// Cancels the batch of this number.
     Stop(u64),
@@ -80,6 +89,9 @@
     body: Vec<u8>,
     id: serde_bytes::ByteBuf,
     to: Vec<Callee>,
+    /// Incarnation of each endpoint; older releases omit the field.
+    #[serde(default)]
+    incarnations: Vec<u64>,
     /// Maximum number of merged records.
     top: u32,
     /// In microseconds: time left for the batch, connect timeout, time until the first results are
@@ -110,6 +122,8 @@
     pub result: Result<EndpointResponse, Refusal>,
     /// Time until the call ended, measured by the remote host.
     pub time: Span,
+    /// What the endpoint said about further requests.
+    pub notice: Notice,
 }
 
 #[derive(Default)]
@@ -221,7 +235,19 @@
     }
 
     /// Passes results on to the request that waits for them.
-    fn deliver(&self, number: u64, answered: Vec<CallResult>, records: Vec<u8>) {
+    fn deliver(
+        &self,
+        number: u64,
+        answered: Vec<CallResult>,
+        records: Vec<u8>,
+        notices: Vec<CalleeNotice>,
+    ) {
+        let notices: IndexMap<u32, Notice> = notices
+            .into_iter()
+            .map(|CalleeNotice(index, leaving, quiet)| {
+                (index, Notice { leaving, quiet: quiet.map(Span::micros) })
+            })
+            .collect();
         let mut records = Some(Bytes::from(records));
         let list = answered.into_iter().map(|CallResult(index, result, time)| {
             let result = result.map(|signature| EndpointResponse {
@@ -230,7 +256,8 @@
                 body: records.take().unwrap_or_default(),
                 signature: signature.and_then(|s| HeaderValue::from_bytes(&s).ok()),
             });
-            BatchResult { index: index as usize, result, time: Span::micros(time) }
+            let notice = notices.get(&index).copied().unwrap_or_default();
+            BatchResult { index: index as usize, result, time: Span::micros(time), notice }
         });
         let list = list.collect();
         let Some(tx) = self.state.lock().local_batches.get(&number).cloned() else { return };
@@ -256,6 +283,7 @@
                 .iter()
                 .map(|t| Callee(t.name.clone(), t.service.clone(), t.address, t.connections))
                 .collect(),
+            incarnations: self.to.iter().map(|t| t.incarnation).collect(),
             top: self.top,
             times: (left.0, self.times.connect_timeout.0, self.flush.0),
         }
@@ -282,8 +310,8 @@
     fn receive(&self, from: &str, body: &[u8]) {
         match decode(body) {
             Ok(Message::Ask(request)) => self.start_remote_batch(from.into(), *request),
-            Ok(Message::Parts { number, answered, records }) => {
-                self.forwarder.deliver(number, answered, records);
+            Ok(Message::Parts { number, answered, records, notices }) => {
+                self.forwarder.deliver(number, answered, records, notices);
             }
             Ok(Message::Stop(number)) => {
                 let task =
@@ -332,14 +360,11 @@
             connect_timeout: Span(connect),
             deadline: Instant::now() + Span(left).to_std(),
         };
-        let calls = request.to.iter().enumerate().map(|(index, to)| {
-            let target = to.target(self.traffic.zone());
-            async move {
-                let connections = self.traffic.max_connections(&target).max(1);
-                let result =
-                    self.pools.send(&*self.protocol, call, &target, connections, times).await;
-                (index, result, self.ctx.now().since(started))
-            }
+        let targets = request.targets(self.traffic.zone());
+        let calls = targets.iter().enumerate().map(|(index, target)| async move {
+            let connections = self.traffic.max_connections(target).max(1);
+            let result = self.pools.send(self, call, target, connections, times).await;
+            (index, result, self.ctx.now().since(started))
         });
         let mut calls: FuturesUnordered<_> = calls.collect();
         let mut flush = std::pin::pin!(tokio::time::sleep(Span(flush).to_std()));
@@ -351,7 +376,7 @@
                     let finished = ended.is_none();
                     results.extend(ended);
                     if finished || flushed {
-                        self.send_results(from, &request, &mut results);
+                        self.send_results(from, &request, &targets, &mut results);
                     }
                     if finished {
                         return Ok(());
@@ -359,7 +384,7 @@
                 }
                 () = &mut flush, if !flushed => {
                     flushed = true;
-                    self.send_results(from, &request, &mut results);
+                    self.send_results(from, &request, &targets, &mut results);
                 }
             }
         }
@@ -370,11 +395,20 @@
         &self,
         to: &str,
         request: &BatchRequest,
+        targets: &[Target],
         results: &mut Vec<(usize, Result<EndpointResponse, Refusal>, Span)>,
     ) {
         if results.is_empty() {
             return;
         }
+        let now = self.ctx.now();
+        let notices = results.iter().filter_map(|(index, ..)| {
+            let notice = self.traffic.notice(now, targets.get(*index)?);
+            let Notice { leaving, quiet } = notice;
+            let said = leaving || quiet.is_some();
+            said.then(|| CalleeNotice(*index as u32, leaving, quiet.map(|span| span.0)))
+        });
+        let notices = notices.collect();
         let mut bodies = Vec::new();
         let answered = results.drain(..).map(|(index, result, time)| {
             let result = match result {
@@ -392,13 +426,21 @@
         });
         let answered = answered.collect();
         let records = records::merge(bodies.iter().map(|b| &b[..]), request.top as usize).to_vec();
-        let message = Message::Parts { number: request.number, answered, records };
+        let message = Message::Parts { number: request.number, answered, records, notices };
         self.forwarder.peers.send(to, Topic::Relay, encode(&message));
     }
 }
 
+impl BatchRequest {
+    /// Endpoints of the calls, which are in the given zone.
+    fn targets(&self, zone: &str) -> Vec<Target> {
+        let incarnations = self.incarnations.iter().copied().chain(std::iter::repeat(0));
+        self.to.iter().zip(incarnations).map(|(to, of)| to.target(zone, of)).collect()
+    }
+}
+
 impl Callee {
-    fn target(&self, zone: &str) -> Target {
+    fn target(&self, zone: &str, incarnation: u64) -> Target {
         let Self(name, service, address, connections) = self.clone();
         Target {
             key: EndpointKey::default(),
@@ -406,7 +448,7 @@
             service,
             zone: zone.into(),
             address,
-            incarnation: 0,
+            incarnation,
             allowed: connections,
             bearable: connections,
             connections,
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -29,6 +29,7 @@
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
 use crate::util::http::{self, Answer, Limits, Server};
+use crate::util::metrics::Metrics;
 use arc_swap::ArcSwapOption;
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
@@ -70,6 +71,8 @@
     pub bounds: RelayBounds,
     /// Protocol of callers and endpoints.
     pub protocol: Arc<dyn Protocol>,
+    /// Where to count events.
+    pub metrics: Metrics,
 }
 
 /// State and dependencies of the running relay.
@@ -310,7 +313,12 @@
             ctx: ctx.clone(),
             protocol: s.protocol.clone(),
             table: ArcSwapOption::empty(),
-            traffic: Arc::new(TrafficState::new(peers.host(), peers.zone(), s.bounds)),
+            traffic: Arc::new(TrafficState::new(
+                peers.host(),
+                peers.zone(),
+                s.bounds,
+                s.metrics.clone(),
+            )),
             pools: ConnectionPools::default(),
             forwarder: Arc::new(Forwarder::new(peers.clone())),
             failure_logger: FailureLogger::default(),
@@ -388,6 +396,7 @@
             }
             _ = sweep.tick() => {
                 relay.pools.remove_idle();
+                relay.traffic.expire_notices(relay.ctx.now());
                 false
             }
         };
--- a/src/wisteriahead/services/relay/pools.rs
+++ b/src/wisteriahead/services/relay/pools.rs
@@ -1,6 +1,8 @@
 //! Connection pools for endpoints, and sending a call over a pooled connection.
 
-use super::protocol::{Call, EndpointResponse, Protocol, Reply};
+use super::Relay;
+use super::protocol::{Call, EndpointResponse, Reply};
+use crate::core::relay::notices::Access;
 use crate::core::routes::Target;
 use crate::prelude::*;
 use crate::services::transport::{Lease, Pool};
@@ -64,7 +66,7 @@
     /// that it did not run it, and with "may have run" otherwise.
     pub async fn send(
         &self,
-        protocol: &dyn Protocol,
+        relay: &Relay,
         call: &Call,
         to: &Target,
         connections: u32,
@@ -79,8 +81,14 @@
             lease.give_back().await;
             return Err(Refusal::not_run(Reason::Deadline, "no time was left to send the request"));
         }
-        let request = build_request(protocol.request_headers(call, to, left), call);
-        let exchanged = timeout(left.to_std(), exchange(protocol, call, &mut lease, request)).await;
+        // Checked when a connection is there, since the endpoint may have said so in the meantime.
+        if matches!(relay.traffic.notice_access(relay.ctx.now(), to), Access::Closed(_)) {
+            lease.give_back().await;
+            return Err(Refusal::not_run(Reason::Unavailable, "the endpoint wants no requests"));
+        }
+        let request = build_request(relay.protocol.request_headers(call, to, left), call);
+        let exchanged =
+            timeout(left.to_std(), exchange(relay, call, to, &mut lease, request)).await;
         let (part, reusable) = exchanged.unwrap_or_else(|_| {
             Err(Refusal::may_have_run(Reason::Deadline, "the endpoint did not answer in time"))
         })?;
@@ -101,13 +109,20 @@
 
 /// Sends a request and reads the response; also returns whether the connection can be reused.
 async fn exchange(
-    protocol: &dyn Protocol,
+    relay: &Relay,
     call: &Call,
+    to: &Target,
     lease: &mut Lease,
     request: Request<Full<Bytes>>,
 ) -> Result<(Result<EndpointResponse, Refusal>, bool), Refusal> {
     let (head, body) = lease.send(request).await?.into_parts();
-    let result = match protocol.read_response(call, &head) {
+    let reply = relay.protocol.read_response(call, &head);
+    // An answer that is not this endpoint's says nothing about it.
+    if !matches!(reply, Reply::Mismatch | Reply::NotRun(Reason::WrongEndpoint)) {
+        let id = call.meta.id.to_str().unwrap_or_default();
+        relay.traffic.record_notice(relay.ctx.now(), id, to, relay.protocol.read_notice(&head));
+    }
+    let result = match reply {
         Reply::Ran { signature, .. } => Ok(signature),
         Reply::NotRun(reason) => {
             Err(Refusal::not_run(reason, format!("the endpoint answered {}", head.status)))
--- a/src/wisteriahead/services/relay/protocol.rs
+++ b/src/wisteriahead/services/relay/protocol.rs
@@ -2,6 +2,7 @@
 //!
 //! An implementation only reads and writes messages; the relay makes all decisions.
 
+use crate::core::relay::notices::Notice;
 use crate::core::routes::Target;
 use crate::prelude::*;
 use crate::util::http::Answer;
@@ -101,6 +102,9 @@
     /// Interprets the head of an endpoint's response to a call.
     fn read_response(&self, call: &Call, head: &response::Parts) -> Reply;
 
+    /// Reads what an endpoint's response says about further requests.
+    fn read_notice(&self, head: &response::Parts) -> Notice;
+
     /// Builds the response to a caller.
     fn write_response(&self, outcome: Outcome) -> Answer;
 }
--- a/src/wisteriahead/services/relay/traffic.rs
+++ b/src/wisteriahead/services/relay/traffic.rs
@@ -10,12 +10,14 @@
 use crate::core::latency::Histogram;
 use crate::core::plan::{Plan, WeightedRoundRobin};
 use crate::core::relay::groups::Groups;
+use crate::core::relay::notices::{self, Notice, Notices};
 use crate::core::relay::rate::RateLimiter;
 use crate::core::relay::retry_budget::{Bounds, RetryBudget};
 use crate::core::relay::stale_address::StaleAddresses;
 use crate::core::relay::zones::ZoneMonitor;
-use crate::core::routes::Target;
+use crate::core::routes::{Snapshot, Target};
 use crate::prelude::*;
+use crate::util::metrics::Metrics;
 use parking_lot::Mutex;
 use slotmap::SecondaryMap;
 
@@ -45,6 +47,8 @@
     pub cold_slack: f64,
     /// Time within which an acknowledged plan must be in force on every host.
     pub plan_apply: Span,
+    /// Time in which an endpoint that says that it is leaving may still get requests.
+    pub drain: Span,
 }
 
 #[derive(Default)]
@@ -53,19 +57,19 @@
     sent: Vec<Time>,
     limiter: RateLimiter,
     /// How this host reaches it.
-    access: Option<Access>,
+    reach: Option<Reach>,
 }
 
 impl Endpoint {
     /// How this host reaches the endpoint, if it is cached for the target's present limit.
-    fn access(&self, to: &Target) -> Option<Access> {
-        self.access.filter(|a| a.accepted == to.connections)
+    fn reach(&self, to: &Target) -> Option<Reach> {
+        self.reach.filter(|a| a.accepted == to.connections)
     }
 }
 
 /// How this host reaches an endpoint.
 #[derive(Clone, Copy, Debug)]
-struct Access {
+struct Reach {
     /// Connections that the endpoint accepts over all hosts.
     accepted: u32,
     /// This host's share of them.
@@ -74,7 +78,7 @@
     through_owner: bool,
 }
 
-impl Access {
+impl Reach {
     /// Connections for an attempt, of this host or, if it may go through one, of an owner.
     fn connections(self, through_owner: bool) -> u32 {
         if through_owner && self.through_owner { self.share.max(1) } else { self.share }
@@ -120,6 +124,8 @@
     host: Arc<str>,
     zone: Arc<str>,
     bounds: RelayBounds,
+    notices: Mutex<Notices>,
+    metrics: Metrics,
     state: Mutex<State>,
 }
 
@@ -143,11 +149,18 @@
 
 impl TrafficState {
     /// Creates the state of a host that has relayed nothing yet.
-    pub fn new(host: &str, zone: &str, bounds: RelayBounds) -> Self {
+    pub fn new(host: &str, zone: &str, bounds: RelayBounds, metrics: Metrics) -> Self {
         let groups = Groups::new(std::iter::once((host.into(), zone.into())));
         let state =
             State { hosts: vec![host.into()], groups: Arc::new(groups), ..State::default() };
-        Self { host: host.into(), zone: zone.into(), bounds, state: Mutex::new(state) }
+        Self {
+            host: host.into(),
+            zone: zone.into(),
+            bounds,
+            notices: Mutex::default(),
+            metrics,
+            state: Mutex::new(state),
+        }
     }
 
     /// Name of this host.
@@ -179,28 +192,79 @@
         }
         s.hosts = hosts.iter().map(|(host, _)| host.clone()).collect();
         s.groups = Arc::new(Groups::new(hosts.into_iter()));
-        s.endpoints.values_mut().for_each(|e| e.access = None);
+        s.endpoints.values_mut().for_each(|e| e.reach = None);
         true
     }
 
     /// This host's share of the connections to an endpoint.
     pub fn max_connections(&self, to: &Target) -> u32 {
-        self.access(&self.state.lock(), to).share
+        self.reach(&self.state.lock(), to).share
     }
 
-    fn access(&self, s: &State, to: &Target) -> Access {
-        let known = s.endpoints.get(to.key).and_then(|e| e.access(to));
-        known.unwrap_or_else(|| self.find_access(&s.groups, to))
+    fn reach(&self, s: &State, to: &Target) -> Reach {
+        let known = s.endpoints.get(to.key).and_then(|e| e.reach(to));
+        known.unwrap_or_else(|| self.find_reach(&s.groups, to))
     }
 
-    fn find_access(&self, groups: &Groups, to: &Target) -> Access {
-        Access {
+    fn find_reach(&self, groups: &Groups, to: &Target) -> Reach {
+        Reach {
             accepted: to.connections,
             share: groups.connection_share(&self.host, to),
             through_owner: groups.is_divided(&to.zone) && !groups.owns(&self.host, to),
         }
     }
 
+    /// Records what an endpoint said about further requests, in its answer to the request `id`.
+    pub fn record_notice(&self, now: Time, id: &str, from: &Target, notice: Notice) {
+        let news = self.notices.lock().record(now, from, notice);
+        let (endpoint, incarnation) = (&*from.name, from.incarnation);
+        if news.leaving {
+            self.metrics.incr("relay.endpoints_leaving");
+            log::info!(
+                event = "endpoint-leaving", request = id, endpoint, incarnation;
+                "endpoint {endpoint} says that it is leaving; it is chosen last from now on"
+            );
+        }
+        if let Some(span) = notice.quiet.filter(|_| news.quiet) {
+            self.metrics.incr("relay.endpoints_quiet");
+            log::info!(
+                event = "endpoint-quiet", request = id, endpoint, incarnation,
+                quiet_ms = span.as_millis();
+                "endpoint {endpoint} wants no requests from this host for {span}"
+            );
+        }
+    }
+
+    /// Notice of an endpoint that is still valid.
+    pub fn notice(&self, now: Time, of: &Target) -> Notice {
+        self.notices.lock().notice(now, of)
+    }
+
+    /// Drops the notices of endpoints that have no effect any more.
+    pub fn expire_notices(&self, now: Time) {
+        self.notices.lock().expire(now);
+    }
+
+    /// Whether an endpoint may be sent a request.
+    pub fn notice_access(&self, now: Time, to: &Target) -> notices::Access {
+        self.notices.lock().access(now, to, self.bounds.drain)
+    }
+
+    /// Whether too few of a request's shards may be sent to; see [`Notices::closed_until`].
+    pub fn closed_until(
+        &self,
+        now: Time,
+        snapshot: &Snapshot,
+        shards_min: usize,
+    ) -> Option<Option<Time>> {
+        let notices = self.notices.lock();
+        if notices.is_empty() {
+            return None;
+        }
+        let shards = snapshot.shards.iter().map(Vec::as_slice);
+        notices.closed_until(now, shards, self.bounds.drain, shards_min)
+    }
+
     /// Counts a request for a service.
     pub fn record_request(&self, now: Time, service: &Arc<str>) {
         let bounds = &self.bounds.retry_budget;
@@ -265,10 +329,12 @@
         } = &mut *s;
         for t in replicas {
             let Some(e) = endpoints.entry(t.key).map(|e| e.or_default()) else { continue };
-            if e.access(t).is_none() {
-                e.access = Some(self.find_access(groups, t));
+            if e.reach(t).is_none() {
+                e.reach = Some(self.find_reach(groups, t));
             }
         }
+        let notices = self.notices.lock();
+        let notice_of = |t: &Target| notices.access(now, t, self.bounds.drain);
         let in_flight = |key| endpoints.get(key).map_or(0, |e| e.sent.len() as u32);
         let context = ChoiceContext {
             zone: &self.zone,
@@ -285,13 +351,17 @@
         // If this host has a share of no connection at any replica left, it may use one beyond its
         // share, since it could not serve the request otherwise.
         let usable =
-            |e: &Endpoint, t: &Target| e.access(t).map_or(0, |a| a.connections(through_owner));
+            |e: &Endpoint, t: &Target| e.reach(t).map_or(0, |r| r.connections(through_owner));
         let unusable = |t: &Target| endpoints.get(t.key).is_some_and(|e| usable(e, t) == 0);
         let min_connections = u32::from(order.iter().all(|t| unusable(t)));
         order.sort_by_cached_key(|t| {
-            (zone_monitor.is_unresponsive(now, &t.zone), t.cold, is_slow(t))
+            let last = notice_of(t) == notices::Access::Last;
+            (last, zone_monitor.is_unresponsive(now, &t.zone), t.cold, is_slow(t))
         });
-        for target in order.into_iter().filter(|t| !stale_addresses.contains(t)) {
+        let may_send = |t: &&Target| {
+            !stale_addresses.contains(t) && !matches!(notice_of(t), notices::Access::Closed(_))
+        };
+        for target in order.into_iter().filter(may_send) {
             let Some(e) = endpoints.entry(target.key).map(|e| e.or_default()) else { continue };
             let connections = usable(e, target).max(min_connections);
             if e.sent.len() as u32 >= max_in_flight(target, connections) {
@@ -311,10 +381,13 @@
     /// Whether a replica that is reachable has room for a request from this host.
     pub fn has_room(&self, now: Time, replicas: &[Target], plan: &Plan) -> bool {
         let s = self.state.lock();
-        let connections = |t: &Target| self.access(&s, t).connections(true);
+        let connections = |t: &Target| self.reach(&s, t).connections(true);
         let min_connections = u32::from(replicas.iter().all(|t| connections(t) == 0));
+        let notices = self.notices.lock();
         let usable = |t: &&Target| {
-            !s.stale_addresses.contains(t) && !s.zone_monitor.is_unresponsive(now, &t.zone)
+            !s.stale_addresses.contains(t)
+                && !s.zone_monitor.is_unresponsive(now, &t.zone)
+                && !matches!(notices.access(now, t, self.bounds.drain), notices::Access::Closed(_))
         };
         replicas.iter().filter(usable).any(|t| {
             let connections = connections(t).max(min_connections);
@@ -357,6 +430,8 @@
             None => self.record_answer(now, route, to, time),
             Some(Reason::Busy) => self.record_refusal(now, to),
             Some(Reason::WrongEndpoint) => self.record_stale_address(to),
+            // Not sent, as the endpoint wishes.
+            Some(Reason::Unavailable) => {}
             Some(_) => self.record_failure(now, to.key),
         }
     }
--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -26,6 +26,7 @@
 use wisteriahead::core::plan::{
     Destination, Idempotency, Plan, Route, Service as PlanService, Share,
 };
+use wisteriahead::core::relay::notices::Notice;
 use wisteriahead::core::relay::retry_budget::Bounds;
 use wisteriahead::core::routes::{Routes, Target};
 use wisteriahead::kernel::Kernel;
@@ -36,10 +37,17 @@
     AcceptedDocument, Change, Control, Endpoints, Handler, Members, Peers,
 };
 use wisteriahead::util::http::{self, Answer, Server};
+use wisteriahead::util::metrics::Metrics;
 
 const ID: &str = "id";
 const SIGNATURE: &str = "signature";
 const MISSING: &str = "missing";
+/// Milliseconds after which a refused caller may retry.
+const RETRY: &str = "retry";
+const LEAVING: &str = "leaving";
+/// Milliseconds for which an endpoint wants no requests.
+const QUIET: &str = "quiet";
+const DRAIN: Span = Span::millis(300);
 const SHARDS: usize = 4;
 const TOP_RECORDS: u32 = 3;
 /// Connections of an endpoint; enough for several requests of each host at once.
@@ -65,10 +73,18 @@
         Reply::Ran { success: head.status.is_success(), signature }
     }
 
+    fn read_notice(&self, head: &response::Parts) -> Notice {
+        let quiet = head.headers.get(QUIET).and_then(|v| v.to_str().ok()?.parse().ok());
+        Notice { leaving: head.headers.contains_key(LEAVING), quiet: quiet.map(Span::millis) }
+    }
+
     fn write_response(&self, outcome: Outcome) -> Answer {
         let mut r = Response::new(Full::default());
         match outcome {
-            Outcome::Forwarded(part) => *r.status_mut() = part.status,
+            Outcome::Forwarded(part) => {
+                (*r.status_mut(), *r.headers_mut()) = (part.status, part.headers);
+                *r.body_mut() = Full::new(part.body);
+            }
             Outcome::Merged { body, signatures, missing } => {
                 r.headers_mut().insert(MISSING, missing.into());
                 for s in signatures {
@@ -76,8 +92,11 @@
                 }
                 *r.body_mut() = Full::new(body);
             }
-            Outcome::Refused { refusal, .. } => {
+            Outcome::Refused { refusal, retry_after } => {
                 *r.status_mut() = http::status(refusal.reason);
+                if let Some(span) = retry_after {
+                    r.headers_mut().insert(RETRY, span.as_millis().into());
+                }
                 *r.body_mut() = Full::new(refusal.to_string().into());
             }
         }
@@ -98,6 +117,18 @@
     hang: AtomicBool,
     /// Requests that hang now.
     hanging: AtomicUsize,
+    /// Endpoints that say in all answers that they are leaving.
+    leaving: Mutex<IndexSet<String>>,
+    /// Endpoints that refuse all requests and want none for so many milliseconds.
+    quiet: Mutex<IndexMap<String, u64>>,
+    /// Requests by endpoint.
+    by_leaf: Mutex<IndexMap<String, usize>>,
+}
+
+impl LeafState {
+    fn requests_at(&self, leaf: &str) -> usize {
+        self.by_leaf.lock().get(leaf).copied().unwrap_or_default()
+    }
 }
 
 /// A hanging request, which ends when its connection closes.
@@ -116,7 +147,15 @@
             self.leaf_state.hanging.fetch_add(1, Ordering::Relaxed);
             HangingRequest(self.leaf_state.clone())
         });
+        *self.leaf_state.by_leaf.lock().entry(self.name.clone()).or_default() += 1;
         let mut r = Response::new(Full::from(record(&self.name)));
+        if self.leaf_state.leaving.lock().contains(&self.name) {
+            r.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
+        }
+        if let Some(millis) = self.leaf_state.quiet.lock().get(&self.name) {
+            *r.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            r.headers_mut().insert(QUIET, (*millis).into());
+        }
         r.headers_mut().insert(SIGNATURE, HeaderValue::from_str(&self.name).unwrap());
         Box::pin(async move {
             if let Some(_open) = hangs {
@@ -217,10 +256,11 @@
     }
 }
 
-fn plan(shards: usize) -> Plan {
-    let shards: Vec<Arc<str>> = (0..shards).map(|i| format!("s{i}").into()).collect();
-    let service = PlanService { connections: CONNECTIONS, cold_rate: 0 };
-    let services = shards.iter().map(|s| (s.clone(), service.clone())).collect();
+/// A plan with one route to all shards, and one to each alone, by the host `s0` and so on.
+fn plan(shards: usize, connections: u32) -> Plan {
+    let all: Vec<Arc<str>> = (0..shards).map(|i| format!("s{i}").into()).collect();
+    let service = PlanService { connections, cold_rate: 0 };
+    let services = all.iter().map(|s| (s.clone(), service.clone())).collect();
     let route = Route {
         name: "all".into(),
         host: "tier".into(),
@@ -232,12 +272,18 @@
         priority: 0,
         attempts: 2,
         destination: Destination::Gather {
-            shards,
+            shards: all,
             top: TOP_RECORDS,
             least: Share::from_fraction(1.0),
         },
     };
-    Plan { number: 1, routes: vec![route], services, ..Plan::default() }
+    let single = |i: usize| {
+        let service: Arc<str> = format!("s{i}").into();
+        let destination = Destination::Split(vec![(service.clone(), 1)]);
+        Route { name: service.clone(), host: service, destination, ..route.clone() }
+    };
+    let routes = (0..shards).map(single).chain([route.clone()]).collect();
+    Plan { number: 1, routes, services, ..Plan::default() }
 }
 
 /// Hosts and the endpoints of some shards, all of which are in the south. Callers use the first host.
@@ -259,6 +305,15 @@
 
     /// Starts hosts, each given with its zone.
     async fn start_with(hosts: &[(&'static str, &'static str)], shards: usize) -> Self {
+        Self::start_scarce(hosts, shards, CONNECTIONS).await
+    }
+
+    /// Starts hosts; each endpoint accepts so many connections.
+    async fn start_scarce(
+        hosts: &[(&'static str, &'static str)],
+        shards: usize,
+        connections: u32,
+    ) -> Self {
         let leaf_state = Arc::new(LeafState::default());
         let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
         let (mut services, mut leaves) = (IndexMap::new(), Vec::new());
@@ -280,7 +335,7 @@
                     incarnation: 1,
                     allowed: 4,
                     bearable: 4,
-                    connections: CONNECTIONS,
+                    connections,
                     cold: false,
                 });
                 leaves.push(server);
@@ -300,7 +355,7 @@
         let (mut kernels, mut addresses, mut all_services) = (Vec::new(), Vec::new(), Vec::new());
         for &(host, zone) in hosts {
             let accepted = AcceptedDocument {
-                plan: Some(Arc::new(plan(shards))),
+                plan: Some(Arc::new(plan(shards, connections))),
                 ..AcceptedDocument::default()
             };
             let services_of_host = Arc::new(StaticServices {
@@ -327,8 +382,10 @@
                     cold_ratio: 1.0,
                     cold_slack: 0.0,
                     plan_apply: PLAN_APPLY,
+                    drain: DRAIN,
                 },
                 protocol: Arc::new(HeaderProtocol),
+                metrics: Metrics::new(None).unwrap(),
             }));
             kernel.start(relay.clone()).await.unwrap();
             addresses.push(relay.address().unwrap());
@@ -448,11 +505,12 @@
 async fn route_of_a_waiting_plan_is_not_denied() {
     let tier = Tier::start().await;
     tier.gather().await;
-    let mut next = plan(SHARDS);
+    let mut next = plan(SHARDS, CONNECTIONS);
     next.number += 1;
     let service = next.services[0].clone();
     next.services.insert("unannounced".into(), service);
-    let mut added = Route { name: "added".into(), host: "added".into(), ..next.routes[0].clone() };
+    let mut added =
+        Route { name: "added".into(), host: "added".into(), ..next.routes[SHARDS].clone() };
     if let Destination::Gather { shards, .. } = &mut added.destination {
         *shards = vec!["unannounced".into()];
     }
@@ -503,3 +561,97 @@
     })
     .await;
 }
+
+/// Guards against requests to an endpoint that left after it had said so in an answer only: its
+/// announcements are late or say nothing.
+#[tokio::test]
+async fn endpoint_that_says_it_is_leaving_gets_nothing_after_the_drain_time() {
+    for hosts in [&[("north", "north"), ("south", "south")][..], &LARGE_ZONE[..]] {
+        let tier = Tier::start_with(hosts, SHARDS).await;
+        tier.leaf_state.leaving.lock().insert("s0-0".to_owned());
+        wait_until("the endpoint has answered", async || {
+            tier.gather().await;
+            tier.leaf_state.requests_at("s0-0") > 0
+        })
+        .await;
+        tokio::time::sleep(DRAIN.to_std() * 2).await;
+        let before = tier.leaf_state.requests_at("s0-0");
+        for _ in 0..20 {
+            let (names, body) = tier.gather().await;
+            assert_merged(&tier, &names, &body);
+        }
+        assert_eq!(tier.leaf_state.requests_at("s0-0"), before, "{hosts:?}");
+    }
+}
+
+/// Guards against retries, hedges and batches to an endpoint that has just asked to be left alone.
+#[tokio::test]
+async fn endpoint_that_asks_for_quiet_gets_nothing_until_it_ends() {
+    let tier = Tier::start().await;
+    // The other replica only refuses, so that this one would have its turn again.
+    tier.leaf_state.quiet.lock().extend([("s0-0".to_owned(), 600_000), ("s0-1".to_owned(), 0)]);
+    for _ in 0..20 {
+        tier.get().await;
+    }
+    assert!(tier.leaf_state.requests_at("s0-1") > 1);
+    assert!(tier.leaf_state.requests_at("s0-0") <= 1, "asked again during its quiet");
+}
+
+/// Guards against a request that is held, or sent to the other shards in vain, though no endpoint of
+/// one shard takes any.
+#[tokio::test]
+async fn request_is_rejected_at_once_while_all_replicas_of_a_shard_want_quiet() {
+    let tier = Tier::start().await;
+    let quiet = [("s0-0".to_owned(), 1_200), ("s0-1".to_owned(), 600_000)];
+    tier.leaf_state.quiet.lock().extend(quiet);
+    wait_until("both replicas have asked for quiet", async || {
+        tier.get().await;
+        ["s0-0", "s0-1"].iter().all(|leaf| tier.leaf_state.requests_at(leaf) > 0)
+    })
+    .await;
+    let before = tier.leaf_state.requests.load(Ordering::Relaxed);
+    let r = tier.get().await;
+    assert_eq!(r.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let retry: u64 = r.headers()[RETRY].to_str().unwrap().parse().unwrap();
+    assert!(retry <= 1_200, "the first replica takes requests again sooner than in {retry} ms");
+    assert_eq!(tier.leaf_state.requests.load(Ordering::Relaxed), before, "nothing is sent");
+    tier.leaf_state.quiet.lock().clear();
+    // The quiet of the first replica ends.
+    tier.gather().await;
+}
+
+/// Guards against calls of a second request that were under way, on connections already open, when
+/// the endpoint's word came.
+#[tokio::test]
+async fn word_of_an_endpoint_binds_requests_already_under_way() {
+    let tier = Tier::start_with(&LARGE_ZONE, 16).await;
+    tier.gather().await;
+    // The other replica only refuses, so that this one would have its turn again.
+    tier.leaf_state.quiet.lock().extend([("s3-1".to_owned(), 600_000), ("s3-0".to_owned(), 0)]);
+    let started = tier.leaf_state.requests_at("s3-1");
+    futures::future::join_all((0..8).map(|_| tier.get())).await;
+    let at_once = tier.leaf_state.requests_at("s3-1") - started;
+    for _ in 0..60 {
+        tier.get().await;
+    }
+    let later = tier.leaf_state.requests_at("s3-1") - started - at_once;
+    // A host that was not told yet may send one more.
+    assert!(later <= 2, "{later} requests after {at_once} sent at once");
+}
+
+/// Guards against an answer without the endpoint's signature and body: a message through another host
+/// returns merged records only, and a request to one endpoint was sent in one, since this host had
+/// no connection of its own to spare.
+#[tokio::test]
+async fn answer_of_a_single_endpoint_is_unchanged_in_a_large_zone() {
+    const SCARCE: u32 = 8;
+    let tier = Tier::start_scarce(&LARGE_ZONE, 16, SCARCE).await;
+    tier.gather().await;
+    for i in (0..tier.shards).cycle().take(tier.shards * 4) {
+        let r = tier.get_from(&format!("s{i}")).await;
+        assert_eq!(r.status(), StatusCode::OK, "s{i}");
+        let signature = r.headers()[SIGNATURE].to_str().unwrap().to_owned();
+        assert!(signature.starts_with(&format!("s{i}-")), "{signature} answered for s{i}");
+        assert_eq!(r.into_body().collect().await.unwrap().to_bytes(), record(&signature));
+    }
+}
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -10,6 +10,7 @@
 use wisteriahead::core::log_limiter::LogLimiter;
 use wisteriahead::core::records::{RECORD_BYTES, merge};
 use wisteriahead::core::relay::groups::Groups;
+use wisteriahead::core::relay::notices::{Access, Notice, Notices, QUIET_MAX};
 use wisteriahead::core::relay::plan_switch::PlanSwitch;
 use wisteriahead::core::relay::rate::RateLimiter;
 use wisteriahead::core::relay::retry_budget::{Bounds, RetryBudget};
@@ -72,6 +73,44 @@
         }
     }
 
+    /// Whatever the order of answers, attempts and restarts: nothing is allowed to an endpoint during
+    /// the quiet that this incarnation asked for, nor after the drain time once it said that it is
+    /// leaving, and a new incarnation starts anew.
+    #[test]
+    fn word_of_an_endpoint_is_kept(
+        events in prop::collection::vec((0..3_000u64, 0..4u64, any::<bool>(), prop::option::of(0..5_000u64), any::<bool>()), 1..120),
+    ) {
+        const DRAIN: Span = Span::secs(3);
+        let leaf = Endpoints::default().target("north");
+        let (mut now, mut notices) = (Time(0), Notices::default());
+        let (mut newest, mut left, mut quiet) = (0, None, Time(0));
+        for (pause, incarnation, leaving, span, answers) in events {
+            now += Span::millis(pause);
+            let of = Target { incarnation, ..leaf.clone() };
+            if !answers {
+                let access = notices.access(now, &of, DRAIN);
+                if incarnation != newest {
+                    prop_assert_eq!(access, Access::Open);
+                    continue;
+                }
+                let gone = left.is_some_and(|at| now.since(at) >= DRAIN);
+                prop_assert_eq!(matches!(access, Access::Closed(_)), gone || now < quiet);
+                prop_assert_eq!(access == Access::Last, left.is_some() && !gone && now >= quiet);
+                continue;
+            }
+            let notice = Notice { leaving, quiet: span.map(Span::millis) };
+            notices.record(now, &of, notice);
+            if notice == Notice::default() || incarnation < newest {
+                continue;
+            }
+            if incarnation > newest {
+                (newest, left, quiet) = (incarnation, None, Time(0));
+            }
+            left = left.or(leaving.then_some(now));
+            quiet = quiet.max(span.map_or(Time(0), |span| now + Span::millis(span)));
+        }
+    }
+
     /// No window of one second has more than `most` grants.
     #[test]
     fn rate_limit_holds_in_any_second(most in 0..6u32, pauses in prop::collection::vec(0..400_000u64, 1..300)) {
@@ -206,3 +245,43 @@
     assert_eq!(lag.fired(at(2_451), period), Some(Span::millis(500)), "the worst of the second");
     assert_eq!(lag.fired(at(4_000), period), Some(Span::millis(1_499)));
 }
+
+#[test]
+fn quiet_is_bounded_and_reported_once() {
+    let leaf = Endpoints::default().target("north");
+    let mut notices = Notices::default();
+    let endless = Notice { quiet: Some(Span(u64::MAX)), ..Notice::default() };
+    assert!(notices.record(at(0), &leaf, endless).quiet);
+    assert!(!notices.record(at(1), &leaf, endless).quiet, "reported already");
+    let drain = Span::secs(3);
+    let end = at(1) + QUIET_MAX;
+    assert_eq!(notices.access(at(2), &leaf, drain), Access::Closed(Some(end)));
+    assert_eq!(notices.access(end, &leaf, drain), Access::Open);
+    notices.expire(end);
+    assert!(notices.is_empty());
+}
+
+#[test]
+fn closed_shards_reopen_when_enough_endpoints_take_requests_again() {
+    let mut endpoints = Endpoints::default();
+    let shards: Vec<_> =
+        (0..4).map(|_| vec![endpoints.target("north"), endpoints.target("south")]).collect();
+    let mut notices = Notices::default();
+    let mut hush = |leaf: &Target, millis| {
+        notices.record(
+            at(0),
+            leaf,
+            Notice { quiet: Some(Span::millis(millis)), ..Notice::default() },
+        );
+    };
+    hush(&shards[0][0], 900);
+    hush(&shards[0][1], 500);
+    hush(&shards[1][0], 100);
+    hush(&shards[2][0], 700);
+    hush(&shards[2][1], 800);
+    let closed =
+        |min| notices.closed_until(at(1), shards.iter().map(Vec::as_slice), Span::secs(3), min);
+    assert_eq!(closed(2), None, "two shards have an open replica");
+    assert_eq!(closed(3), Some(Some(at(500))));
+    assert_eq!(closed(4), Some(Some(at(700))));
+}
