Return late answers of a batch together, and hedge whole gathers only at the objective

A host that sends for others returned each answer after the first flush in a message of its own: up to 17 messages for one batch. Later ones come at intervals now.

--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -25,9 +25,6 @@
 /// Time reserved for the network between caller and host (specified as 3 ms each way) and for
 /// processing, since callers measure their timeout from when they send.
 const NETWORK_MARGIN: Span = Span::millis(10);
-/// Divisor of the latency objective that gives the time in which a gather is hedged only for its last
-/// shards.
-const HEDGE_FEW_DIVISOR: u64 = 2;
 /// Inverse of the largest fraction of a time limit that the margin may take.
 const MARGIN_DIVISOR: u64 = 3;
 /// Divisor of the latency objective that gives the time a request waits for a free slot.
@@ -235,7 +232,7 @@
         may_restart: false,
         gang_start: matches!(route.destination, Destination::Gather { .. }),
         hedge_few_until: matches!(route.destination, Destination::Gather { .. })
-            .then(|| started + Span(route.objective.0 / HEDGE_FEW_DIVISOR)),
+            .then(|| started + subtract_margin(route.objective)),
         detect_deaths: false,
         partial_after: Some(started + subtract_margin(route.objective)),
         slot_deadline: Some(started + Span(route.objective.0 / SLOT_WAIT_DIVISOR)),
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -5,7 +5,7 @@
 //! The host that received the request makes all decisions: on endpoints, hedges, retries and
 //! budgets. The remote host sends the call to the given endpoints over its own connections and
 //! merges the records of their responses, so that the single responses cause no traffic between
-//! zones. It returns the results that it has after a given time, and each later one as it arrives.
+//! zones. It returns the results that it has after a given time, and later ones at short intervals.
 //! Messages may be lost; the calls then stay open, and the request hedges them like any others.
 
 use super::Relay;
@@ -30,6 +30,7 @@
 use std::time::Instant;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
+use tokio::time::MissedTickBehavior;
 
 /// Minimum number of calls in a batch; with fewer, the batch causes as much traffic between zones as
 /// direct calls.
@@ -41,6 +42,11 @@
 const RELAYS_PER_ZONE: usize = 2;
 /// Time for which no batches are sent through a host that did not respond.
 const AVOID_TIME: Span = Span::secs(2);
+/// Divisor of the time until the first results are returned that gives the pause before further ones,
+/// so that late answers do not come in a message each.
+const LATER_FLUSH_DIVISOR: u64 = 3;
+/// Least pause between two messages with results.
+const LATER_FLUSH_MIN: Span = Span::millis(2);
 /// Maximum number of batches of other hosts in progress.
 const REMOTE_BATCHES_MAX: usize = 4_096;
 
@@ -367,23 +373,23 @@
             (index, result, self.ctx.now().since(started))
         });
         let mut calls: FuturesUnordered<_> = calls.collect();
-        let mut flush = std::pin::pin!(tokio::time::sleep(Span(flush).to_std()));
-        let (mut results, mut flushed) = (Vec::new(), false);
+        let first = tokio::time::Instant::now() + Span(flush).to_std();
+        let pause = Span(flush / LATER_FLUSH_DIVISOR).max(LATER_FLUSH_MIN).to_std();
+        let mut flush = tokio::time::interval_at(first, pause);
+        flush.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut results = Vec::new();
         loop {
             tokio::select! {
                 biased;
                 ended = calls.next() => {
                     let finished = ended.is_none();
                     results.extend(ended);
-                    if finished || flushed {
-                        self.send_results(from, &request, &targets, &mut results);
-                    }
                     if finished {
+                        self.send_results(from, &request, &targets, &mut results);
                         return Ok(());
                     }
                 }
-                () = &mut flush, if !flushed => {
-                    flushed = true;
+                _ = flush.tick() => {
                     self.send_results(from, &request, &targets, &mut results);
                 }
             }
