--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -4,7 +4,7 @@
 use super::Relay;
 use super::failure_log::AttemptLog;
 use super::forward::{BATCH_MIN_CALLS, Batch, BatchResult, PendingBatch};
-use super::pools::CallTimes;
+use super::pools::{CallTimes, PART_MAX_BYTES, RESPONSE_MAX_BYTES};
 use super::protocol::{Call, EndpointResponse, Outcome};
 use super::table::{RouteEntry, RouteTable};
 use super::traffic::Permit;
@@ -367,7 +367,8 @@
     fn times(&self) -> CallTimes {
         let connect_timeout = Span(self.route.objective.0 / CONNECT_DIVISOR)
             .clamp(CONNECT_TIMEOUT_MIN, CONNECT_TIMEOUT_MAX);
-        CallTimes { connect_timeout, deadline: self.deadline }
+        let max_bytes = if self.gathers() { PART_MAX_BYTES } else { RESPONSE_MAX_BYTES };
+        CallTimes { connect_timeout, deadline: self.deadline, max_bytes }
     }
 
     /// Sends an attempt directly to its endpoint.
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -9,7 +9,7 @@
 //! Messages may be lost; the calls then stay open, and the request hedges them like any others.
 
 use super::Relay;
-use super::pools::CallTimes;
+use super::pools::{CallTimes, PART_MAX_BYTES};
 use super::protocol::{Call, EndpointResponse, RequestMeta};
 use crate::core::digest;
 use crate::core::endpoint::EndpointKey;
@@ -365,6 +365,7 @@
         let times = CallTimes {
             connect_timeout: Span(connect),
             deadline: Instant::now() + Span(left).to_std(),
+            max_bytes: PART_MAX_BYTES,
         };
         let targets = request.targets(self.traffic.zone());
         let calls = targets.iter().enumerate().map(|(index, target)| async move {
--- a/src/wisteriahead/services/relay/pools.rs
+++ b/src/wisteriahead/services/relay/pools.rs
@@ -19,7 +19,10 @@
 use tokio::time::timeout;
 
 /// Maximum size of an endpoint's response body.
-const RESPONSE_MAX_BYTES: usize = 4 << 20;
+pub const RESPONSE_MAX_BYTES: usize = 4 << 20;
+/// Maximum size of the response body of one shard of a gather, so that endpoints that send without
+/// end do not fill the host's memory, however many shards there are.
+pub const PART_MAX_BYTES: usize = 256 << 10;
 /// Time without use after which the connections to an address are closed.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Divisor of the maximum of connections that gives the idle connections kept. An endpoint keeps the
@@ -35,13 +38,15 @@
     by_address: Mutex<IndexMap<SocketAddr, Arc<Pool>>>,
 }
 
-/// Time limits of a call.
+/// Limits of a call.
 #[derive(Clone, Copy, Debug)]
 pub struct CallTimes {
     /// Time limit for getting a connection.
     pub connect_timeout: Span,
     /// Time after which the answer is no longer needed.
     pub deadline: Instant,
+    /// Maximum size of the response body.
+    pub max_bytes: usize,
 }
 
 impl ConnectionPools {
@@ -88,7 +93,8 @@
         }
         let request = build_request(relay.protocol.request_headers(call, to, left), call);
         let exchanged =
-            timeout(left.to_std(), exchange(relay, call, to, &mut lease, request)).await;
+            timeout(left.to_std(), exchange(relay, call, to, &mut lease, request, times.max_bytes))
+                .await;
         let (part, reusable) = exchanged.unwrap_or_else(|_| {
             Err(Refusal::may_have_run(Reason::Deadline, "the endpoint did not answer in time"))
         })?;
@@ -114,6 +120,7 @@
     to: &Target,
     lease: &mut Lease,
     request: Request<Full<Bytes>>,
+    max_bytes: usize,
 ) -> Result<(Result<EndpointResponse, Refusal>, bool), Refusal> {
     let (head, body) = lease.send(request).await?.into_parts();
     let reply = relay.protocol.read_response(call, &head);
@@ -132,7 +139,7 @@
             return Err(Refusal::may_have_run(Reason::Mismatch, detail));
         }
     };
-    let body = Limited::new(body, RESPONSE_MAX_BYTES).collect().await.map_err(|e| {
+    let body = Limited::new(body, max_bytes).collect().await.map_err(|e| {
         Refusal::may_have_run(Reason::Connection, format!("the answer broke off: {e}"))
     })?;
     let body = body.to_bytes();
--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -38,6 +39,7 @@
 };
 use wisteriahead::util::http::{self, Answer, Server};
 use wisteriahead::util::metrics::Metrics;
+use yare::parameterized;
 
 const ID: &str = "id";
 const SIGNATURE: &str = "signature";
@@ -305,14 +307,16 @@
 
     /// Starts hosts, each given with its zone.
     async fn start_with(hosts: &[(&'static str, &'static str)], shards: usize) -> Self {
-        Self::start_scarce(hosts, shards, CONNECTIONS).await
+        Self::start_scarce(hosts, shards, CONNECTIONS, None).await
     }
 
-    /// Starts hosts; each endpoint accepts so many connections.
+    /// Starts hosts; each endpoint accepts so many connections. The endpoints of the first shard are
+    /// at the address `broken`, if one is given.
     async fn start_scarce(
         hosts: &[(&'static str, &'static str)],
         shards: usize,
         connections: u32,
+        broken: Option<SocketAddr>,
     ) -> Self {
         let leaf_state = Arc::new(LeafState::default());
         let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
@@ -331,7 +335,7 @@
                     name: name.into(),
                     service: format!("s{shard}").into(),
                     zone: "south".into(),
-                    address: server.address(),
+                    address: broken.filter(|_| shard == 0).unwrap_or(server.address()),
                     incarnation: 1,
                     allowed: 4,
                     bearable: 4,
@@ -645,7 +649,7 @@
 #[tokio::test]
 async fn answer_of_a_single_endpoint_is_unchanged_in_a_large_zone() {
     const SCARCE: u32 = 8;
-    let tier = Tier::start_scarce(&LARGE_ZONE, 16, SCARCE).await;
+    let tier = Tier::start_scarce(&LARGE_ZONE, 16, SCARCE, None).await;
     tier.gather().await;
     for i in (0..tier.shards).cycle().take(tier.shards * 4) {
         let r = tier.get_from(&format!("s{i}")).await;
@@ -655,3 +659,74 @@
         assert_eq!(r.into_body().collect().await.unwrap().to_bytes(), record(&signature));
     }
 }
+
+/// Starts an endpoint that answers each request with `start`, then with `more` again and again until
+/// its connection closes; without `more` it closes the connection itself. Returns its address and the number of
+/// bytes written.
+async fn start_broken(start: &'static [u8], more: &'static [u8]) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = http::bind(ANY).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let written = Arc::new(AtomicUsize::new(0));
+    let total = written.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let total = total.clone();
+            tokio::spawn(async move {
+                let mut request = [0; 4_096];
+                let _ = stream.read(&mut request).await;
+                let mut bytes = start;
+                while !bytes.is_empty() && stream.write_all(bytes).await.is_ok() {
+                    total.fetch_add(bytes.len(), Ordering::Relaxed);
+                    bytes = more;
+                }
+            });
+        }
+    });
+    (address, written)
+}
+
+/// Guards against a success made of an answer that broke off, and against endpoints that send bytes
+/// without end: the caller gets a failure, and what the host reads is bounded.
+#[parameterized(
+    head_broken_off = { b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\nconte", b"" },
+    status_broken_off = { b"HTTP/1.1 20", b"" },
+    body_broken_off = { b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\ncontent-length: 32\r\n\r\n0123456789abcdef", b"" },
+    endless_head = { b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\n", b"x-more: 0123456789abcdef\r\n" },
+    endless_header = { b"HTTP/1.1 200 OK\r\nsignature: ", b"0123456789abcdef" },
+    endless_body = { b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\n\r\n", &[b'7'; 65_536] },
+    endless_chunks = { b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\ntransfer-encoding: chunked\r\n\r\n", b"4\r\nmore\r\n" },
+    no_answer_at_all = { b"\x00\x01\x02", &[0xff; 4_096] },
+)]
+#[test_macro(tokio::test)]
+async fn broken_answer_is_a_failure_and_is_not_read_without_end(
+    start: &'static [u8],
+    more: &'static [u8],
+) {
+    /// Bytes that two endpoints may write before they notice that the connection is closed.
+    const WRITTEN_MAX: usize = 64 << 20;
+    let (broken, written) = start_broken(start, more).await;
+    let hosts = [("north", "north"), ("south", "south")];
+    let tier = Tier::start_scarce(&hosts, SHARDS, CONNECTIONS, Some(broken)).await;
+    for host in ["s0", "tier"] {
+        let status = timeout(HANG_TIMEOUT, async {
+            loop {
+                let status = tier.get_from(host).await.status();
+                // The host has not applied its plan yet.
+                if status != StatusCode::SERVICE_UNAVAILABLE || written.load(Ordering::Relaxed) > 0
+                {
+                    return status;
+                }
+            }
+        });
+        let status = status.await.expect("the caller is answered");
+        assert!(status.is_server_error(), "{host}: {status}");
+    }
+    let mut before = usize::MAX;
+    wait_until("the connections are closed", async || {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        let last = std::mem::replace(&mut before, written.load(Ordering::Relaxed));
+        last == before
+    })
+    .await;
+    assert!(before < WRITTEN_MAX, "{before} bytes were read");
+}
