--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -320,8 +320,9 @@
         matches!(self.route.destination, Destination::Gather { .. })
     }
 
-    /// Sends attempts: several to endpoints that other hosts own, or that are in another zone, as
-    /// batches through a host there, the others directly.
+    /// Sends attempts: several to endpoints of a group, or of another zone, as batches through a host
+    /// that owns them, the others directly. Even calls that this host could send itself go through
+    /// another owner, since the sends of a whole group take a slow host most of an objective.
     fn send_all(&mut self, attempts: Vec<Attempt>) {
         let traffic = &self.relay.traffic;
         let groups = traffic.groups();
@@ -337,7 +338,7 @@
             let to = &attempt.to;
             if !self.gathers()
                 || !first
-                || (*to.zone == *traffic.zone() && groups.owns(traffic.host(), to))
+                || (*to.zone == *traffic.zone() && !groups.is_divided(&to.zone))
             {
                 direct.push(attempt);
                 continue;
