Keep connections to preferred hosts open, and answer earlier on a slow host

The others end at 130 to 190 ms, their first answer coming after 50 to 97 ms: connections between hosts close after 4 s without use and have to be opened first.

Now each host keeps its connections to the owners that it prefers open, by a message each 1.5 s; and the margin before the objective follows the time that merges take on this host, at most half of the objective.

--- a/src/wisteriahead/core/relay/groups.rs
+++ b/src/wisteriahead/core/relay/groups.rs
@@ -58,6 +58,20 @@
         self.zones.get(zone).and_then(|groups| groups.get(group)).map_or(&[], Vec::as_slice)
     }
 
+    /// Groups that a gather of `host` sends most of its calls to, each with its zone: those of its own
+    /// zone and of the other zone that it prefers.
+    pub fn preferred<'a>(
+        &'a self,
+        host: &'a str,
+        own_zone: &'a str,
+    ) -> impl Iterator<Item = (&'a str, &'a [Arc<str>])> {
+        let others = self.zones.keys().filter(|zone| ***zone != *own_zone);
+        let other = others.min_by_key(|zone| zone_rank(host, zone)).map(|zone| &**zone);
+        let zones = [Some(own_zone), other].into_iter().flatten();
+        let groups = |zone| self.zones.get(zone).filter(|groups| groups.len() > 1);
+        zones.flat_map(move |zone| groups(zone).into_iter().flatten().map(move |g| (zone, &g[..])))
+    }
+
     /// Hosts that own an endpoint.
     fn owners_of(&self, to: &Target) -> &[Arc<str>] {
         self.owners(&to.zone, self.group(&to.zone, &to.service))
@@ -93,3 +107,8 @@
         u32::from(ahead.count() < others)
     }
 }
+
+/// Rank of another zone among those that a host prefers; the lowest is preferred.
+pub fn zone_rank(host: &str, zone: &str) -> u64 {
+    digest::hash(&[host, zone]).max(1)
+}
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -18,15 +18,20 @@
 use crate::prelude::*;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt as _};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinHandle};
 
-/// Time reserved for the network between caller and host (specified as 3 ms each way) and for
+/// Least time reserved for the network between caller and host (specified as 3 ms each way) and for
 /// processing, since callers measure their timeout from when they send.
 const NETWORK_MARGIN: Span = Span::millis(10);
 /// Inverse of the largest fraction of a time limit that the margin may take.
-const MARGIN_DIVISOR: u64 = 3;
+const MARGIN_DIVISOR: u64 = 2;
+/// Steps of a gather that take about as long as a merge: reading the request, merging, writing.
+const MERGE_STEPS: u64 = 3;
+/// Inverse of the weight of the newest merge in the moving average.
+const MERGE_WEIGHT_DIVISOR: u64 = 8;
 /// Divisor of the latency objective that gives the time a request waits for a free slot.
 const SLOT_WAIT_DIVISOR: u64 = 4;
 /// Divisor of the latency objective that gives the timeout for connecting to an endpoint.
@@ -44,9 +49,27 @@
 /// that they arrive before the missing ones are hedged.
 const FLUSH_FRACTION: (u64, u64) = (3, 5);
 
-/// Time within which an answer must be sent to reach the caller within `span`.
-fn subtract_margin(span: Span) -> Span {
-    Span(span.0.saturating_sub(NETWORK_MARGIN.0.min(span.0 / MARGIN_DIVISOR)))
+/// Time by which the shards of an answer must be in for it to reach the caller within `span`.
+fn subtract_margin(span: Span, margin: Span) -> Span {
+    Span(span.0.saturating_sub(margin.0.min(span.0 / MARGIN_DIVISOR)))
+}
+
+/// Moving average of the time that a host takes to merge the shards of an answer and log it. On a
+/// slow host, reading the request and writing the answer take about as long each.
+#[derive(Default)]
+pub struct MergeTime(AtomicU64);
+
+impl MergeTime {
+    fn record(&self, span: Span) {
+        let old = self.0.load(Ordering::Relaxed);
+        let mean = old - old / MERGE_WEIGHT_DIVISOR + span.0 / MERGE_WEIGHT_DIVISOR;
+        self.0.store(mean, Ordering::Relaxed);
+    }
+
+    /// Time to reserve for the way to the caller and for what this host does besides waiting.
+    fn margin(&self) -> Span {
+        Span(NETWORK_MARGIN.0 + MERGE_STEPS * self.0.load(Ordering::Relaxed))
+    }
 }
 
 /// Environment of a query: the traffic state and the plan of its route.
@@ -189,7 +212,8 @@
     }
     services(route, part.unwrap_or(0)).for_each(|s| relay.traffic.record_request(started, s));
     let timeout = call.meta.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let deadline = started + subtract_margin(timeout);
+    let margin = relay.merge_time.margin();
+    let deadline = started + subtract_margin(timeout, margin);
     let waited = relay.ctx.now().since(started);
     let id = call.meta.id.clone();
     let driver = Driver {
@@ -208,13 +232,17 @@
         attempt_log: AttemptLog::default(),
     };
     let shards = snapshot.shard_count();
-    let gather =
-        Gather::new(snapshot.clone(), deadline, min_coverage).with_policy(policy(route, started));
+    let gather = Gather::new(snapshot.clone(), deadline, min_coverage)
+        .with_policy(policy(route, started, margin));
     let (gather, failure, mut attempt_log) = driver.run(gather).await;
+    let ended = relay.ctx.now();
     attempt_log.record_unanswered(&gather);
     let outcome = to_outcome(route, gather, shards, failure);
     let id = id.to_str().unwrap_or_default();
     relay.failure_logger.log(relay.ctx.now(), id, route, &snapshot, &attempt_log, &outcome);
+    if matches!(outcome, Outcome::Merged { .. }) {
+        relay.merge_time.record(relay.ctx.now().since(ended));
+    }
     outcome
 }
 
@@ -224,7 +252,8 @@
     route.destination.services().skip(part).take(if one { 1 } else { usize::MAX })
 }
 
-fn policy(route: &Route, started: Time) -> Policy {
+fn policy(route: &Route, started: Time, margin: Span) -> Policy {
+    let answer_by = started + subtract_margin(route.objective, margin);
     Policy {
         max_attempts: route.attempts,
         idempotent: route.repeat == Idempotency::Idempotent,
@@ -232,9 +261,9 @@
         may_restart: false,
         gang_start: matches!(route.destination, Destination::Gather { .. }),
         hedge_few_until: matches!(route.destination, Destination::Gather { .. })
-            .then(|| started + subtract_margin(route.objective)),
+            .then_some(answer_by),
         detect_deaths: false,
-        partial_after: Some(started + subtract_margin(route.objective)),
+        partial_after: Some(answer_by),
         slot_deadline: Some(started + Span(route.objective.0 / SLOT_WAIT_DIVISOR)),
     }
 }
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -47,6 +47,8 @@
 const LATER_FLUSH_DIVISOR: u64 = 3;
 /// Least pause between two messages with results.
 const LATER_FLUSH_MIN: Span = Span::millis(2);
+/// Number that no batch has.
+const NO_BATCH: u64 = u64::MAX;
 /// Maximum number of batches of other hosts in progress.
 const REMOTE_BATCHES_MAX: usize = 4_096;
 
@@ -224,6 +226,11 @@
         self.state.lock().avoided.insert(host.clone(), now + AVOID_TIME);
     }
 
+    /// Keeps the connection to a host open.
+    pub fn keep_alive(&self, host: &str) {
+        self.peers.send(host, Topic::Relay, encode(&Message::Stop(NO_BATCH)));
+    }
+
     /// Sends a batch through a host.
     pub fn send(self: &Arc<Self>, host: Arc<str>, batch: &Batch<'_>) -> PendingBatch {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -14,6 +14,7 @@
 pub use self::pools::end_to_end;
 pub use self::traffic::RelayBounds;
 
+use self::drive::MergeTime;
 use self::failure_log::{FailureLogger, UnknownRoute};
 use self::forward::Forwarder;
 use self::pools::ConnectionPools;
@@ -43,8 +44,11 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{MissedTickBehavior, timeout};
 
+/// Interval at which messages keep the connections to preferred hosts open; unused ones close after
+/// 4 s.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Interval at which idle connection pools are removed.
 const POOL_SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 /// Idle timeout of a caller's connection. It exceeds the limit that a plan is likely to set, since
@@ -84,6 +88,7 @@
     pools: ConnectionPools,
     forwarder: Arc<Forwarder>,
     failure_logger: FailureLogger,
+    merge_time: MergeTime,
     control: Arc<dyn Control>,
     accepted: watch::Receiver<AcceptedDocument>,
     /// Reference to the relay itself, for the tasks that it spawns.
@@ -207,6 +212,17 @@
         }
     }
 
+    /// Keeps the connections open to the hosts that this one sends the calls of a gather through, since
+    /// a gather that has to open them is late.
+    fn keep_connections(&self) {
+        let (now, groups) = (self.ctx.now(), self.traffic.groups());
+        for (zone, owners) in groups.preferred(self.traffic.host(), self.traffic.zone()) {
+            if let Some(host) = self.forwarder.choose(now, zone, owners) {
+                self.forwarder.keep_alive(&host);
+            }
+        }
+    }
+
     /// Replaces the route table by one for the newest plan and endpoints; returns whether the newest
     /// plan still waits for its endpoints, in which case the table keeps the current plan.
     fn update_table(
@@ -322,6 +338,7 @@
             pools: ConnectionPools::default(),
             forwarder: Arc::new(Forwarder::new(peers.clone())),
             failure_logger: FailureLogger::default(),
+            merge_time: MergeTime::default(),
             accepted: control.watch(),
             control: control.clone(),
         });
@@ -369,6 +386,8 @@
     relay.set_members(&members.borrow_and_update());
     let mut sweep = tokio::time::interval(POOL_SWEEP_INTERVAL);
     let mut probe = tokio::time::interval(PROBE_INTERVAL);
+    let mut keep_alive = tokio::time::interval(KEEP_ALIVE_INTERVAL);
+    keep_alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (mut stale, mut switch) = (true, PlanSwitch::default());
     loop {
         if stale {
@@ -394,6 +413,10 @@
                 relay.set_members(&members.borrow_and_update());
                 changed.is_err()
             }
+            _ = keep_alive.tick() => {
+                relay.keep_connections();
+                false
+            }
             _ = sweep.tick() => {
                 relay.pools.remove_idle();
                 relay.traffic.expire_notices(relay.ctx.now());
--- a/src/wisteriahead/services/relay/traffic.rs
+++ b/src/wisteriahead/services/relay/traffic.rs
@@ -5,11 +5,10 @@
 //! before any of its requests has failed.
 
 use crate::core::choice::{ChoiceContext, Latencies};
-use crate::core::digest;
 use crate::core::endpoint::host_share;
 use crate::core::latency::Histogram;
 use crate::core::plan::{Plan, WeightedRoundRobin};
-use crate::core::relay::groups::Groups;
+use crate::core::relay::groups::{Groups, zone_rank};
 use crate::core::relay::notices::{self, Notice, Notices};
 use crate::core::relay::rate::RateLimiter;
 use crate::core::relay::retry_budget::{Bounds, RetryBudget};
@@ -341,7 +340,7 @@
             in_flight: &in_flight,
             seed: *choices,
             zone_penalty: REMOTE_ZONE_COST_DOUBLINGS,
-            zone_rank: &|zone| digest::hash(&[&self.host, zone]).max(1),
+            zone_rank: &|zone| zone_rank(&self.host, zone),
         };
         let mut order = latencies.order(now, replicas, tried, &context);
         let is_slow = |t: &Target| {
