--- a/src/wisteriahead/core/choice.rs
+++ b/src/wisteriahead/core/choice.rs
@@ -3,7 +3,8 @@
 //! Each replica has a cost: its average latency, rounded to a power of two, times one more than
 //! the requests that this host has in flight there. The replica with the least cost comes first.
 //! Among equal costs, a replica in this host's availability zone comes first, then one in the other
-//! zone that this host prefers, then a pseudo-random one. Averages decay with time, so that a replica that failed is tried again.
+//! zone that this host prefers, then a pseudo-random one. Averages decay with time, so that a replica
+//! that failed is tried again.
 
 use super::endpoint::EndpointKey;
 use super::routes::Target;
--- a/src/wisteriahead/core/relay/groups.rs
+++ b/src/wisteriahead/core/relay/groups.rs
@@ -4,7 +4,7 @@
 //! endpoint, most connections would be new or missing, and one slow host would send a whole gather.
 //! The hosts of an availability zone are therefore divided into groups, and each service belongs to
 //! one group of each zone: its owners, which hold most of the connections to its endpoints there.
-//! Other hosts send to these endpoints through an owner. In a zone with few hosts all are owners.
+//! Gathers reach these endpoints through an owner. In a zone with few hosts all are owners.
 
 use crate::core::digest;
 use crate::core::routes::Target;
