--- a/src/wisteriahead/core/choice.rs
+++ b/src/wisteriahead/core/choice.rs
@@ -3,8 +3,8 @@
 //! Each replica has a cost: its average latency, rounded to a power of two, times one more than
 //! the requests that this host has in flight there. The replica with the least cost comes first.
 //! Among equal costs, a replica in this host's availability zone comes first, then one in the other
-//! zone that this host prefers, then a pseudo-random one. Averages decay with time, so that a replica
-//! that failed is tried again.
+//! zone that this host prefers, then a pseudo-random one. Averages approach the usual latency with time,
+//! so that a replica that failed is tried again.
 
 use super::endpoint::EndpointKey;
 use super::routes::Target;
@@ -29,9 +29,10 @@
 }
 
 impl Average {
-    fn decayed(self, now: Time) -> f64 {
+    /// The average now, which approaches `usual`.
+    fn decayed(self, now: Time, usual: f64) -> f64 {
         let age = now.since(self.updated).0 as f64 / HALF_LIFE.0 as f64;
-        self.mean * (-age).exp2()
+        usual + (self.mean - usual) * (-age).exp2()
     }
 }
 
@@ -52,7 +53,7 @@
 
     /// Records a refusal by an endpoint without a free slot.
     pub fn record_refusal(&mut self, now: Time, key: EndpointKey) {
-        let old = self.averages.get(key).map_or(0.0, |a| a.decayed(now));
+        let old = self.averages.get(key).map_or(0.0, |a| a.decayed(now, 0.0));
         let mean = old + MEAN_WEIGHT * (REFUSAL_LATENCY.0 as f64 - old);
         self.averages.insert(key, Average { mean, updated: now });
     }
@@ -62,12 +63,21 @@
         self.averages.insert(key, Average { mean: FAILURE_LATENCY.0 as f64, updated: now });
     }
 
-    fn cost(&self, now: Time, key: EndpointKey, in_flight: u32) -> u64 {
-        let mean = self.averages.get(key).map_or(0.0, |a| a.decayed(now));
+    fn cost(&self, now: Time, key: EndpointKey, context: &ChoiceContext<'_>) -> u64 {
+        let (usual, in_flight) = (context.usual.0 as f64, (context.in_flight)(key));
+        let mean = self.averages.get(key).map_or(usual, |a| a.decayed(now, usual));
         let power = mean.max(1.0).log2().round() as u32;
         (1u64 << power.min(40)) * u64::from(in_flight + 1)
     }
 
+    /// Rank of a replica; the lowest is the best.
+    pub fn rank(&self, now: Time, of: &Target, context: &ChoiceContext<'_>) -> (u64, u64, u64) {
+        let is_remote = &*of.zone != context.zone;
+        let cost = self.cost(now, of.key, context);
+        let (doublings, zone) = if is_remote { (context.zone_cost)(&of.zone) } else { (0, 0) };
+        (cost << doublings, zone, tie_break(context.seed, of.key))
+    }
+
     /// The replicas that are not in `tried`, the best one first.
     pub fn order<'a>(
         &self,
@@ -77,15 +87,7 @@
         context: &ChoiceContext<'_>,
     ) -> Vec<&'a Target> {
         let mut untried: Vec<_> = replicas.iter().filter(|t| !tried.contains(&t.key)).collect();
-        untried.sort_by_cached_key(|t| {
-            let is_remote = &*t.zone != context.zone;
-            let cost = self.cost(now, t.key, (context.in_flight)(t.key));
-            (
-                cost << if is_remote { context.zone_penalty } else { 0 },
-                if is_remote { (context.zone_rank)(&t.zone) } else { 0 },
-                tie_break(context.seed, t.key),
-            )
-        });
+        untried.sort_by_cached_key(|t| self.rank(now, t, context));
         untried
     }
 }
@@ -96,10 +98,12 @@
     pub zone: &'a str,
     /// Number of requests that this host has in flight at an endpoint.
     pub in_flight: &'a dyn Fn(EndpointKey) -> u32,
-    /// Number of times that the cost of an endpoint in another zone is doubled.
-    pub zone_penalty: u32,
-    /// Rank above 0 of another zone; the lowest is preferred.
-    pub zone_rank: &'a dyn Fn(&str) -> u64,
+    /// Latency that an average without new samples approaches. On a host with few requests it is more
+    /// than zero, or all endpoints that were used before would rank after those that were not.
+    pub usual: Span,
+    /// Number of times that the cost of an endpoint in another zone is doubled, and the zone's rank
+    /// above 0; of equal costs the lowest rank is preferred.
+    pub zone_cost: &'a dyn Fn(&str) -> (u32, u64),
     /// Seed of the pseudo-random tie-break; differs between choices.
     pub seed: u64,
 }
--- a/src/wisteriahead/core/relay/groups.rs
+++ b/src/wisteriahead/core/relay/groups.rs
@@ -1,10 +1,12 @@
 //! Groups of hosts that hold the connections to the endpoints of a part of the services.
 //!
-//! An endpoint accepts fewer connections than a large tier has hosts. If each host sent to each
-//! endpoint, most connections would be new or missing, and one slow host would send a whole gather.
-//! The hosts of an availability zone are therefore divided into groups, and each service belongs to
-//! one group of each zone: its owners, which hold most of the connections to its endpoints there.
-//! Gathers reach these endpoints through an owner. In a zone with few hosts all are owners.
+//! Answers the load of gathers over many shards in a large tier. An endpoint accepts fewer
+//! connections than a large tier has hosts. If each host sent to each endpoint, most connections
+//! would be new or missing, and one slow host would send a whole gather. The hosts of an availability
+//! zone are therefore divided into groups, and each service belongs to one group of each zone: its
+//! owners, which hold most of the connections to its endpoints there. Gathers reach these endpoints
+//! through an owner. In a zone with few hosts all are owners; they share the calls of a large gather
+//! all the same.
 
 use crate::core::digest;
 use crate::core::routes::Target;
@@ -13,15 +15,55 @@
 
 /// Number of hosts in a group, so that the loss of one leaves enough.
 const GROUP_HOSTS: usize = 4;
-/// Maximum number of groups in a zone, since a gather sends a message to each.
-const GROUPS_MAX: usize = 8;
+/// Maximum number of groups in a zone, since a gather sends a message to each, and a message costs about
+/// as much processor time as three calls.
+const GROUPS_MAX: usize = 4;
 /// Inverse of the fraction of an endpoint's connections that its owners hold.
 const OWNED_DIVISOR: u32 = 2;
+/// Number of calls of a gather to one zone that another host of an undivided zone is worth a message
+/// for.
+const PART_CALLS: usize = 16;
+
+/// Hosts of one availability zone.
+#[derive(Clone, Debug, Default)]
+struct Zone {
+    /// Hosts of each group; a single one unless the zone is divided.
+    groups: Vec<Vec<Arc<str>>>,
+    divided: bool,
+}
+
+impl Zone {
+    fn new(mut hosts: Vec<Arc<str>>) -> Self {
+        hosts.sort_by_cached_key(|host| digest::hash(&[host]));
+        let count = (hosts.len() / GROUP_HOSTS).clamp(1, GROUPS_MAX);
+        Self { groups: divide(hosts, count), divided: count > 1 }
+    }
+}
+
+/// Divides hosts into groups whose sizes differ by one at most. Each host joins the group that it ranks
+/// highest among those with room, so that a host that comes or goes moves few others.
+fn divide(hosts: Vec<Arc<str>>, count: usize) -> Vec<Vec<Arc<str>>> {
+    let (size, mut larger) = (hosts.len() / count, hosts.len() % count);
+    let names: Vec<String> = (0..count).map(|group| group.to_string()).collect();
+    let mut groups: Vec<Vec<Arc<str>>> = vec![Vec::new(); count];
+    for host in hosts {
+        let has_room = |group: &usize| {
+            groups[*group].len() < size || (groups[*group].len() == size && larger > 0)
+        };
+        let open = (0..count).filter(has_room);
+        let Some(group) = open.max_by_key(|group| digest::hash(&[&names[*group], &host])) else {
+            continue;
+        };
+        larger -= usize::from(groups[group].len() == size);
+        groups[group].push(host);
+    }
+    groups
+}
 
 /// Hosts of all zones, by zone and group.
 #[derive(Clone, Debug, Default)]
 pub struct Groups {
-    zones: IndexMap<Arc<str>, Vec<Vec<Arc<str>>>>,
+    zones: IndexMap<Arc<str>, Zone>,
     /// Number of all hosts.
     hosts: usize,
 }
@@ -31,50 +73,56 @@
     pub fn new(hosts: impl Iterator<Item = (Arc<str>, Arc<str>)>) -> Self {
         let mut all: IndexMap<Arc<str>, Vec<Arc<str>>> = IndexMap::new();
         hosts.for_each(|(host, zone)| all.entry(zone).or_default().push(host));
-        let count = all.values().map(Vec::len).sum();
-        let zones = all.into_iter().map(|(zone, mut list)| {
-            list.sort_by_cached_key(|host| digest::hash(&[host]));
-            let groups = (list.len() / GROUP_HOSTS).clamp(1, GROUPS_MAX);
-            let mut divided = vec![Vec::new(); groups];
-            list.into_iter().enumerate().for_each(|(i, host)| divided[i % groups].push(host));
-            (zone, divided)
-        });
-        Self { zones: zones.collect(), hosts: count }
+        let hosts = all.values().map(Vec::len).sum();
+        let zones = all.into_iter().map(|(zone, list)| (zone, Zone::new(list)));
+        Self { zones: zones.collect(), hosts }
     }
 
-    /// Group of a zone that a service belongs to.
-    pub fn group(&self, zone: &str, service: &str) -> usize {
-        let groups = self.zones.get(zone).map_or(1, Vec::len);
-        (digest::hash(&[service]) % groups as u64) as usize
+    /// Number of messages in which `host` sends `calls` calls of one gather to the endpoints of a zone:
+    /// one for each group of a divided zone, otherwise at most one for each other host.
+    pub fn parts(&self, host: &str, zone: &str, calls: usize) -> usize {
+        let Some(z) = self.zones.get(zone) else { return 1 };
+        if z.divided {
+            return z.groups.len();
+        }
+        let others = z.groups.first().map_or(0, |g| g.iter().filter(|h| ***h != *host).count());
+        (calls / PART_CALLS).clamp(1, others.max(1))
+    }
+
+    /// Which of so many parts the calls to a service belong to; in a divided zone its group.
+    pub fn part(service: &str, parts: usize) -> usize {
+        (digest::hash(&[service]) % parts.max(1) as u64) as usize
     }
 
     /// Whether the hosts of a zone are divided.
     pub fn is_divided(&self, zone: &str) -> bool {
-        self.zones.get(zone).is_some_and(|groups| groups.len() > 1)
+        self.zones.get(zone).is_some_and(|z| z.divided)
     }
 
-    /// Hosts of a group.
-    pub fn owners(&self, zone: &str, group: usize) -> &[Arc<str>] {
-        self.zones.get(zone).and_then(|groups| groups.get(group)).map_or(&[], Vec::as_slice)
+    /// Owners of the endpoints of a group of a divided zone that accept so many connections each: no more
+    /// hosts than there are connections for, and one that is not known here yet.
+    pub fn owners(&self, zone: &str, group: usize, connections: u32) -> &[Arc<str>] {
+        let z = self.zones.get(zone).filter(|z| z.divided);
+        let all = z.and_then(|z| z.groups.get(group)).map_or(&[][..], Vec::as_slice);
+        let most = (connections / OWNED_DIVISOR).saturating_sub(1).max(1) as usize;
+        &all[..all.len().min(most)]
     }
 
-    /// Groups that a gather of `host` sends most of its calls to, each with its zone: those of its own
-    /// zone and of the other zone that it prefers.
-    pub fn preferred<'a>(
-        &'a self,
-        host: &'a str,
-        own_zone: &'a str,
-    ) -> impl Iterator<Item = (&'a str, &'a [Arc<str>])> {
-        let others = self.zones.keys().filter(|zone| ***zone != *own_zone);
-        let other = others.min_by_key(|zone| zone_rank(host, zone)).map(|zone| &**zone);
-        let zones = [Some(own_zone), other].into_iter().flatten();
-        let groups = |zone| self.zones.get(zone).filter(|groups| groups.len() > 1);
-        zones.flat_map(move |zone| groups(zone).into_iter().flatten().map(move |g| (zone, &g[..])))
+    /// Hosts of an undivided zone other than `host` that a part of its calls may be sent through, in
+    /// the order of preference; each part prefers a different one.
+    pub fn helpers(&self, host: &str, zone: &str, part: usize) -> Vec<Arc<str>> {
+        let all =
+            self.zones.get(zone).and_then(|z| z.groups.first()).map_or(&[][..], Vec::as_slice);
+        let mut others: Vec<_> = all.iter().filter(|h| ***h != *host).cloned().collect();
+        let count = others.len().max(1);
+        others.rotate_left(part % count);
+        others
     }
 
-    /// Hosts that own an endpoint.
-    fn owners_of(&self, to: &Target) -> &[Arc<str>] {
-        self.owners(&to.zone, self.group(&to.zone, &to.service))
+    /// Hosts that own an endpoint of a divided zone.
+    pub fn owners_of(&self, to: &Target) -> &[Arc<str>] {
+        let groups = self.zones.get(&to.zone).map_or(1, |z| z.groups.len());
+        self.owners(&to.zone, Self::part(&to.service, groups), to.connections)
     }
 
     /// Whether a host owns an endpoint, or the hosts of its zone are not divided.
@@ -92,14 +140,14 @@
         if shares <= to.connections {
             return to.connections / shares;
         }
-        let owners = if self.is_divided(&to.zone) { self.owners_of(to) } else { &[] };
+        let owners = self.owners_of(to);
         let owned = if owners.is_empty() { 0 } else { to.connections / OWNED_DIVISOR };
         if owners.iter().any(|owner| **owner == *host) {
             return (owned / (owners.len() as u32 + 1)).max(1);
         }
         let others = (to.connections - owned).saturating_sub(1).max(1) as usize;
         let own = (digest::hash(&[&to.name, host]), host);
-        let all = self.zones.values().flatten().flatten();
+        let all = self.zones.values().flat_map(|z| &z.groups).flatten();
         let ahead = all
             .filter(|h| !owners.contains(h))
             .filter(|h| (digest::hash(&[&to.name, h]), &***h) > own)
@@ -107,8 +155,3 @@
         u32::from(ahead.count() < others)
     }
 }
-
-/// Rank of another zone among those that a host prefers; the lowest is preferred.
-pub fn zone_rank(host: &str, zone: &str) -> u64 {
-    digest::hash(&[host, zone]).max(1)
-}
--- a/src/wisteriahead/core/relay/mod.rs
+++ b/src/wisteriahead/core/relay/mod.rs
@@ -1,10 +1,12 @@
 //! Decisions of a host that relays requests: the budget of extra attempts, the rate to endpoints
-//! in cold start, which endpoints and zones to avoid, through which hosts to send, and when to
-//! switch plans.
+//! in cold start, which endpoints and zones to avoid, which to connect to early, through which hosts
+//! to send, and when to switch plans.
 //!
 //! The budget and the rate are limits on the sum over all hosts. They hold without coordination:
 //! each host keeps to its own share, and the shares add up to less than the whole.
 
+pub mod cover;
+pub mod early;
 pub mod groups;
 pub mod notices;
 pub mod plan_switch;
--- a/src/wisteriahead/services/entry/stats.rs
+++ b/src/wisteriahead/services/entry/stats.rs
@@ -66,8 +66,8 @@
             zone: &self.zone,
             in_flight: &in_flight,
             seed: s.serial,
-            zone_penalty: 0,
-            zone_rank: &|_| 1,
+            usual: Span::ZERO,
+            zone_cost: &|_| (0, 1),
         };
         let order = s.latencies.order(now, replicas, tried, &context);
         let found = order.iter().find_map(|t| Some(((*t).clone(), allowance.acquire(t)?)));
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -3,7 +3,7 @@
 
 use super::Relay;
 use super::failure_log::AttemptLog;
-use super::forward::{BATCH_MIN_CALLS, Batch, BatchResult, PendingBatch};
+use super::forward::{BATCH_MIN_CALLS, Batch, BatchResult, PendingBatch, Records};
 use super::pools::{CallTimes, PART_MAX_BYTES, RESPONSE_MAX_BYTES};
 use super::protocol::{Call, EndpointResponse, Outcome};
 use super::table::{RouteEntry, RouteTable};
@@ -14,6 +14,8 @@
     Action, AttemptId, Environment, Event, Gather, Policy, meets_coverage, shards_for_coverage,
 };
 use crate::core::records;
+use crate::core::relay::cover::ZoneCover;
+use crate::core::relay::groups::Groups;
 use crate::core::routes::{Snapshot, Target};
 use crate::prelude::*;
 use futures::future::BoxFuture;
@@ -45,6 +47,8 @@
 /// Retry delay for a caller while too few endpoints are known. Endpoints announce themselves about
 /// once per second, at different times.
 const UNKNOWN_RETRY_AFTER: Span = Span::millis(300);
+/// Least time after which a host that has returned nothing is taken to be unresponsive.
+const RESPONSE_WAIT_MIN: Span = Span::millis(250);
 /// Fraction of the hedge delay after which a host that relays a batch returns the answers it has, so
 /// that they arrive before the missing ones are hedged.
 const FLUSH_FRACTION: (u64, u64) = (3, 5);
@@ -79,8 +83,9 @@
     now: Time,
     /// Delay after which an attempt is hedged.
     hedge_delay: Span,
-    /// Whether first attempts may go through other hosts.
+    /// Whether attempts may go through other hosts.
     gathers: bool,
+    cover: &'a ZoneCover,
 }
 
 impl Environment for RelayEnvironment<'_> {
@@ -92,9 +97,9 @@
         replicas: &[Target],
         tried: &[EndpointKey],
     ) -> Option<(Target, Permit)> {
-        let through_owner = self.gathers && tried.is_empty();
-        let expected = self.hedge_delay;
-        self.relay.traffic.acquire(now, replicas, tried, expected, through_owner, &self.table.plan)
+        let (expected, plan) = (self.hedge_delay, &self.table.plan);
+        let traffic = &self.relay.traffic;
+        traffic.acquire(now, replicas, tried, expected, self.gathers, plan, self.cover)
     }
 
     fn has_free_slot(&self, now: Time, replicas: &[Target]) -> bool {
@@ -124,7 +129,9 @@
     id: AttemptId,
     to: Target,
     result: Result<EndpointResponse, Refusal>,
-    /// Whether the response came in a batch, which may merge the records of several shards.
+    /// Whether the response may hold the records of several shards.
+    merged: bool,
+    /// Whether the result came from another host.
     batched: bool,
 }
 
@@ -156,6 +163,8 @@
     table: &'a RouteTable,
     route: &'a Route,
     call: Arc<Call>,
+    /// Zones that the calls of a gather are sent to.
+    cover: Arc<ZoneCover>,
     deadline: Instant,
     /// Attempts that end next, each with the rest of the batch that they belong to.
     pending: FuturesUnordered<BoxFuture<'a, (Vec<EndedAttempt>, Option<BatchStream>)>>,
@@ -163,8 +172,14 @@
     tasks: IndexMap<AttemptId, AbortHandle>,
     /// Shards of all attempts sent, including cancelled ones.
     shards: IndexMap<AttemptId, u32>,
+    /// Number of shards of the request.
+    shards_total: usize,
     /// Shards that an attempt was sent for.
     sent_shards: IndexSet<u32>,
+    /// Whether attempts went through other hosts, and whether any of these has returned results. While
+    /// none has, further attempts are sent directly, in case messages between hosts are lost.
+    batched: bool,
+    responded: bool,
     wake_at: Option<Time>,
     /// Last response of an endpoint with a status that is no success.
     last_failure: Option<EndpointResponse>,
@@ -210,8 +225,8 @@
         let retry_after = Some(until.map_or(UNKNOWN_RETRY_AFTER, |at| at.since(started)));
         return Outcome::Refused { refusal, retry_after };
     }
-    services(route, part.unwrap_or(0)).for_each(|s| relay.traffic.record_request(started, s));
     let timeout = call.meta.timeout.unwrap_or(route.timeout).min(route.timeout);
+    services(route, part.unwrap_or(0)).for_each(|s| relay.traffic.record_request(started, s));
     let margin = relay.merge_time.margin();
     let deadline = started + subtract_margin(timeout, margin);
     let waited = relay.ctx.now().since(started);
@@ -221,10 +236,14 @@
         table,
         route,
         call: Arc::new(call),
+        cover: relay.cover(started, table),
         deadline: Instant::now() + Span(timeout.0.saturating_sub(waited.0)).to_std(),
         pending: FuturesUnordered::new(),
         shards: IndexMap::new(),
+        shards_total: shards,
         sent_shards: IndexSet::new(),
+        batched: false,
+        responded: false,
         tasks: IndexMap::new(),
         wake_at: None,
         last_failure: None,
@@ -316,7 +335,9 @@
             let (relay, table) = (self.relay, self.table);
             let hedge_delay = self.hedge_delay();
             let gathers = self.gathers();
-            let mut environment = RelayEnvironment { relay, table, now, hedge_delay, gathers };
+            let cover = &*self.cover.clone();
+            let mut environment =
+                RelayEnvironment { relay, table, now, hedge_delay, gathers, cover };
             let actions = gather.step(now, event, &mut environment);
             if self.execute(actions) {
                 return (gather, self.last_failure.take(), std::mem::take(&mut self.attempt_log));
@@ -349,46 +370,79 @@
         matches!(self.route.destination, Destination::Gather { .. })
     }
 
-    /// Sends attempts: several to endpoints of a group, or of another zone, as batches through a host
-    /// that owns them, the others directly. Even calls that this host could send itself go through
-    /// another owner, since the sends of a whole group take a slow host most of an objective.
+    /// Sends attempts: those of a gather as batches through the hosts that own the endpoints or share
+    /// the calls to a zone, the others directly. Even calls that this host could send itself go through
+    /// another, since the sends of a large gather take a slow host most of an objective.
     fn send_all(&mut self, attempts: Vec<Attempt>) {
-        let traffic = &self.relay.traffic;
-        let groups = traffic.groups();
+        let groups = self.relay.traffic.groups();
         let mut direct = Vec::new();
-        let mut batches: IndexMap<(Arc<str>, usize), Vec<Attempt>> = IndexMap::new();
+        let mut zones: IndexMap<(Records, Arc<str>), Vec<Attempt>> = IndexMap::new();
         for attempt in attempts {
             self.attempt_log.record_sent();
-            // A batch returns merged records only, so the answer of a single endpoint, which must stay
-            // as it is, cannot come in one. Only the first attempt for a shard may be batched: merged
-            // records cannot be separated again, so a shard must not be in those of two batches.
             let first = self.sent_shards.insert(attempt.shard);
             self.shards.insert(attempt.id, attempt.shard);
-            let to = &attempt.to;
-            if !self.gathers()
-                || !first
-                || (*to.zone == *traffic.zone() && !groups.is_divided(&to.zone))
-            {
+            // A shard must not be in the merged records of two batches, which cannot be separated
+            // again.
+            let records = if first { Records::Merged } else { Records::Separate };
+            if self.gathers() && !(self.batched && !self.responded && !first) {
+                let key = (records, attempt.to.zone.clone());
+                zones.entry(key).or_default().push(attempt);
+            } else {
                 direct.push(attempt);
-                continue;
             }
-            let group = (to.zone.clone(), groups.group(&to.zone, &to.service));
-            batches.entry(group).or_default().push(attempt);
         }
-        let now = self.relay.ctx.now();
         // Batches go first, so that the other hosts work on them while this one sends its own calls.
-        for ((zone, group), attempts) in batches {
-            let worthwhile = attempts.len() >= BATCH_MIN_CALLS
-                || attempts.iter().any(|a| self.relay.traffic.max_connections(&a.to) == 0);
-            let owners = groups.owners(&zone, group);
-            match self.relay.forwarder.choose(now, &zone, owners).filter(|_| worthwhile) {
-                Some(host) => self.send_batch(host, attempts),
-                None => direct.extend(attempts),
+        for ((records, zone), attempts) in zones {
+            let parts = self.parts(&groups, &zone, attempts.len());
+            let mut batches: IndexMap<usize, Vec<Attempt>> = IndexMap::new();
+            for attempt in attempts {
+                let part = Groups::part(&attempt.to.service, parts);
+                batches.entry(part).or_default().push(attempt);
+            }
+            for (part, attempts) in batches {
+                match self.host_for_part(&groups, &zone, (part, parts), &attempts) {
+                    Some(host) => self.send_batch(host, attempts, records),
+                    None => direct.extend(attempts),
+                }
             }
         }
         direct.into_iter().for_each(|attempt| self.send(attempt));
     }
 
+    /// Number of parts that the calls of this gather to a zone are divided into. The few calls of later
+    /// attempts are divided like the first ones, so that they meet open connections.
+    fn parts(&self, groups: &Groups, zone: &str, calls: usize) -> usize {
+        let first = self.cover.calls(zone).min(self.shards_total);
+        groups.parts(self.relay.traffic.host(), zone, first.max(calls))
+    }
+
+    /// Another host to send one of `parts` of the calls to a zone through, if that is worthwhile.
+    fn host_for_part(
+        &self,
+        groups: &Groups,
+        zone: &str,
+        (part, parts): (usize, usize),
+        attempts: &[Attempt],
+    ) -> Option<Arc<str>> {
+        let (now, traffic) = (self.relay.ctx.now(), &self.relay.traffic);
+        let forwarder = &self.relay.forwarder;
+        let few = attempts.len() < BATCH_MIN_CALLS
+            && attempts.iter().all(|a| traffic.max_connections(&a.to) > 0);
+        if groups.is_divided(zone) {
+            let own = attempts.iter().all(|a| groups.owns(traffic.host(), &a.to));
+            let owners = attempts.first().map_or(&[][..], |a| groups.owners_of(&a.to));
+            return if few && own { None } else { forwarder.choose_owner(now, zone, owners) };
+        }
+        if few {
+            return None;
+        }
+        if parts > 1 {
+            let helpers = groups.helpers(traffic.host(), zone, part);
+            return forwarder.choose_first(now, zone, &helpers);
+        }
+        if *zone == *traffic.zone() { None } else { forwarder.choose_any(now, zone) }
+    }
+
     /// Delay after which an attempt is hedged.
     fn hedge_delay(&self) -> Span {
         self.relay.traffic.hedge_delay(&self.route.name, self.route.objective)
@@ -423,12 +477,12 @@
         self.pending.push(Box::pin(async move {
             let aborted = |_| Err(Refusal::may_have_run(Reason::Internal, "the call was stopped"));
             let result = task.await.unwrap_or_else(aborted);
-            (vec![EndedAttempt { id, to: endpoint, result, batched: false }], None)
+            (vec![EndedAttempt { id, to: endpoint, result, merged: false, batched: false }], None)
         }));
     }
 
     /// Sends attempts as a batch through another host.
-    fn send_batch(&mut self, host: Arc<str>, attempts: Vec<Attempt>) {
+    fn send_batch(&mut self, host: Arc<str>, attempts: Vec<Attempt>, records: Records) {
         let relay = Arc::clone(self.relay);
         let top = match &self.route.destination {
             Destination::Gather { top, .. } => *top,
@@ -441,18 +495,22 @@
             call: &self.call,
             to: attempts.iter().map(|a| &a.to).collect(),
             top,
+            records,
             times: self.times(),
             flush,
         };
         let pending = relay.forwarder.send(host, &batch);
         let (tx, rx) = mpsc::unbounded_channel();
         let ids: Vec<AttemptId> = attempts.iter().map(|a| a.id).collect();
+        self.batched = true;
         let (route, call) = (self.route.name.clone(), Arc::clone(&self.call));
         let until = tokio::time::Instant::from_std(self.deadline);
-        let response_timeout = Span(flush.0 + hedge_delay.0);
+        // A host that is merely late must not be left for one that has no open connection.
+        let response_timeout = Span(flush.0 + hedge_delay.0).max(RESPONSE_WAIT_MIN);
         let task = tokio::spawn(async move {
             let names = (&route, call.meta.id.to_str().unwrap_or_default());
-            let receive = receive_batch(&relay, pending, attempts, names, response_timeout, &tx);
+            let receive =
+                receive_batch(&relay, pending, attempts, names, records, response_timeout, &tx);
             // After the deadline the caller no longer waits for an answer.
             let _ = tokio::time::timeout_at(until, receive).await;
         });
@@ -488,9 +546,10 @@
         let mut replacements = Vec::new();
         let mut done = Vec::new();
         for ended in list {
+            self.responded |= ended.batched;
             let wanted = self.tasks.swap_remove(&ended.id).is_some();
             match (self.shards.get(&ended.id), ended) {
-                (Some(shard), EndedAttempt { result: Ok(part), batched: true, .. }) if !wanted => {
+                (Some(shard), EndedAttempt { result: Ok(part), merged: true, .. }) if !wanted => {
                     replacements.push((*shard, part));
                 }
                 (_, ended) => done.push(self.handle_end(ended)),
@@ -549,6 +608,7 @@
     mut batch: PendingBatch,
     attempts: Vec<Attempt>,
     (route, request): (&Arc<str>, &str),
+    records: Records,
     response_timeout: Span,
     tx: &mpsc::UnboundedSender<Vec<EndedAttempt>>,
 ) {
@@ -573,7 +633,8 @@
             };
             relay.traffic.record_notice(now, request, &to, notice);
             relay.traffic.record_end(now, route, &to, result.as_ref().err(), time);
-            list.push(EndedAttempt { id, to, result, batched: true });
+            let merged = records == Records::Merged;
+            list.push(EndedAttempt { id, to, result, merged, batched: true });
         }
         // The receiver is gone if the request has ended in the meantime.
         let _ = tx.send(list);
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -30,7 +30,6 @@
 use std::time::Instant;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
-use tokio::time::MissedTickBehavior;
 
 /// Minimum number of calls in a batch; with fewer, the batch causes as much traffic between zones as
 /// direct calls.
@@ -40,10 +39,13 @@
 /// Number of hosts of an undivided zone that this host sends batches through, in turn; few, so that
 /// the connections to them stay in use.
 const RELAYS_PER_ZONE: usize = 2;
-/// Time for which no batches are sent through a host that did not respond.
+/// Time for which no batches are sent through a host that did not respond; it doubles each time, up to
+/// the maximum, until the host responds.
 const AVOID_TIME: Span = Span::secs(2);
-/// Divisor of the time until the first results are returned that gives the pause before further ones,
-/// so that late answers do not come in a message each.
+/// Maximum of the time for which a host is avoided.
+const AVOID_TIME_MAX: Span = Span::secs(16);
+/// Divisor of the time until the first results are returned that gives the pause before further ones.
+/// Each pause is twice as long as the one before, so that late answers do not come in a message each.
 const LATER_FLUSH_DIVISOR: u64 = 3;
 /// Least pause between two messages with results.
 const LATER_FLUSH_MIN: Span = Span::millis(2);
@@ -82,6 +84,9 @@
         /// What the endpoints said about further requests.
         #[serde(default)]
         notices: Vec<CalleeNotice>,
+        /// Instead of `records`: those of each successful response, in the order of the results.
+        #[serde(default)]
+        separate: Vec<serde_bytes::ByteBuf>,
     },
     /// Cancels the batch of this number.
     Stop(u64),
@@ -105,6 +110,18 @@
     /// In microseconds: time left for the batch, connect timeout, time until the first results are
     /// returned.
     times: (u64, u64, u64),
+    /// Whether the records of each endpoint are returned by themselves; older releases omit the field.
+    #[serde(default)]
+    separate: bool,
+}
+
+/// How the records of a batch are returned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Records {
+    /// Merged, as few as possible; they cannot be separated by endpoint again.
+    Merged,
+    /// Those of each endpoint by themselves.
+    Separate,
 }
 
 /// Calls to be sent through another host in one message.
@@ -113,8 +130,10 @@
     pub call: &'a Call,
     /// Endpoints to call.
     pub to: Vec<&'a Target>,
-    /// Maximum number of merged records.
+    /// Maximum number of records, merged or of one endpoint.
     pub top: u32,
+    /// How the records are returned.
+    pub records: Records,
     /// Time limits of the calls.
     pub times: CallTimes,
     /// Time after which the remote host returns the first results.
@@ -125,8 +144,8 @@
 pub struct BatchResult {
     /// Index of the call in the batch.
     pub index: usize,
-    /// Response, or the reason why there is none. Of the responses in one message, the first holds
-    /// the merged records of all.
+    /// Response, or the reason why there is none. Of the responses in one message with merged records,
+    /// the first holds those of all.
     pub result: Result<EndpointResponse, Refusal>,
     /// Time until the call ended, measured by the remote host.
     pub time: Span,
@@ -138,14 +157,20 @@
 struct State {
     /// Hosts to send batches through, by zone, in the order of preference of this host.
     hosts: IndexMap<Arc<str>, Vec<Arc<str>>>,
-    /// Hosts to send no batches through, and until when.
-    avoided: IndexMap<Arc<str>, Time>,
+    /// Hosts to send no batches through: until when, and for how long when they last did not respond.
+    avoided: IndexMap<Arc<str>, (Time, Span)>,
     /// Channels for the results of this host's batches, by number.
-    local_batches: IndexMap<u64, mpsc::UnboundedSender<Vec<BatchResult>>>,
+    local_batches: IndexMap<u64, (Records, mpsc::UnboundedSender<Vec<BatchResult>>)>,
     /// Batches of other hosts in progress, by host and number.
     remote_batches: IndexMap<(Arc<str>, u64), AbortHandle>,
 }
 
+impl State {
+    fn is_avoided(&self, now: Time, host: &Arc<str>) -> bool {
+        self.avoided.get(host).is_some_and(|(until, _)| now < *until)
+    }
+}
+
 /// Sends batches through other hosts, and tracks those that other hosts send through this one.
 pub struct Forwarder {
     peers: Arc<dyn Peers>,
@@ -203,27 +228,44 @@
             let ranked = digest::rank(self.peers.host(), list.iter().map(|h| &**h));
             *list = ranked.into_iter().map(Arc::from).collect();
         }
-        self.state.lock().hosts = zones;
+        let mut s = self.state.lock();
+        s.avoided.retain(|host, _| zones.values().flatten().any(|h| h == host));
+        s.hosts = zones;
+    }
+
+    /// Chooses one of the `owners` of endpoints in a divided zone to send a batch through: the first in
+    /// this host's order of preference, so that the connections to few hosts stay in use.
+    pub fn choose_owner(&self, now: Time, zone: &str, owners: &[Arc<str>]) -> Option<Arc<str>> {
+        let s = self.state.lock();
+        let preferred = s.hosts.get(zone)?.iter().filter(|h| owners.contains(h));
+        preferred.take(RELAYS_PER_ZONE).find(|h| !s.is_avoided(now, h)).cloned()
     }
 
-    /// Chooses one of the `owners` of endpoints in a zone to send a batch through. If all hosts of the
-    /// zone own them, two take turns; otherwise it is the first, so that the connections to few hosts
-    /// stay in use.
-    pub fn choose(&self, now: Time, zone: &str, owners: &[Arc<str>]) -> Option<Arc<str>> {
+    /// Chooses a host to send a batch through that may be any of an undivided zone; two take turns.
+    pub fn choose_any(&self, now: Time, zone: &str) -> Option<Arc<str>> {
         let s = self.state.lock();
-        let avoided = |h: &Arc<str>| s.avoided.get(h).is_some_and(|until| now < *until);
-        let hosts = s.hosts.get(zone)?;
-        let divided = hosts.iter().any(|h| !owners.contains(h));
-        let kept = if divided { 1 } else { RELAYS_PER_ZONE };
-        let preferred = hosts.iter().filter(|h| owners.contains(h)).take(RELAYS_PER_ZONE);
-        let usable: Vec<_> = preferred.filter(|h| !avoided(h)).take(kept).collect();
+        let preferred = s.hosts.get(zone)?.iter().take(RELAYS_PER_ZONE);
+        let usable: Vec<_> = preferred.filter(|h| !s.is_avoided(now, h)).collect();
         let number = self.next_number.load(Ordering::Relaxed) as usize;
         usable.get(number % usable.len().max(1)).map(|h| Arc::clone(h))
     }
 
+    /// Chooses the first usable one of `ranked` to send a part of the calls to an undivided zone through.
+    pub fn choose_first(&self, now: Time, zone: &str, ranked: &[Arc<str>]) -> Option<Arc<str>> {
+        let s = self.state.lock();
+        let alive = s.hosts.get(zone)?;
+        ranked.iter().find(|h| alive.contains(h) && !s.is_avoided(now, h)).cloned()
+    }
+
     /// Sends no batches through a host for a while.
     pub fn avoid(&self, now: Time, host: &Arc<str>) {
-        self.state.lock().avoided.insert(host.clone(), now + AVOID_TIME);
+        let mut s = self.state.lock();
+        if s.is_avoided(now, host) {
+            return;
+        }
+        let last = s.avoided.get(host).map_or(Span::ZERO, |(_, span)| *span);
+        let span = Span(last.0 * 2).clamp(AVOID_TIME, AVOID_TIME_MAX);
+        s.avoided.insert(host.clone(), (now + span, span));
     }
 
     /// Keeps the connection to a host open.
@@ -235,7 +277,7 @@
     pub fn send(self: &Arc<Self>, host: Arc<str>, batch: &Batch<'_>) -> PendingBatch {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let (tx, results) = mpsc::unbounded_channel();
-        self.state.lock().local_batches.insert(number, tx);
+        self.state.lock().local_batches.insert(number, (batch.records, tx));
         let message = encode(&Message::Ask(Box::new(batch.request(number))));
         self.peers.send(&host, Topic::Relay, message);
         PendingBatch {
@@ -247,35 +289,51 @@
         }
     }
 
-    /// Passes results on to the request that waits for them.
+    /// Passes results on to the request that waits for them; `merged` or `separate` holds the records.
     fn deliver(
         &self,
         number: u64,
         answered: Vec<CallResult>,
-        records: Vec<u8>,
+        (merged, separate): (Bytes, Vec<Bytes>),
         notices: Vec<CalleeNotice>,
     ) {
+        let Some((wanted, tx)) = self.state.lock().local_batches.get(&number).cloned() else {
+            return;
+        };
         let notices: IndexMap<u32, Notice> = notices
             .into_iter()
             .map(|CalleeNotice(index, leaving, quiet)| {
                 (index, Notice { leaving, quiet: quiet.map(Span::micros) })
             })
             .collect();
-        let mut records = Some(Bytes::from(records));
+        let successes = answered.iter().filter(|r| r.1.is_ok()).count();
+        let mut records = match wanted {
+            Records::Merged => vec![merged],
+            // An older release has merged them; of a single response they are its own.
+            Records::Separate if separate.is_empty() && successes == 1 => vec![merged],
+            Records::Separate => separate,
+        }
+        .into_iter();
+        let unusable = wanted == Records::Separate && records.len() != successes;
         let list = answered.into_iter().map(|CallResult(index, result, time)| {
-            let result = result.map(|signature| EndpointResponse {
-                status: StatusCode::OK,
-                headers: HeaderMap::new(),
-                body: records.take().unwrap_or_default(),
-                signature: signature.and_then(|s| HeaderValue::from_bytes(&s).ok()),
-            });
+            let result = match result {
+                Ok(_) if unusable => {
+                    let detail = "the records of several shards came merged";
+                    Err(Refusal::may_have_run(Reason::Internal, detail))
+                }
+                Ok(signature) => Ok(EndpointResponse {
+                    status: StatusCode::OK,
+                    headers: HeaderMap::new(),
+                    body: records.next().unwrap_or_default(),
+                    signature: signature.and_then(|s| HeaderValue::from_bytes(&s).ok()),
+                }),
+                Err(refusal) => Err(refusal),
+            };
             let notice = notices.get(&index).copied().unwrap_or_default();
             BatchResult { index: index as usize, result, time: Span::micros(time), notice }
         });
-        let list = list.collect();
-        let Some(tx) = self.state.lock().local_batches.get(&number).cloned() else { return };
         // The receiver is gone if the request has ended in the meantime.
-        let _ = tx.send(list);
+        let _ = tx.send(list.collect());
     }
 }
 
@@ -299,6 +357,7 @@
             incarnations: self.to.iter().map(|t| t.incarnation).collect(),
             top: self.top,
             times: (left.0, self.times.connect_timeout.0, self.flush.0),
+            separate: self.records == Records::Separate,
         }
     }
 }
@@ -323,8 +382,11 @@
     fn receive(&self, from: &str, body: &[u8]) {
         match decode(body) {
             Ok(Message::Ask(request)) => self.start_remote_batch(from.into(), *request),
-            Ok(Message::Parts { number, answered, records, notices }) => {
-                self.forwarder.deliver(number, answered, records, notices);
+            Ok(Message::Parts { number, answered, records, notices, separate }) => {
+                self.forwarder.state.lock().avoided.swap_remove(from);
+                let records = records.into();
+                let separate = separate.into_iter().map(|r| r.into_vec().into()).collect();
+                self.forwarder.deliver(number, answered, (records, separate), notices);
             }
             Ok(Message::Stop(number)) => {
                 let task =
@@ -382,9 +444,8 @@
         });
         let mut calls: FuturesUnordered<_> = calls.collect();
         let first = tokio::time::Instant::now() + Span(flush).to_std();
-        let pause = Span(flush / LATER_FLUSH_DIVISOR).max(LATER_FLUSH_MIN).to_std();
-        let mut flush = tokio::time::interval_at(first, pause);
-        flush.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut pause = Span(flush / LATER_FLUSH_DIVISOR).max(LATER_FLUSH_MIN).to_std();
+        let mut flush = std::pin::pin!(tokio::time::sleep_until(first));
         let mut results = Vec::new();
         loop {
             tokio::select! {
@@ -397,8 +458,10 @@
                         return Ok(());
                     }
                 }
-                _ = flush.tick() => {
+                () = &mut flush, if !results.is_empty() => {
                     self.send_results(from, &request, &targets, &mut results);
+                    flush.as_mut().reset(tokio::time::Instant::now() + pause);
+                    pause *= 2;
                 }
             }
         }
@@ -439,8 +502,16 @@
             CallResult(index as u32, result, time.0)
         });
         let answered = answered.collect();
-        let records = records::merge(bodies.iter().map(|b| &b[..]), request.top as usize).to_vec();
-        let message = Message::Parts { number: request.number, answered, records, notices };
+        let top = request.top as usize;
+        let (mut records, mut separate) = (Vec::new(), Vec::new());
+        if request.separate {
+            let merge = |b: Bytes| records::merge(std::iter::once(&b[..]), top).to_vec().into();
+            separate = bodies.into_iter().map(merge).collect();
+        } else {
+            records = records::merge(bodies.iter().map(|b| &b[..]), top).to_vec();
+        }
+        let number = request.number;
+        let message = Message::Parts { number, answered, records, notices, separate };
         self.forwarder.peers.send(to, Topic::Relay, encode(&message));
     }
 }
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -25,8 +25,10 @@
 use crate::core::member::Health;
 use crate::core::message::Topic;
 use crate::core::plan::Plan;
+use crate::core::relay::cover::ZoneCover;
+use crate::core::relay::early::EarlyConnections;
 use crate::core::relay::plan_switch::PlanSwitch;
-use crate::core::routes::Routes;
+use crate::core::routes::{Routes, Target};
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
 use crate::util::http::{self, Answer, Limits, Server};
@@ -212,13 +214,43 @@
         }
     }
 
+    /// Zones that the gathers of this host are sent to.
+    fn cover(&self, now: Time, table: &RouteTable) -> Arc<ZoneCover> {
+        let excluded = self.traffic.unresponsive_zones(now);
+        table.cover(self.traffic.host(), self.traffic.zone(), &excluded)
+    }
+
     /// Keeps the connections open to the hosts that this one sends the calls of a gather through, since
     /// a gather that has to open them is late.
     fn keep_connections(&self) {
+        let Some(table) = self.table.load_full() else { return };
         let (now, groups) = (self.ctx.now(), self.traffic.groups());
-        for (zone, owners) in groups.preferred(self.traffic.host(), self.traffic.zone()) {
-            if let Some(host) = self.forwarder.choose(now, zone, owners) {
-                self.forwarder.keep_alive(&host);
+        let (own, cover) = (self.traffic.host(), self.cover(now, &table));
+        for zone in cover.zones() {
+            if groups.is_divided(zone) {
+                let parts = 0..groups.parts(own, zone, 0);
+                let owners = parts.filter_map(|part| {
+                    let owners = groups.owners(zone, part, table.gather_connections());
+                    self.forwarder.choose_owner(now, zone, owners)
+                });
+                owners.for_each(|host| self.forwarder.keep_alive(&host));
+            } else if groups.parts(own, zone, cover.shards()) > 1 {
+                let helpers = groups.helpers(own, zone, 0);
+                helpers.iter().for_each(|host| self.forwarder.keep_alive(host));
+            }
+        }
+    }
+
+    /// Opens connections to the next endpoints that this host sends calls of gathers to.
+    fn open_early(&self, early: &mut EarlyConnections) {
+        let Some(table) = self.table.load_full() else { return };
+        let (groups, host, zone) =
+            (self.traffic.groups(), self.traffic.host(), self.traffic.zone());
+        let own = |t: &&Target| *t.zone == *zone && groups.owns(host, t);
+        for target in early.next_round(table.gather_targets().filter(own)) {
+            let connections = self.traffic.max_connections(target);
+            if connections > 0 {
+                self.pools.open_early(target, connections);
             }
         }
     }
@@ -389,6 +421,7 @@
     let mut keep_alive = tokio::time::interval(KEEP_ALIVE_INTERVAL);
     keep_alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (mut stale, mut switch) = (true, PlanSwitch::default());
+    let mut early = EarlyConnections::default();
     loop {
         if stale {
             changes.mark_unchanged();
@@ -399,6 +432,7 @@
         let ended = tokio::select! {
             _ = probe.tick() => {
                 relay.probe_zones();
+                relay.open_early(&mut early);
                 false
             }
             changed = accepted.changed() => {
--- a/src/wisteriahead/services/relay/pools.rs
+++ b/src/wisteriahead/services/relay/pools.rs
@@ -29,6 +29,8 @@
 /// connections of hosts that lost their network or power until a long idle timeout; keeping fewer
 /// idle leaves room within the endpoint's limit for the remaining hosts.
 const IDLE_DIVISOR: u32 = 2;
+/// Time limit for a connection that no call waits for.
+const EARLY_TIMEOUT: Span = Span::secs(1);
 /// Least remaining time for a call to be sent; endpoints take their deadline in whole milliseconds.
 const REMAINING_MIN: Span = Span::millis(1);
 
@@ -63,6 +65,20 @@
         self.by_address.lock().retain(|_, pool| !pool.is_idle_for(POOL_IDLE_TIMEOUT));
     }
 
+    /// Opens a connection to an endpoint for later calls, unless there is one.
+    pub fn open_early(&self, to: &Target, connections: u32) {
+        let pool = self.pool(to.address, connections);
+        if pool.open() > 0 {
+            return;
+        }
+        tokio::spawn(async move {
+            // A failure needs no answer: the first call connects by itself.
+            if let Ok(Ok(lease)) = timeout(EARLY_TIMEOUT.to_std(), Pool::lease(pool)).await {
+                lease.give_back().await;
+            }
+        });
+    }
+
     /// Sends a call to an endpoint over one of at most `connections`, and reads the whole response.
     ///
     /// # Errors
--- a/src/wisteriahead/services/relay/table.rs
+++ b/src/wisteriahead/services/relay/table.rs
@@ -2,8 +2,10 @@
 
 use crate::core::plan::{Destination, Plan, Route, RouteIndex};
 use crate::core::query::meets_coverage;
+use crate::core::relay::cover::ZoneCover;
 use crate::core::routes::{Routes, Snapshot, Target};
 use crate::prelude::*;
+use parking_lot::Mutex;
 use std::sync::OnceLock;
 
 /// Inverse of the fraction of services that must have known endpoints for the host to be ready.
@@ -27,6 +29,8 @@
     endpoints: Arc<Routes>,
     /// Availability zones of the endpoints.
     zones: OnceLock<IndexSet<Arc<str>>>,
+    /// Zones that gathers are sent to, by the zones that they leave out.
+    covers: Mutex<IndexMap<Vec<Arc<str>>, Arc<ZoneCover>>>,
 }
 
 impl RouteTable {
@@ -36,7 +40,8 @@
         let entry =
             |r: &Route| Arc::new(RouteEntry { route: r.clone(), snapshots: OnceLock::new() });
         let entries = plan.routes.iter().map(entry).collect();
-        Self { plan, index, entries, endpoints, zones: OnceLock::new() }
+        let (zones, covers) = (OnceLock::new(), Mutex::default());
+        Self { plan, index, entries, endpoints, zones, covers }
     }
 
     /// Availability zones of the endpoints that take new requests.
@@ -44,6 +49,46 @@
         self.zones.get_or_init(|| self.targets().map(|t| t.zone.clone()).collect())
     }
 
+    /// Zones that the gathers of a host in the zone `own` are sent to, without the excluded ones. They
+    /// are chosen for the route with the most shards.
+    pub fn cover(&self, host: &str, own: &str, excluded: &[Arc<str>]) -> Arc<ZoneCover> {
+        let mut covers = self.covers.lock();
+        if let Some(cover) = covers.get(excluded) {
+            return cover.clone();
+        }
+        let zones = |service| {
+            let known = self.endpoints.services.get(service).into_iter().flatten();
+            let zones: IndexSet<_> =
+                known.map(|t| &t.zone).filter(|z| !excluded.contains(z)).collect();
+            zones.into_iter().cloned().collect()
+        };
+        let cover =
+            Arc::new(ZoneCover::new(host, own, self.largest_gather().iter().map(zones).collect()));
+        covers.insert(excluded.to_vec(), cover.clone());
+        cover
+    }
+
+    /// Shards of the route with the most; empty if no route gathers.
+    fn largest_gather(&self) -> &[Arc<str>] {
+        let gathers = self.plan.routes.iter().filter_map(|r| match &r.destination {
+            Destination::Gather { shards, .. } => Some(shards),
+            Destination::Split(_) => None,
+        });
+        gathers.max_by_key(|shards| shards.len()).map_or(&[][..], Vec::as_slice)
+    }
+
+    /// Connections that an endpoint of the route with the most shards accepts.
+    pub fn gather_connections(&self) -> u32 {
+        let service = self.largest_gather().first().and_then(|s| self.plan.services.get(s));
+        service.map_or(1, |s| s.connections)
+    }
+
+    /// Endpoints of the route with the most shards.
+    pub fn gather_targets(&self) -> impl Iterator<Item = &Target> {
+        let shards = self.largest_gather().iter();
+        shards.filter_map(|service| self.endpoints.services.get(service)).flatten()
+    }
+
     /// Endpoints that take new requests.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
         self.endpoints.services.values().flatten()
--- a/src/wisteriahead/services/relay/traffic.rs
+++ b/src/wisteriahead/services/relay/traffic.rs
@@ -8,7 +8,8 @@
 use crate::core::endpoint::host_share;
 use crate::core::latency::Histogram;
 use crate::core::plan::{Plan, WeightedRoundRobin};
-use crate::core::relay::groups::{Groups, zone_rank};
+use crate::core::relay::cover::{Need, ZoneCover, zone_rank};
+use crate::core::relay::groups::Groups;
 use crate::core::relay::notices::{self, Notice, Notices};
 use crate::core::relay::rate::RateLimiter;
 use crate::core::relay::retry_budget::{Bounds, RetryBudget};
@@ -32,6 +33,13 @@
 /// Number of times that the cost of an endpoint in another zone is doubled when replicas are ranked,
 /// since its answers cause traffic between zones and arrive later.
 const REMOTE_ZONE_COST_DOUBLINGS: u32 = 2;
+/// The same for a gather and a zone that its host needs anyway. Messages to hosts of other zones would
+/// go over connections that are not open.
+const NEEDED_ZONE_COST_DOUBLINGS: u32 = 1;
+/// Rank of the first zone for hedges, after all zones for first attempts.
+const ZONES_MAX: usize = 1_000;
+/// Divisor of the hedge delay, a high quantile, that gives the usual latency.
+const USUAL_DIVISOR: u64 = 2;
 /// Maximum requests in flight from this host per slot of an endpoint.
 const IN_FLIGHT_PER_SLOT: u32 = 2;
 
@@ -303,16 +311,18 @@
     }
 
     /// Takes a permit for a replica that is not in `tried` and has room. Replicas with a request in
-    /// flight for longer than `expected` rank last. An attempt that may go `through_owner` needs no
-    /// connection of this host to an endpoint that others own.
+    /// flight for longer than `expected` rank last. An attempt of a request that `gathers` needs no
+    /// connection of this host to an endpoint that others own, and prefers the zones of the `cover`.
+    #[expect(clippy::too_many_arguments, reason = "the inputs of one decision")]
     pub fn acquire(
         self: &Arc<Self>,
         now: Time,
         replicas: &[Target],
         tried: &[EndpointKey],
         expected: Span,
-        through_owner: bool,
+        gathers: bool,
         plan: &Plan,
+        cover: &ZoneCover,
     ) -> Option<(Target, Permit)> {
         let mut s = self.state.lock();
         s.choices += 1;
@@ -339,28 +349,35 @@
             zone: &self.zone,
             in_flight: &in_flight,
             seed: *choices,
-            zone_penalty: REMOTE_ZONE_COST_DOUBLINGS,
-            zone_rank: &|zone| zone_rank(&self.host, zone),
+            usual: if gathers { Span(expected.0 / USUAL_DIVISOR) } else { Span::ZERO },
+            zone_cost: &|zone| match cover.need(zone) {
+                (Need::First, position) if gathers => (NEEDED_ZONE_COST_DOUBLINGS, position as u64),
+                (Need::Second, position) if gathers => {
+                    (NEEDED_ZONE_COST_DOUBLINGS, (ZONES_MAX + position) as u64)
+                }
+                _ => (REMOTE_ZONE_COST_DOUBLINGS, zone_rank(&self.host, zone)),
+            },
         };
-        let mut order = latencies.order(now, replicas, tried, &context);
         let is_slow = |t: &Target| {
             let oldest = endpoints.get(t.key).and_then(|e| e.sent.first());
             oldest.is_some_and(|at| now.since(*at) > expected)
         };
         // If this host has a share of no connection at any replica left, it may use one beyond its
         // share, since it could not serve the request otherwise.
-        let usable =
-            |e: &Endpoint, t: &Target| e.reach(t).map_or(0, |r| r.connections(through_owner));
+        let usable = |e: &Endpoint, t: &Target| e.reach(t).map_or(0, |r| r.connections(gathers));
         let unusable = |t: &Target| endpoints.get(t.key).is_some_and(|e| usable(e, t) == 0);
-        let min_connections = u32::from(order.iter().all(|t| unusable(t)));
-        order.sort_by_cached_key(|t| {
-            let last = notice_of(t) == notices::Access::Last;
-            (last, zone_monitor.is_unresponsive(now, &t.zone), t.cold, is_slow(t))
-        });
+        let untried = || replicas.iter().filter(|t| !tried.contains(&t.key));
+        let min_connections = u32::from(untried().all(unusable));
         let may_send = |t: &&Target| {
             !stale_addresses.contains(t) && !matches!(notice_of(t), notices::Access::Closed(_))
         };
-        for target in order.into_iter().filter(may_send) {
+        let mut order: Vec<_> = untried().filter(may_send).collect();
+        order.sort_by_cached_key(|t| {
+            let last = notice_of(t) == notices::Access::Last;
+            let silent = zone_monitor.is_unresponsive(now, &t.zone);
+            (last, silent, t.cold, is_slow(t), latencies.rank(now, t, &context))
+        });
+        for target in order {
             let Some(e) = endpoints.entry(target.key).map(|e| e.or_default()) else { continue };
             let connections = usable(e, target).max(min_connections);
             if e.sent.len() as u32 >= max_in_flight(target, connections) {
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -109,8 +109,8 @@
             zone: "north",
             in_flight: &in_flight,
             seed: self.serial,
-            zone_penalty: 0,
-            zone_rank: &|_| 1,
+            usual: Span::ZERO,
+            zone_cost: &|_| (0, 1),
         };
         let order = self.latencies.order(now, replicas, tried, &context);
         match order.into_iter().find(|t| in_flight(t.key) < self.slots) {
--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -27,6 +27,7 @@
 use wisteriahead::core::plan::{
     Destination, Idempotency, Plan, Route, Service as PlanService, Share,
 };
+use wisteriahead::core::relay::groups::Groups;
 use wisteriahead::core::relay::notices::Notice;
 use wisteriahead::core::relay::retry_budget::Bounds;
 use wisteriahead::core::routes::{Routes, Target};
@@ -125,9 +126,17 @@
     quiet: Mutex<IndexMap<String, u64>>,
     /// Requests by endpoint.
     by_leaf: Mutex<IndexMap<String, usize>>,
+    /// Milliseconds that the next requests for a shard take, in their order.
+    delays: Mutex<IndexMap<String, Vec<u64>>>,
 }
 
 impl LeafState {
+    fn next_delay(&self, leaf: &str) -> u64 {
+        let (shard, _) = leaf.split_once('-').unwrap();
+        let mut delays = self.delays.lock();
+        delays.get_mut(shard).filter(|list| !list.is_empty()).map_or(0, |list| list.remove(0))
+    }
+
     fn requests_at(&self, leaf: &str) -> usize {
         self.by_leaf.lock().get(leaf).copied().unwrap_or_default()
     }
@@ -159,7 +168,9 @@
             r.headers_mut().insert(QUIET, (*millis).into());
         }
         r.headers_mut().insert(SIGNATURE, HeaderValue::from_str(&self.name).unwrap());
+        let delay = std::time::Duration::from_millis(self.leaf_state.next_delay(&self.name));
         Box::pin(async move {
+            tokio::time::sleep(delay).await;
             if let Some(_open) = hangs {
                 std::future::pending::<()>().await;
             }
@@ -178,6 +189,8 @@
     handlers: Mutex<IndexMap<String, Arc<dyn Handler>>>,
     cut: AtomicBool,
     sent: AtomicUsize,
+    /// Size of the largest message to each host, in bytes.
+    largest: Mutex<IndexMap<String, usize>>,
 }
 
 /// Connection of one host to the network.
@@ -206,6 +219,10 @@
 
     fn send(&self, to: &str, _: Topic, body: Vec<u8>) {
         self.network.sent.fetch_add(1, Ordering::Relaxed);
+        let mut largest = self.network.largest.lock();
+        let size = largest.entry(to.to_owned()).or_default();
+        *size = body.len().max(*size);
+        drop(largest);
         let handler = self.network.handlers.lock().get(to).cloned();
         if let Some(handler) = handler.filter(|_| !self.network.cut.load(Ordering::Relaxed)) {
             let from = self.host;
@@ -566,6 +583,40 @@
     .await;
 }
 
+/// Guards against answers that are late because one host of a zone with few hosts sends all calls of a
+/// large gather.
+#[tokio::test]
+async fn large_gather_in_a_small_zone_is_shared_by_its_other_hosts() {
+    /// Least size of the part of a message that names one endpoint.
+    const CALL_BYTES: usize = 25;
+    let tier = Tier::start_with(&[("a", "south"), ("b", "south"), ("c", "south")], 64).await;
+    let (names, body) = tier.gather().await;
+    assert_merged(&tier, &names, &body);
+    assert_eq!(tier.leaf_state.requests.load(Ordering::Relaxed), tier.shards, "each shard once");
+    let largest = tier.network.largest.lock().clone();
+    let third = CALL_BYTES * tier.shards / 3;
+    assert!(["b", "c"].iter().all(|h| largest.get(*h) > Some(&third)), "{largest:?}");
+}
+
+/// Guards against an answer with records of a shard that is not among its signatures: the hedges of two
+/// shards go in one message, and one of them is answered by its first attempt in the meantime.
+#[tokio::test]
+async fn hedges_of_several_shards_in_one_message_are_not_mixed() {
+    let tier = Tier::start_with(&LARGE_ZONE, 16).await;
+    tier.gather().await;
+    let group = |shard: &usize| Groups::part(&format!("s{shard}"), 2);
+    let mut shards = (0..tier.shards).filter(|shard| group(shard) == group(&0)).rev();
+    let (slow, late) = (shards.next().unwrap(), shards.next().unwrap());
+    for _ in 0..5 {
+        // Of `late`, the first attempt answers after the hedge was sent and before that is answered.
+        let delays = [(slow, vec![2_000, 100]), (late, vec![300, 100])];
+        tier.leaf_state.delays.lock().extend(delays.map(|(s, list)| (format!("s{s}"), list)));
+        let (names, body) = tier.gather().await;
+        assert_merged(&tier, &names, &body);
+        tier.leaf_state.delays.lock().clear();
+    }
+}
+
 /// Guards against requests to an endpoint that left after it had said so in an answer only: its
 /// announcements are late or say nothing.
 #[tokio::test]
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -1,14 +1,17 @@
 //! The relay's retry budget, rate limiter, merge, stale addresses, zone monitor, plan switch, log
-//! limiter, currency and lag monitor.
+//! limiter, currency, lag monitor, groups, cover of zones and early connections.
 
 use crate::props::Endpoints;
 use crate::support::config;
 use proptest::prelude::*;
 use std::sync::Arc;
+use wisteriahead::core::choice::{ChoiceContext, Latencies};
 use wisteriahead::core::control::currency::Currency;
 use wisteriahead::core::lag::LagMonitor;
 use wisteriahead::core::log_limiter::LogLimiter;
 use wisteriahead::core::records::{RECORD_BYTES, merge};
+use wisteriahead::core::relay::cover::{Need, ZoneCover};
+use wisteriahead::core::relay::early::{EarlyConnections, ROUND_MAX};
 use wisteriahead::core::relay::groups::Groups;
 use wisteriahead::core::relay::notices::{Access, Notice, Notices, QUIET_MAX};
 use wisteriahead::core::relay::plan_switch::PlanSwitch;
@@ -285,3 +288,107 @@
     assert_eq!(closed(3), Some(Some(at(500))));
     assert_eq!(closed(4), Some(Some(at(700))));
 }
+
+fn zone(i: usize) -> Arc<str> {
+    format!("z{i}").into()
+}
+
+/// Guards against messages to hosts of nearly all zones for each gather: 180 shards with replicas in
+/// three of six zones each, for each of 300 hosts.
+#[test]
+fn gathers_need_two_zones_and_their_hedges_two_more() {
+    const ZONES: usize = 6;
+    const SHARDS: usize = 180;
+    let shards: Vec<Vec<_>> =
+        (0..SHARDS).map(|s| (0..3).map(|i| zone((s + i) % ZONES)).collect()).collect();
+    for host in 0..300 {
+        let own = zone(host % ZONES);
+        let cover = ZoneCover::new(&format!("host-{host}"), &own, shards.clone());
+        assert_eq!(cover.need(&own), (Need::First, 0));
+        assert_eq!(cover.shards(), SHARDS);
+        let needs: Vec<_> = (0..ZONES).map(|i| cover.need(&zone(i)).0).collect();
+        let count = |need| needs.iter().filter(|n| **n == need).count();
+        assert_eq!((count(Need::First), count(Need::Second)), (2, 2), "host {host}: {needs:?}");
+        let has = |list: &[Arc<str>], most: Need| {
+            list.iter().filter(|zone| cover.need(zone).0 <= most).count()
+        };
+        assert!(shards.iter().all(|list| has(list, Need::First) >= 1));
+        assert!(shards.iter().all(|list| has(list, Need::Second) >= 2));
+    }
+}
+
+/// Guards against connections that most hosts of a zone open anew when one host leaves or joins.
+#[test]
+fn host_that_leaves_a_zone_of_49_moves_few_others_to_another_group() {
+    const HOSTS: usize = 49;
+    let hosts = |without: Option<usize>| {
+        (0..HOSTS)
+            .filter(move |i| Some(*i) != without)
+            .map(|i| (Arc::<str>::from(format!("10.0.{}.{i}", i % 7)), zone(0)))
+    };
+    let all = Groups::new(hosts(None));
+    let groups = all.parts("", "z0", 0);
+    let group_of = |groups_of: &Groups, host: &str| {
+        (0..groups).position(|g| groups_of.owners("z0", g, u32::MAX).iter().any(|h| **h == *host))
+    };
+    let sizes: Vec<_> = (0..groups).map(|g| all.owners("z0", g, u32::MAX).len()).collect();
+    assert!(sizes.iter().all(|n| (HOSTS / groups..=HOSTS / groups + 1).contains(n)), "{sizes:?}");
+    for left in 0..HOSTS {
+        let rest = Groups::new(hosts(Some(left)));
+        let moved = hosts(Some(left)).filter(|(h, _)| group_of(&all, h) != group_of(&rest, h));
+        // A group of the others is one host short or has one too many.
+        let moved = moved.count();
+        assert!(moved <= groups, "{moved} hosts moved when host {left} left");
+    }
+}
+
+/// Guards against a burst of connections that keeps a slow host from its requests, and against
+/// connections that are opened again and again to an endpoint that closes unused ones.
+#[test]
+fn endpoints_are_connected_to_early_once_and_a_few_at_a_time() {
+    let mut targets: Vec<_> = (0..10).map(|_| Endpoints::default().target("z0")).collect();
+    for (i, t) in targets.iter_mut().enumerate() {
+        t.address.set_port(1_000 + i as u16);
+    }
+    let mut early = EarlyConnections::default();
+    let mut opened = Vec::new();
+    for _ in 0..10 {
+        let round = early.next_round(targets.iter());
+        assert!(round.len() <= ROUND_MAX);
+        opened.extend(round.into_iter().map(|t| t.address));
+    }
+    opened.sort();
+    assert_eq!(opened, targets.iter().map(|t| t.address).collect::<Vec<_>>());
+    targets[3].incarnation += 1;
+    let again: Vec<_> = early.next_round(targets.iter()).iter().map(|t| t.address).collect();
+    assert_eq!(again, [targets[3].address]);
+}
+
+/// Guards against a host with few requests that sends each gather to other zones: an endpoint that was
+/// not used for long had the least latency.
+#[test]
+fn endpoint_in_another_zone_is_not_preferred_because_it_was_not_used() {
+    let mut endpoints = Endpoints::default();
+    let replicas = [endpoints.target("own"), endpoints.target("far")];
+    let context = ChoiceContext {
+        zone: "own",
+        in_flight: &|_| 0,
+        seed: 1,
+        usual: Span::millis(10),
+        zone_cost: &|_| (2, 1),
+    };
+    let mut latencies = Latencies::default();
+    for second in 0..60 {
+        let now = Time(second * 1_000_000);
+        let order = latencies.order(now, &replicas, &[], &context);
+        assert_eq!(&*order[0].zone, "own", "after {second} s");
+        if second % 7 == 0 {
+            latencies.record_answer(now, replicas[0].key, Span::millis(12));
+        }
+    }
+    // One that fails is left at once, and tried again later.
+    latencies.record_failure(Time(60_000_000), replicas[0].key);
+    let first = |at| latencies.order(Time(at), &replicas, &[], &context)[0].zone.clone();
+    assert_eq!(&*first(60_000_000), "far");
+    assert_eq!(&*first(90_000_000), "own");
+}
