Answer all requests before a planned stop cuts them off

Cause: a host that is about to stop took requests to the end of the lame-duck time whatever their timeout; 2.9 s later the connections still open were closed.

Evidence: forward::request_that_is_open_at_the_end_of_a_stop_is_answered and forward::request_that_may_not_end_before_a_stop_is_refused_as_not_run fail when the host does as before (run with the end of requests moved far away: no answer within the test's time; status 200 and a call sent).

Change: a host knows when it will cut; requests end 150 ms before. One that may run once is taken only if its whole timeout fits, another if its objective does, else it is refused at once as not run.

Ruled out: connections that stay open (they are told to close), and new ones (the listener stops first).

Also: the test of hedges in one message now provokes what it guards against; it fails when the records come merged (seen by hand).

--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -151,6 +151,11 @@
         Self { policy, ..self }
     }
 
+    /// Moves the deadline forward to `at`, if it is later; takes effect with the next event.
+    pub fn end_by(&mut self, at: Time) {
+        self.deadline = self.deadline.min(at);
+    }
+
     /// Handles one event and returns the actions for the driver.
     pub fn step<E: Environment>(
         &mut self,
--- a/src/wisteriahead/core/relay/mod.rs
+++ b/src/wisteriahead/core/relay/mod.rs
@@ -1,6 +1,6 @@
 //! Decisions of a host that relays requests: the budget of extra attempts, the rate to endpoints
 //! in cold start, which endpoints and zones to avoid, which to connect to early, through which hosts
-//! to send, and when to switch plans.
+//! to send, when to switch plans, and what to take before a stop.
 //!
 //! The budget and the rate are limits on the sum over all hosts. They hold without coordination:
 //! each host keeps to its own share, and the shares add up to less than the whole.
@@ -13,4 +13,5 @@
 pub mod rate;
 pub mod retry_budget;
 pub mod stale_address;
+pub mod stop;
 pub mod zones;
--- a/src/wisteriahead/kernel/mod.rs
+++ b/src/wisteriahead/kernel/mod.rs
@@ -34,7 +34,7 @@
 pub struct Context {
     published: Arc<RwLock<IndexMap<&'static str, Box<dyn Any + Send + Sync>>>>,
     started: Instant,
-    lame_duck: watch::Receiver<bool>,
+    answers_due: watch::Receiver<Option<Time>>,
     stopping: watch::Receiver<bool>,
 }
 
@@ -65,7 +65,13 @@
 
     /// Whether the daemon is about to stop: it still serves, but asks callers to go elsewhere.
     pub fn is_lame_duck(&self) -> bool {
-        *self.lame_duck.borrow()
+        self.answers_due.borrow().is_some()
+    }
+
+    /// Time by which the daemon, once it is about to stop, must have answered all requests: those that
+    /// are still open then are cut off.
+    pub fn answers_due(&self) -> Option<Time> {
+        *self.answers_due.borrow()
     }
 
     /// Whether services other than the last one started are being stopped.
@@ -86,7 +92,7 @@
 /// Starts and stops services.
 pub struct Kernel {
     ctx: Context,
-    lame_duck: watch::Sender<bool>,
+    answers_due: watch::Sender<Option<Time>>,
     stop: watch::Sender<bool>,
     running: Vec<Arc<dyn Service>>,
 }
@@ -94,10 +100,10 @@
 impl Default for Kernel {
     fn default() -> Self {
         let (stop, stopping) = watch::channel(false);
-        let (lame_duck_sender, lame_duck) = watch::channel(false);
+        let (answers_due_sender, answers_due) = watch::channel(None);
         let ctx =
-            Context { published: Arc::default(), started: Instant::now(), lame_duck, stopping };
-        Self { ctx, lame_duck: lame_duck_sender, stop, running: Vec::new() }
+            Context { published: Arc::default(), started: Instant::now(), answers_due, stopping };
+        Self { ctx, answers_due: answers_due_sender, stop, running: Vec::new() }
     }
 }
 
@@ -120,9 +126,11 @@
         Ok(())
     }
 
-    /// Enters the lame-duck phase: the daemon still serves, but asks callers to go elsewhere.
-    pub fn enter_lame_duck(&self) {
-        self.lame_duck.send_replace(true);
+    /// Enters the lame-duck phase: the daemon still serves, but asks callers to go elsewhere. Requests
+    /// that are open after `left` are cut off.
+    pub fn enter_lame_duck(&self, left: Span) {
+        let due = self.ctx.now() + left;
+        self.answers_due.send_modify(|at| *at = Some(at.map_or(due, |at| at.min(due))));
     }
 
     /// Stops all services in reverse order, each within `timeout`.
@@ -130,7 +138,7 @@
     /// The last one started serves callers. It completes its requests in flight before the
     /// services that these depend on are told to stop.
     pub async fn stop(&mut self, timeout: Span) {
-        self.enter_lame_duck();
+        self.enter_lame_duck(timeout);
         if let Some(service) = self.running.pop() {
             log::debug!("stopping {}", service.name());
             service.stop(timeout).await;
--- a/src/wisteriahead/ops/serve/mod.rs
+++ b/src/wisteriahead/ops/serve/mod.rs
@@ -102,7 +102,7 @@
 ) -> Result<()> {
     if started.is_ok() {
         signals.wait().await;
-        kernel.enter_lame_duck();
+        kernel.enter_lame_duck(Span(times.lame_duck.0 + times.drain.0));
         tokio::time::sleep(times.lame_duck.to_std()).await;
     }
     kernel.stop(times.drain).await;
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -16,6 +16,7 @@
 use crate::core::records;
 use crate::core::relay::cover::ZoneCover;
 use crate::core::relay::groups::Groups;
+use crate::core::relay::stop;
 use crate::core::routes::{Snapshot, Target};
 use crate::prelude::*;
 use futures::future::BoxFuture;
@@ -49,6 +50,8 @@
 const UNKNOWN_RETRY_AFTER: Span = Span::millis(300);
 /// Least time after which a host that has returned nothing is taken to be unresponsive.
 const RESPONSE_WAIT_MIN: Span = Span::millis(250);
+/// Interval at which a request that waits checks whether the host is about to stop.
+const STOP_CHECK_INTERVAL: Span = Span::millis(500);
 /// Fraction of the hedge delay after which a host that relays a batch returns the answers it has, so
 /// that they arrive before the missing ones are hedged.
 const FLUSH_FRACTION: (u64, u64) = (3, 5);
@@ -226,6 +229,11 @@
         return Outcome::Refused { refusal, retry_after };
     }
     let timeout = call.meta.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let due = relay.ctx.answers_due();
+    if due.is_some_and(|due| !stop::accepts(started, due, route, timeout)) {
+        let detail = "this host is about to stop";
+        return refuse(Refusal::not_run(Reason::Unavailable, detail));
+    }
     services(route, part.unwrap_or(0)).for_each(|s| relay.traffic.record_request(started, s));
     let margin = relay.merge_time.margin();
     let deadline = started + subtract_margin(timeout, margin);
@@ -331,6 +339,9 @@
         loop {
             let Step { event, replacements } = next;
             replacements.into_iter().for_each(|(shard, part)| gather.replace(shard, part));
+            if let Some(due) = self.relay.ctx.answers_due() {
+                gather.end_by(stop::last_end(due));
+            }
             let now = self.relay.ctx.now();
             let (relay, table) = (self.relay, self.table);
             let hedge_delay = self.hedge_delay();
@@ -522,6 +533,8 @@
     async fn next(&mut self) -> Step {
         let now = self.relay.ctx.now();
         let wait = self.wake_at.map_or(Span::ZERO, |at| at.since(now));
+        let is_due = wait <= STOP_CHECK_INTERVAL;
+        let wait = wait.min(STOP_CHECK_INTERVAL);
         let mut timer = std::pin::pin!(tokio::time::sleep(wait.to_std()));
         loop {
             tokio::select! {
@@ -535,7 +548,9 @@
                     }
                 }
                 () = &mut timer => {
-                    self.wake_at = None;
+                    if is_due {
+                        self.wake_at = None;
+                    }
                     return Event::Wake.into();
                 }
             }
--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -275,7 +275,8 @@
     }
 }
 
-/// A plan with one route to all shards, and one to each alone, by the host `s0` and so on.
+/// A plan with one route to all shards, one to each alone, by the host `s0` and so on, and one to the
+/// first for requests that may run only once.
 fn plan(shards: usize, connections: u32) -> Plan {
     let all: Vec<Arc<str>> = (0..shards).map(|i| format!("s{i}").into()).collect();
     let service = PlanService { connections, cold_rate: 0 };
@@ -301,7 +302,9 @@
         let destination = Destination::Split(vec![(service.clone(), 1)]);
         Route { name: service.clone(), host: service, destination, ..route.clone() }
     };
-    let routes = (0..shards).map(single).chain([route.clone()]).collect();
+    let once =
+        Route { name: "once".into(), host: "once".into(), repeat: Idempotency::Once, ..single(0) };
+    let routes = (0..shards).map(single).chain([once, route.clone()]).collect();
     Plan { number: 1, routes, services, ..Plan::default() }
 }
 
@@ -313,7 +316,8 @@
     entry: SocketAddr,
     entry_services: Arc<StaticServices>,
     _leaves: Vec<Server>,
-    _kernels: Vec<Kernel>,
+    /// Kernels of the hosts, that of the first one first.
+    kernels: Vec<Kernel>,
 }
 
 impl Tier {
@@ -419,7 +423,7 @@
             entry: addresses[0],
             entry_services: all_services.swap_remove(0),
             _leaves: leaves,
-            _kernels: kernels,
+            kernels,
         }
     }
 
@@ -447,15 +451,18 @@
     }
 
     async fn get_from(&self, virtual_host: &str) -> Response<Incoming> {
-        let stream = TcpStream::connect(self.entry).await.unwrap();
-        let (mut tx, link) =
-            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.unwrap();
-        tokio::spawn(link);
-        let request = Request::get("/q").header(HOST, virtual_host).header(ID, "r1");
-        tx.send_request(request.body(Empty::<Bytes>::new()).unwrap()).await.unwrap()
+        get_from(self.entry, virtual_host).await.unwrap()
     }
 }
 
+async fn get_from(entry: SocketAddr, virtual_host: &str) -> hyper::Result<Response<Incoming>> {
+    let stream = TcpStream::connect(entry).await.unwrap();
+    let (mut tx, link) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(link);
+    let request = Request::get("/q").header(HOST, virtual_host).header(ID, "r1");
+    tx.send_request(request.body(Empty::<Bytes>::new()).unwrap()).await
+}
+
 /// Checks that exactly one endpoint of each shard answered, and that the body holds the greatest of
 /// their records.
 fn assert_merged(tier: &Tier, names: &[String], body: &Bytes) {
@@ -531,7 +538,7 @@
     let service = next.services[0].clone();
     next.services.insert("unannounced".into(), service);
     let mut added =
-        Route { name: "added".into(), host: "added".into(), ..next.routes[SHARDS].clone() };
+        Route { name: "added".into(), host: "added".into(), ..next.routes[SHARDS + 1].clone() };
     if let Destination::Gather { shards, .. } = &mut added.destination {
         *shards = vec!["unannounced".into()];
     }
@@ -604,12 +611,24 @@
 async fn hedges_of_several_shards_in_one_message_are_not_mixed() {
     let tier = Tier::start_with(&LARGE_ZONE, 16).await;
     tier.gather().await;
-    let group = |shard: &usize| Groups::part(&format!("s{shard}"), 2);
-    let mut shards = (0..tier.shards).filter(|shard| group(shard) == group(&0)).rev();
+    // The first host sends hedges to the endpoints of its own group itself.
+    let groups =
+        Groups::new(LARGE_ZONE.iter().map(|(host, zone)| ((*host).into(), (*zone).into())));
+    let others = |shard: &usize| {
+        let group = Groups::part(&format!("s{shard}"), 2);
+        groups.owners("south", group, CONNECTIONS).iter().all(|owner| **owner != *LARGE_ZONE[0].0)
+    };
+    let mut shards = (0..tier.shards).filter(others).rev();
     let (slow, late) = (shards.next().unwrap(), shards.next().unwrap());
+    // The host learns that answers take 200 ms, and hedges later ones after that.
+    for _ in 0..4 {
+        let delays = (0..tier.shards).map(|shard| (format!("s{shard}"), vec![200]));
+        tier.leaf_state.delays.lock().extend(delays);
+        tier.gather().await;
+    }
     for _ in 0..5 {
         // Of `late`, the first attempt answers after the hedge was sent and before that is answered.
-        let delays = [(slow, vec![2_000, 100]), (late, vec![300, 100])];
+        let delays = [(slow, vec![2_000, 100]), (late, vec![260, 100])];
         tier.leaf_state.delays.lock().extend(delays.map(|(s, list)| (format!("s{s}"), list)));
         let (names, body) = tier.gather().await;
         assert_merged(&tier, &names, &body);
@@ -652,6 +671,47 @@
     assert!(tier.leaf_state.requests_at("s0-0") <= 1, "asked again during its quiet");
 }
 
+/// Guards against requests that were passed on and are cut off without an answer when the grace of a
+/// planned stop ends.
+#[tokio::test]
+async fn request_that_is_open_at_the_end_of_a_stop_is_answered() {
+    let mut tier = Tier::start().await;
+    tier.gather().await;
+    tier.leaf_state.hang.store(true, Ordering::Relaxed);
+    let entry = tier.entry;
+    for virtual_host in ["tier", "s0"] {
+        let state = tier.leaf_state.clone();
+        let answer =
+            tokio::spawn(async move { get_from(entry, virtual_host).await.map(|r| r.status()) });
+        if virtual_host == "tier" {
+            wait_until("endpoints are asked", async || state.hanging.load(Ordering::Relaxed) > 0)
+                .await;
+            // Passed on before the stop begins; the second request comes after that.
+            tier.kernels[0].enter_lame_duck(Span::secs(3));
+        }
+        let status = timeout(HANG_TIMEOUT, answer).await.unwrap().unwrap();
+        assert!(status.unwrap().is_server_error(), "{virtual_host}");
+    }
+    tier.kernels[0].stop(Span::secs(3)).await;
+}
+
+/// Guards against a request that may run only once, was taken late in the grace of a planned stop, and
+/// whose caller never learns whether it ran.
+#[tokio::test]
+async fn request_that_may_not_end_before_a_stop_is_refused_as_not_run() {
+    let tier = Tier::start().await;
+    tier.gather().await;
+    tier.kernels[0].enter_lame_duck(Span::secs(60));
+    let before = tier.leaf_state.requests.load(Ordering::Relaxed);
+    // The route's timeout is longer than what is left.
+    let r = tier.get_from("once").await;
+    assert_eq!(r.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(r.headers().contains_key(RETRY), "it has not run");
+    assert_eq!(tier.leaf_state.requests.load(Ordering::Relaxed), before, "nothing is sent");
+    // One that may be repeated has time for its objective.
+    tier.gather().await;
+}
+
 /// Guards against a request that is held, or sent to the other shards in vain, though no endpoint of
 /// one shard takes any.
 #[tokio::test]
--- a/tests/testsuite/order_entry.rs
+++ b/tests/testsuite/order_entry.rs
@@ -547,7 +547,7 @@
     let mut host = Host::start(&fakes, true).await;
     let callers = host.callers;
     assert_eq!(client::get(callers, "/v1/health").await.unwrap().status, 200);
-    host.kernel.enter_lame_duck();
+    host.kernel.enter_lame_duck(Span::secs(60));
     assert_eq!(client::get(callers, "/v1/health").await.unwrap().status, 503);
     assert_eq!(host.order("k-1", 7).await.status, 200);
     let gate = fakes.close_gate("send");
