--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -7,6 +7,7 @@
 use super::pools::{CallTimes, PART_MAX_BYTES, RESPONSE_MAX_BYTES};
 use super::protocol::{Call, EndpointResponse, Outcome};
 use super::table::{RouteEntry, RouteTable};
+use super::timeline::{GatherEnd, GatherTimeline};
 use super::traffic::Permit;
 use crate::core::plan::{Destination, Idempotency, Route};
 use crate::core::quarantine::SuspectRun;
@@ -188,6 +189,7 @@
     last_failure: Option<EndpointResponse>,
     started: Time,
     attempt_log: AttemptLog,
+    timeline: Option<GatherTimeline>,
 }
 
 /// Runs a request until its outcome is known.
@@ -239,6 +241,7 @@
     let deadline = started + subtract_margin(timeout, margin);
     let waited = relay.ctx.now().since(started);
     let id = call.meta.id.clone();
+    let is_gather = matches!(route.destination, Destination::Gather { .. });
     let driver = Driver {
         relay,
         table,
@@ -257,18 +260,28 @@
         last_failure: None,
         started,
         attempt_log: AttemptLog::default(),
+        timeline: is_gather.then(|| relay.timelines.gather(started, started)).flatten(),
     };
     let shards = snapshot.shard_count();
     let gather = Gather::new(snapshot.clone(), deadline, min_coverage)
         .with_policy(policy(route, started, margin));
-    let (gather, failure, mut attempt_log) = driver.run(gather).await;
+    let Finished { gather, failure, mut attempt_log, timeline } = driver.run(gather).await;
     let ended = relay.ctx.now();
     attempt_log.record_unanswered(&gather);
     let outcome = to_outcome(route, gather, shards, failure);
     let id = id.to_str().unwrap_or_default();
     relay.failure_logger.log(relay.ctx.now(), id, route, &snapshot, &attempt_log, &outcome);
-    if matches!(outcome, Outcome::Merged { .. }) {
-        relay.merge_time.record(relay.ctx.now().since(ended));
+    if let Outcome::Merged { missing, .. } = outcome {
+        let merged = relay.ctx.now();
+        relay.merge_time.record(merged.since(ended));
+        if let Some(timeline) = timeline {
+            let sent = attempt_log.sent();
+            timeline.log(
+                id,
+                &route.name,
+                &GatherEnd { decided: ended, merged, margin, sent, missing },
+            );
+        }
     }
     outcome
 }
@@ -330,11 +343,17 @@
     }
 }
 
+/// A request whose outcome is known.
+struct Finished {
+    gather: Gather<EndpointResponse>,
+    /// Last response of an endpoint with a status that is no success.
+    failure: Option<EndpointResponse>,
+    attempt_log: AttemptLog,
+    timeline: Option<GatherTimeline>,
+}
+
 impl Driver<'_> {
-    async fn run(
-        mut self,
-        mut gather: Gather<EndpointResponse>,
-    ) -> (Gather<EndpointResponse>, Option<EndpointResponse>, AttemptLog) {
+    async fn run(mut self, mut gather: Gather<EndpointResponse>) -> Finished {
         let mut next = Step::from(Event::Start);
         loop {
             let Step { event, replacements } = next;
@@ -343,6 +362,7 @@
                 gather.end_by(stop::last_end(due));
             }
             let now = self.relay.ctx.now();
+            let is_start = matches!(event, Event::Start);
             let (relay, table) = (self.relay, self.table);
             let hedge_delay = self.hedge_delay();
             let gathers = self.gathers();
@@ -350,8 +370,25 @@
             let mut environment =
                 RelayEnvironment { relay, table, now, hedge_delay, gathers, cover };
             let actions = gather.step(now, event, &mut environment);
-            if self.execute(actions) {
-                return (gather, self.last_failure.take(), std::mem::take(&mut self.attempt_log));
+            let stepped = self.timeline.is_some().then(|| relay.ctx.now());
+            let finished = self.execute(actions);
+            if let (Some(timeline), Some(stepped)) = (&mut self.timeline, stepped) {
+                if is_start {
+                    (timeline.read, timeline.chosen) = (now, Some(stepped));
+                    timeline.sent = Some(relay.ctx.now());
+                }
+                let min_coverage = self.route.destination.min_coverage();
+                if timeline.enough.is_none() && gather.coverage().meets(min_coverage) {
+                    timeline.enough = Some(now);
+                }
+            }
+            if finished {
+                return Finished {
+                    gather,
+                    failure: self.last_failure.take(),
+                    attempt_log: std::mem::take(&mut self.attempt_log),
+                    timeline: self.timeline.take(),
+                };
             }
             next = self.next().await;
         }
@@ -549,6 +586,9 @@
                 }
                 () = &mut timer => {
                     if is_due {
+                        if let Some(timeline) = &mut self.timeline {
+                            timeline.timer = self.wake_at;
+                        }
                         self.wake_at = None;
                     }
                     return Event::Wake.into();
@@ -558,6 +598,11 @@
     }
 
     fn handle_ends(&mut self, list: Vec<EndedAttempt>) -> Step {
+        if let Some(timeline) = &mut self.timeline {
+            timeline.first.get_or_insert(self.relay.ctx.now());
+            timeline.messages += 1;
+            timeline.ended += list.len() as u32;
+        }
         let mut replacements = Vec::new();
         let mut done = Vec::new();
         for ended in list {
--- a/src/wisteriahead/services/relay/failure_log.rs
+++ b/src/wisteriahead/services/relay/failure_log.rs
@@ -49,6 +49,11 @@
         self.sent += 1;
     }
 
+    /// Number of attempts sent.
+    pub const fn sent(&self) -> usize {
+        self.sent
+    }
+
     /// Records an attempt that failed.
     pub fn record_failure(&mut self, to: &Target, refusal: &Refusal, after: Span) {
         self.failed.push(FailedAttempt {
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -427,8 +427,9 @@
         state.remote_batches.insert(key, task.abort_handle());
     }
 
-    async fn run_remote_batch(&self, from: &str, request: BatchRequest) -> Result<()> {
+    async fn run_remote_batch(&self, from: &Arc<str>, request: BatchRequest) -> Result<()> {
         let started = self.ctx.now();
+        let mut timeline = self.timelines.batch(started, from, request.to.len());
         let call = &request.call()?;
         let (left, connect, flush) = request.times;
         let times = CallTimes {
@@ -453,12 +454,21 @@
                 ended = calls.next() => {
                     let finished = ended.is_none();
                     results.extend(ended);
+                    if let Some(timeline) = &mut timeline {
+                        timeline.record_end(self.ctx.now());
+                    }
                     if finished {
+                        if let Some(timeline) = &mut timeline {
+                            timeline.record_message(self.ctx.now(), results.len());
+                        }
                         self.send_results(from, &request, &targets, &mut results);
                         return Ok(());
                     }
                 }
                 () = &mut flush, if !results.is_empty() => {
+                    if let Some(timeline) = &mut timeline {
+                        timeline.record_message(self.ctx.now(), results.len());
+                    }
                     self.send_results(from, &request, &targets, &mut results);
                     flush.as_mut().reset(tokio::time::Instant::now() + pause);
                     pause *= 2;
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -9,6 +9,7 @@
 mod pools;
 pub mod protocol;
 mod table;
+mod timeline;
 mod traffic;
 
 pub use self::pools::end_to_end;
@@ -20,6 +21,7 @@
 use self::pools::ConnectionPools;
 use self::protocol::{Call, Outcome, Protocol};
 use self::table::RouteTable;
+use self::timeline::TimelineSampler;
 use self::traffic::TrafficState;
 use super::{AcceptedDocument, Control, Endpoints, Member, Members, Peers};
 use crate::core::member::Health;
@@ -91,6 +93,7 @@
     forwarder: Arc<Forwarder>,
     failure_logger: FailureLogger,
     merge_time: MergeTime,
+    timelines: TimelineSampler,
     control: Arc<dyn Control>,
     accepted: watch::Receiver<AcceptedDocument>,
     /// Reference to the relay itself, for the tasks that it spawns.
@@ -371,6 +374,7 @@
             forwarder: Arc::new(Forwarder::new(peers.clone())),
             failure_logger: FailureLogger::default(),
             merge_time: MergeTime::default(),
+            timelines: TimelineSampler::default(),
             accepted: control.watch(),
             control: control.clone(),
         });
