--- /dev/null
+++ b/src/wisteriahead/core/relay/flush.rs
@@ -0,0 +1,58 @@
+//! Decides when a host that relays a batch of calls returns the results that it has.
+//!
+//! Answers the load of gathers over many shards on slow hosts, where a few endpoints always pause: each
+//! message with results costs the host that gathers as much as several calls, and results that are
+//! held back for a paused endpoint come too late.
+
+use crate::core::time::{Span, Time};
+
+/// Divisor of the time until the first results are returned that gives the pause before further ones.
+/// Each pause is twice as long as the one before, so that late answers do not come in a message each.
+const LATER_DIVISOR: u64 = 3;
+/// Least pause between two messages with results.
+const LATER_MIN: Span = Span::millis(2);
+
+/// Results of one batch that are not returned yet.
+#[derive(Clone, Copy, Debug)]
+pub struct Flush {
+    calls: usize,
+    ended: usize,
+    unsent: usize,
+    last_end: Time,
+    /// Time of the next message.
+    next: Time,
+    pause: Span,
+}
+
+impl Flush {
+    /// A batch of so many calls that arrived at `started`; first results are returned after `first`.
+    pub fn new(started: Time, calls: usize, first: Span) -> Self {
+        let pause = Span(first.0 / LATER_DIVISOR).max(LATER_MIN);
+        Self { calls, ended: 0, unsent: 0, last_end: started, next: started + first, pause }
+    }
+
+    /// Records that a call ended.
+    pub fn record_end(&mut self, now: Time) {
+        (self.ended, self.unsent, self.last_end) = (self.ended + 1, self.unsent + 1, now);
+    }
+
+    /// When the results so far are returned; `None` while there are none.
+    pub fn due(&self) -> Option<Time> {
+        if self.unsent == 0 {
+            return None;
+        }
+        Some(if self.is_finished() { self.last_end } else { self.next })
+    }
+
+    /// Whether all calls have ended.
+    pub const fn is_finished(&self) -> bool {
+        self.ended == self.calls
+    }
+
+    /// Records that the results so far were returned.
+    pub fn record_message(&mut self, now: Time) {
+        self.unsent = 0;
+        self.next = now + self.pause;
+        self.pause = Span(self.pause.0 * 2);
+    }
+}
--- a/src/wisteriahead/core/relay/mod.rs
+++ b/src/wisteriahead/core/relay/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod cover;
 pub mod early;
+pub mod flush;
 pub mod groups;
 pub mod notices;
 pub mod plan_switch;
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -15,6 +15,7 @@
 use crate::core::endpoint::EndpointKey;
 use crate::core::message::{Topic, decode, encode};
 use crate::core::records;
+use crate::core::relay::flush::Flush;
 use crate::core::relay::notices::Notice;
 use crate::core::routes::Target;
 use crate::prelude::*;
@@ -44,11 +45,6 @@
 const AVOID_TIME: Span = Span::secs(2);
 /// Maximum of the time for which a host is avoided.
 const AVOID_TIME_MAX: Span = Span::secs(16);
-/// Divisor of the time until the first results are returned that gives the pause before further ones.
-/// Each pause is twice as long as the one before, so that late answers do not come in a message each.
-const LATER_FLUSH_DIVISOR: u64 = 3;
-/// Least pause between two messages with results.
-const LATER_FLUSH_MIN: Span = Span::millis(2);
 /// Number that no batch has.
 const NO_BATCH: u64 = u64::MAX;
 /// Maximum number of batches of other hosts in progress.
@@ -444,35 +440,40 @@
             (index, result, self.ctx.now().since(started))
         });
         let mut calls: FuturesUnordered<_> = calls.collect();
-        let first = tokio::time::Instant::now() + Span(flush).to_std();
-        let mut pause = Span(flush / LATER_FLUSH_DIVISOR).max(LATER_FLUSH_MIN).to_std();
-        let mut flush = std::pin::pin!(tokio::time::sleep_until(first));
+        let mut flush = Flush::new(started, targets.len(), Span(flush));
+        let mut timer = std::pin::pin!(tokio::time::sleep(Span::ZERO.to_std()));
         let mut results = Vec::new();
         loop {
+            let due = flush.due();
+            if let Some(at) = due {
+                let wait = at.since(self.ctx.now()).to_std();
+                timer.as_mut().reset(tokio::time::Instant::now() + wait);
+            }
             tokio::select! {
                 biased;
                 ended = calls.next() => {
-                    let finished = ended.is_none();
-                    results.extend(ended);
+                    // Without calls, the batch asks for nothing.
+                    let Some(ended) = ended else { return Ok(()) };
+                    results.push(ended);
+                    let now = self.ctx.now();
+                    flush.record_end(now);
                     if let Some(timeline) = &mut timeline {
-                        timeline.record_end(self.ctx.now());
-                    }
-                    if finished {
-                        if let Some(timeline) = &mut timeline {
-                            timeline.record_message(self.ctx.now(), results.len());
-                        }
-                        self.send_results(from, &request, &targets, &mut results);
-                        return Ok(());
+                        timeline.record_end(now);
                     }
-                }
-                () = &mut flush, if !results.is_empty() => {
-                    if let Some(timeline) = &mut timeline {
-                        timeline.record_message(self.ctx.now(), results.len());
+                    if !flush.is_finished() {
+                        continue;
                     }
-                    self.send_results(from, &request, &targets, &mut results);
-                    flush.as_mut().reset(tokio::time::Instant::now() + pause);
-                    pause *= 2;
                 }
+                () = &mut timer, if due.is_some() => {}
+            }
+            let now = self.ctx.now();
+            if let Some(timeline) = &mut timeline {
+                timeline.record_message(now, results.len());
+            }
+            flush.record_message(now);
+            self.send_results(from, &request, &targets, &mut results);
+            if flush.is_finished() {
+                return Ok(());
             }
         }
     }
