--- a/src/wisteriahead/core/relay/flush.rs
+++ b/src/wisteriahead/core/relay/flush.rs
@@ -4,6 +4,7 @@
 //! message with results costs the host that gathers as much as several calls, and results that are
 //! held back for a paused endpoint come too late.
 
+use super::timing::FlushTimes;
 use crate::core::time::{Span, Time};
 
 /// Divisor of the time until the first results are returned that gives the pause before further ones.
@@ -25,8 +26,9 @@
 }
 
 impl Flush {
-    /// A batch of so many calls that arrived at `started`; first results are returned after `first`.
-    pub fn new(started: Time, calls: usize, first: Span) -> Self {
+    /// A batch of so many calls that arrived at `started`.
+    pub fn new(started: Time, calls: usize, times: FlushTimes) -> Self {
+        let first = times.first;
         let pause = Span(first.0 / LATER_DIVISOR).max(LATER_MIN);
         Self { calls, ended: 0, unsent: 0, last_end: started, next: started + first, pause }
     }
--- a/src/wisteriahead/core/relay/mod.rs
+++ b/src/wisteriahead/core/relay/mod.rs
@@ -15,4 +15,5 @@
 pub mod retry_budget;
 pub mod stale_address;
 pub mod stop;
+pub mod timing;
 pub mod zones;
--- /dev/null
+++ b/src/wisteriahead/core/relay/timing.rs
@@ -0,0 +1,60 @@
+//! Times of one request of the relay: when its answer has to leave, when its attempts are hedged, and
+//! when the hosts that relay a batch of its calls return results.
+
+use crate::core::plan::{Destination, Idempotency, Route};
+use crate::core::query::Policy;
+use crate::core::time::{Span, Time};
+
+/// Inverse of the largest fraction of a time limit that the margin may take.
+const MARGIN_DIVISOR: u64 = 2;
+/// Divisor of the latency objective that gives the time a request waits for a free slot.
+const SLOT_WAIT_DIVISOR: u64 = 4;
+/// Fraction of the hedge delay after which a host that relays a batch returns the answers it has, so
+/// that they arrive before the missing ones are hedged.
+const FLUSH_FRACTION: (u64, u64) = (3, 5);
+
+/// Time by which the shards of an answer must be in for it to reach the caller within `span`, of
+/// which `margin` is needed for the rest of its way.
+pub fn subtract_margin(span: Span, margin: Span) -> Span {
+    Span(span.0.saturating_sub(margin.0.min(span.0 / MARGIN_DIVISOR)))
+}
+
+/// When the answer to a request that arrived at `started` has to be in to meet the objective.
+pub fn answer_by(route: &Route, started: Time, margin: Span) -> Time {
+    started + subtract_margin(route.objective, margin)
+}
+
+/// Policy of a request on a route.
+pub fn policy(route: &Route, started: Time, margin: Span) -> Policy {
+    let gathers = matches!(route.destination, Destination::Gather { .. });
+    let answer_by = answer_by(route, started, margin);
+    Policy {
+        max_attempts: route.attempts,
+        idempotent: route.repeat == Idempotency::Idempotent,
+        strict_budget: true,
+        may_restart: false,
+        gang_start: gathers,
+        hedge_few_until: gathers.then_some(answer_by),
+        detect_deaths: false,
+        partial_after: Some(answer_by),
+        slot_deadline: Some(started + Span(route.objective.0 / SLOT_WAIT_DIVISOR)),
+    }
+}
+
+/// When the results of a batch are returned, from its arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlushTimes {
+    /// First results.
+    pub first: Span,
+    /// Latest time at which results reach the answer before it has to leave.
+    pub useful: Span,
+}
+
+impl FlushTimes {
+    /// Times of a batch that is sent now.
+    pub fn new(_now: Time, _answer_by: Time, hedge_delay: Span) -> Self {
+        let (numerator, denominator) = FLUSH_FRACTION;
+        let first = Span(hedge_delay.0 / denominator * numerator);
+        Self { first, useful: first }
+    }
+}
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -9,15 +9,16 @@
 use super::table::{RouteEntry, RouteTable};
 use super::timeline::{GatherEnd, GatherTimeline};
 use super::traffic::Permit;
-use crate::core::plan::{Destination, Idempotency, Route};
+use crate::core::plan::{Destination, Route};
 use crate::core::quarantine::SuspectRun;
 use crate::core::query::{
-    Action, AttemptId, Environment, Event, Gather, Policy, meets_coverage, shards_for_coverage,
+    Action, AttemptId, Environment, Event, Gather, meets_coverage, shards_for_coverage,
 };
 use crate::core::records;
 use crate::core::relay::cover::ZoneCover;
 use crate::core::relay::groups::Groups;
 use crate::core::relay::stop;
+use crate::core::relay::timing::{self, FlushTimes};
 use crate::core::routes::{Snapshot, Target};
 use crate::prelude::*;
 use futures::future::BoxFuture;
@@ -30,14 +31,10 @@
 /// Least time reserved for the network between caller and host (specified as 3 ms each way) and for
 /// processing, since callers measure their timeout from when they send.
 const NETWORK_MARGIN: Span = Span::millis(10);
-/// Inverse of the largest fraction of a time limit that the margin may take.
-const MARGIN_DIVISOR: u64 = 2;
 /// Steps of a gather that take about as long as a merge: reading the request, merging, writing.
 const MERGE_STEPS: u64 = 3;
 /// Inverse of the weight of the newest merge in the moving average.
 const MERGE_WEIGHT_DIVISOR: u64 = 8;
-/// Divisor of the latency objective that gives the time a request waits for a free slot.
-const SLOT_WAIT_DIVISOR: u64 = 4;
 /// Divisor of the latency objective that gives the timeout for connecting to an endpoint.
 const CONNECT_DIVISOR: u64 = 2;
 /// Minimum timeout for connecting to an endpoint.
@@ -53,15 +50,6 @@
 const RESPONSE_WAIT_MIN: Span = Span::millis(250);
 /// Interval at which a request that waits checks whether the host is about to stop.
 const STOP_CHECK_INTERVAL: Span = Span::millis(500);
-/// Fraction of the hedge delay after which a host that relays a batch returns the answers it has, so
-/// that they arrive before the missing ones are hedged.
-const FLUSH_FRACTION: (u64, u64) = (3, 5);
-
-/// Time by which the shards of an answer must be in for it to reach the caller within `span`.
-fn subtract_margin(span: Span, margin: Span) -> Span {
-    Span(span.0.saturating_sub(margin.0.min(span.0 / MARGIN_DIVISOR)))
-}
-
 /// Moving average of the time that a host takes to merge the shards of an answer and log it. On a
 /// slow host, reading the request and writing the answer take about as long each.
 #[derive(Default)]
@@ -185,6 +173,8 @@
     batched: bool,
     responded: bool,
     wake_at: Option<Time>,
+    /// When the answer has to be in to meet the objective.
+    answer_by: Time,
     /// Last response of an endpoint with a status that is no success.
     last_failure: Option<EndpointResponse>,
     started: Time,
@@ -238,7 +228,7 @@
     }
     services(route, part.unwrap_or(0)).for_each(|s| relay.traffic.record_request(started, s));
     let margin = relay.merge_time.margin();
-    let deadline = started + subtract_margin(timeout, margin);
+    let deadline = started + timing::subtract_margin(timeout, margin);
     let waited = relay.ctx.now().since(started);
     let id = call.meta.id.clone();
     let is_gather = matches!(route.destination, Destination::Gather { .. });
@@ -257,6 +247,7 @@
         responded: false,
         tasks: IndexMap::new(),
         wake_at: None,
+        answer_by: timing::answer_by(route, started, margin),
         last_failure: None,
         started,
         attempt_log: AttemptLog::default(),
@@ -264,7 +255,7 @@
     };
     let shards = snapshot.shard_count();
     let gather = Gather::new(snapshot.clone(), deadline, min_coverage)
-        .with_policy(policy(route, started, margin));
+        .with_policy(timing::policy(route, started, margin));
     let Finished { gather, failure, mut attempt_log, timeline } = driver.run(gather).await;
     let ended = relay.ctx.now();
     attempt_log.record_unanswered(&gather);
@@ -292,22 +283,6 @@
     route.destination.services().skip(part).take(if one { 1 } else { usize::MAX })
 }
 
-fn policy(route: &Route, started: Time, margin: Span) -> Policy {
-    let answer_by = started + subtract_margin(route.objective, margin);
-    Policy {
-        max_attempts: route.attempts,
-        idempotent: route.repeat == Idempotency::Idempotent,
-        strict_budget: true,
-        may_restart: false,
-        gang_start: matches!(route.destination, Destination::Gather { .. }),
-        hedge_few_until: matches!(route.destination, Destination::Gather { .. })
-            .then_some(answer_by),
-        detect_deaths: false,
-        partial_after: Some(answer_by),
-        slot_deadline: Some(started + Span(route.objective.0 / SLOT_WAIT_DIVISOR)),
-    }
-}
-
 fn refuse(refusal: Refusal) -> Outcome {
     let retry_after = (refusal.verdict == Verdict::NotRun).then_some(RETRY_AFTER);
     Outcome::Refused { refusal, retry_after }
@@ -537,8 +512,7 @@
             Destination::Split(_) => 0,
         };
         let hedge_delay = self.hedge_delay();
-        let (numerator, denominator) = FLUSH_FRACTION;
-        let flush = Span(hedge_delay.0 / denominator * numerator);
+        let flush = FlushTimes::new(relay.ctx.now(), self.answer_by, hedge_delay);
         let batch = Batch {
             call: &self.call,
             to: attempts.iter().map(|a| &a.to).collect(),
@@ -554,7 +528,7 @@
         let (route, call) = (self.route.name.clone(), Arc::clone(&self.call));
         let until = tokio::time::Instant::from_std(self.deadline);
         // A host that is merely late must not be left for one that has no open connection.
-        let response_timeout = Span(flush.0 + hedge_delay.0).max(RESPONSE_WAIT_MIN);
+        let response_timeout = Span(flush.first.0 + hedge_delay.0).max(RESPONSE_WAIT_MIN);
         let task = tokio::spawn(async move {
             let names = (&route, call.meta.id.to_str().unwrap_or_default());
             let receive =
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -17,6 +17,7 @@
 use crate::core::records;
 use crate::core::relay::flush::Flush;
 use crate::core::relay::notices::Notice;
+use crate::core::relay::timing::FlushTimes;
 use crate::core::routes::Target;
 use crate::prelude::*;
 use crate::services::{Handler, Peers};
@@ -109,6 +110,9 @@
     /// Whether the records of each endpoint are returned by themselves; older releases omit the field.
     #[serde(default)]
     separate: bool,
+    /// Microseconds until which results can meet the objective; older releases omit the field.
+    #[serde(default)]
+    useful: u64,
 }
 
 /// How the records of a batch are returned.
@@ -132,8 +136,8 @@
     pub records: Records,
     /// Time limits of the calls.
     pub times: CallTimes,
-    /// Time after which the remote host returns the first results.
-    pub flush: Span,
+    /// When the remote host returns results.
+    pub flush: FlushTimes,
 }
 
 /// Result of one call of a batch.
@@ -352,8 +356,9 @@
                 .collect(),
             incarnations: self.to.iter().map(|t| t.incarnation).collect(),
             top: self.top,
-            times: (left.0, self.times.connect_timeout.0, self.flush.0),
+            times: (left.0, self.times.connect_timeout.0, self.flush.first.0),
             separate: self.records == Records::Separate,
+            useful: self.flush.useful.0,
         }
     }
 }
@@ -427,7 +432,8 @@
         let started = self.ctx.now();
         let mut timeline = self.timelines.batch(started, from, request.to.len());
         let call = &request.call()?;
-        let (left, connect, flush) = request.times;
+        let (left, connect, first) = request.times;
+        let flush = FlushTimes { first: Span(first), useful: Span(request.useful) };
         let times = CallTimes {
             connect_timeout: Span(connect),
             deadline: Instant::now() + Span(left).to_std(),
@@ -440,7 +446,7 @@
             (index, result, self.ctx.now().since(started))
         });
         let mut calls: FuturesUnordered<_> = calls.collect();
-        let mut flush = Flush::new(started, targets.len(), Span(flush));
+        let mut flush = Flush::new(started, targets.len(), flush);
         let mut timer = std::pin::pin!(tokio::time::sleep(Span::ZERO.to_std()));
         let mut results = Vec::new();
         loop {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -41,6 +41,7 @@
 mod scripted;
 mod settings;
 mod sharing;
+mod slow_hosts;
 mod storage;
 mod succession;
 mod support;
