Bound the memory for the answers of all endpoints together

A head and a body were bounded here, each by itself: 400 KiB and 4 MiB, or 256 KiB of one shard. Nothing bounded the sum: 16 answers of 3 MiB that stall are 48 MiB, and a gather of 135 shards 34 MiB, on hosts of 160 MB.

Answers of more than 16 KiB now share 32 MiB, on the relay and in the product's own transport; one that finds none left fails at once, and the connection is closed. Heads are bounded to 64 KiB read ahead.

Not shown: interim answers, trailers and chunk extensions without end; bytes without end sent to the control address or by a peer; the memory of a real process. On the product's own transport a body gives its share back once it is read.

Conclusion: what endpoints send on the relay's path is bounded in sum, as far as the tests play it.

--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -326,6 +326,7 @@
                     headers: HeaderMap::new(),
                     body: records.next().unwrap_or_default(),
                     signature: signature.and_then(|s| HeaderValue::from_bytes(&s).ok()),
+                    memory: None,
                 }),
                 Err(refusal) => Err(refusal),
             };
--- a/src/wisteriahead/services/relay/pools.rs
+++ b/src/wisteriahead/services/relay/pools.rs
@@ -5,9 +5,9 @@
 use crate::core::relay::notices::Access;
 use crate::core::routes::Target;
 use crate::prelude::*;
-use crate::services::transport::{Lease, Pool};
+use crate::services::transport::{Lease, Pool, ResponseMemory};
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
@@ -38,6 +38,7 @@
 #[derive(Default)]
 pub struct ConnectionPools {
     by_address: Mutex<IndexMap<SocketAddr, Arc<Pool>>>,
+    memory: ResponseMemory,
 }
 
 /// Limits of a call.
@@ -155,13 +156,10 @@
             return Err(Refusal::may_have_run(Reason::Mismatch, detail));
         }
     };
-    let body = Limited::new(body, max_bytes).collect().await.map_err(|e| {
-        Refusal::may_have_run(Reason::Connection, format!("the answer broke off: {e}"))
-    })?;
-    let body = body.to_bytes();
+    let (body, memory) = relay.pools.memory.read(body, max_bytes).await?;
     let (status, reusable) = (head.status, !closes_connection(&head.headers));
-    let part =
-        |signature| EndpointResponse { status, headers: end_to_end(head.headers), body, signature };
+    let headers = end_to_end(head.headers);
+    let part = |signature| EndpointResponse { status, headers, body, signature, memory };
     Ok((result.map(part), reusable))
 }
 
--- a/src/wisteriahead/services/relay/protocol.rs
+++ b/src/wisteriahead/services/relay/protocol.rs
@@ -5,6 +5,7 @@
 use crate::core::relay::notices::Notice;
 use crate::core::routes::Target;
 use crate::prelude::*;
+use crate::services::transport::MemoryShare;
 use crate::util::http::Answer;
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -62,6 +63,8 @@
     pub body: Bytes,
     /// The endpoint's signature, if present.
     pub signature: Option<HeaderValue>,
+    /// Share of the host's memory for answers that a large body takes.
+    pub memory: MemoryShare,
 }
 
 /// Result of a request, from which the caller's response is written.
--- a/src/wisteriahead/services/transport/exchange.rs
+++ b/src/wisteriahead/services/transport/exchange.rs
@@ -3,11 +3,12 @@
 //! A failure is "not run" only if nothing of the request was written, or if the endpoint refused it
 //! with this verdict in a response that names the attempt. Any other failure may have run.
 
+use super::memory::ResponseMemory;
 use super::pool::Lease;
 use crate::prelude::*;
 use crate::services::Attempt;
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{HOST, HeaderMap, HeaderName};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode};
@@ -43,8 +44,8 @@
 }
 
 /// Sends one attempt and reads the whole response.
-pub async fn run(lease: Lease, attempt: &Attempt) -> AttemptResult {
-    match exchange(lease, attempt).await {
+pub async fn run(lease: Lease, attempt: &Attempt, memory: &ResponseMemory) -> AttemptResult {
+    match exchange(lease, attempt, memory).await {
         Ok((parts, body)) => {
             let incarnation = header_text(&parts.headers, &INCARNATION).parse().ok();
             let ok = parts.status == StatusCode::OK;
@@ -57,18 +58,20 @@
 }
 
 /// Sends the attempt, reads the whole response and checks that it belongs to the attempt.
-async fn exchange(mut lease: Lease, attempt: &Attempt) -> Result<(Parts, Bytes), Refusal> {
+async fn exchange(
+    mut lease: Lease,
+    attempt: &Attempt,
+    memory: &ResponseMemory,
+) -> Result<(Parts, Bytes), Refusal> {
     let request = build_request(attempt)?;
     let (parts, body) = lease.send(request).await?.into_parts();
     let matched = check_match(&parts.headers, attempt);
-    let body = Limited::new(body, RESPONSE_MAX_BYTES).collect().await.map_err(|e| {
-        Refusal::may_have_run(Reason::Connection, format!("the response broke off: {e}"))
-    })?;
+    let (body, _share) = memory.read(body, RESPONSE_MAX_BYTES).await?;
     // After a response to another request, later responses on this connection would be mismatched
     // too, so it is closed.
     matched?;
     lease.give_back().await;
-    Ok((parts, body.to_bytes()))
+    Ok((parts, body))
 }
 
 fn build_request(a: &Attempt) -> Result<Request<Full<Bytes>>, Refusal> {
@@ -125,7 +128,7 @@
 }
 
 /// Asks the endpoint to cancel an attempt; failures are ignored.
-pub async fn cancel(mut lease: Lease, id: &str) {
+pub async fn cancel(mut lease: Lease, id: &str, memory: &ResponseMemory) {
     let request = Request::builder()
         .method(Method::POST)
         .uri("/v1/cancel")
@@ -134,7 +137,7 @@
         .body(Full::new(Bytes::new()));
     let Ok(request) = request else { return };
     if let Ok(response) = lease.send(request).await
-        && Limited::new(response.into_body(), RESPONSE_MAX_BYTES).collect().await.is_ok()
+        && memory.read(response.into_body(), RESPONSE_MAX_BYTES).await.is_ok()
     {
         lease.give_back().await;
     }
--- a/src/wisteriahead/services/transport/mod.rs
+++ b/src/wisteriahead/services/transport/mod.rs
@@ -6,7 +6,10 @@
 //! isn't taken for the one to another request.
 
 mod exchange;
+mod memory;
 mod pool;
+pub use self::memory::MemoryShare;
+pub(super) use self::memory::ResponseMemory;
 pub(super) use self::pool::{Lease, Pool};
 
 use self::exchange::AttemptResult;
@@ -61,6 +64,7 @@
     pools: Mutex<IndexMap<SocketAddr, EndpointPool>>,
     hosts: Mutex<Option<Hosts>>,
     allowance: Option<Arc<dyn Allowance>>,
+    memory: ResponseMemory,
 }
 
 impl Connections {
@@ -137,7 +141,7 @@
     mut attempt: Attempt,
     requested: Instant,
     permit: Permit,
-    allowance: Option<Arc<dyn Allowance>>,
+    (allowance, memory): (Option<Arc<dyn Allowance>>, ResponseMemory),
 ) -> Result<Bytes, Refusal> {
     let start = Instant::now();
     let waited = Span::from(requested.elapsed());
@@ -149,7 +153,7 @@
     };
     attempt.timeout = left;
     let bound = Span(attempt.timeout.0.saturating_add(RESPONSE_GRACE.0)).to_std();
-    let sent = exchange::run(lease, &attempt);
+    let sent = exchange::run(lease, &attempt, &memory);
     let done = tokio::time::timeout(bound, sent).await.unwrap_or_else(|_| no_answer().into());
     if let Some(allowance) = allowance {
         let time = Span::from(start.elapsed());
@@ -186,9 +190,9 @@
             };
             // The exchange runs in its own task, which continues when this future is dropped, so
             // that a late response still releases the connection.
-            let allowance = self.allowance.clone();
+            let shared = (self.allowance.clone(), self.memory.clone());
             let task =
-                tokio::spawn(exchange(lease, to.clone(), attempt, requested, permit, allowance));
+                tokio::spawn(exchange(lease, to.clone(), attempt, requested, permit, shared));
             match tokio::time::timeout(timeout.to_std(), task).await {
                 Ok(Ok(result)) => result,
                 Ok(Err(_)) => Err(Refusal::may_have_run(Reason::Internal, "the exchange stopped")),
@@ -198,10 +202,10 @@
     }
 
     fn cancel(&self, to: &Target, id: Arc<str>) {
-        let pool = self.pool(to);
+        let (pool, memory) = (self.pool(to), self.memory.clone());
         tokio::spawn(async move {
             if let Ok(lease) = connect(pool, Span::from(CONNECT_TIMEOUT)).await {
-                let sent = exchange::cancel(lease, &id);
+                let sent = exchange::cancel(lease, &id, &memory);
                 // If cancelling fails, the endpoint only does work that is no longer needed.
                 let _ = tokio::time::timeout(CONNECT_TIMEOUT, sent).await;
             }
--- a/src/wisteriahead/services/transport/pool.rs
+++ b/src/wisteriahead/services/transport/pool.rs
@@ -12,6 +12,9 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
+/// Maximum number of bytes read ahead on a connection, and of the head of a response.
+const BUFFER_MAX_BYTES: usize = 64 << 10;
+
 /// Sends requests on one connection.
 pub type Sender = SendRequest<Full<Bytes>>;
 
@@ -127,8 +130,10 @@
         let stream = TcpStream::connect(self.pool.address).await.map_err(|e| failed(&e))?;
         // A request is one small write, which Nagle's algorithm would only delay.
         let _ = stream.set_nodelay(true);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_MAX_BYTES);
         let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| failed(&e))?;
+            builder.handshake(TokioIo::new(stream)).await.map_err(|e| failed(&e))?;
         tokio::spawn(async move {
             if let Err(e) = connection.await {
                 log::trace!("connection to an endpoint failed: {e}");
--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -841,3 +841,61 @@
     .await;
     assert!(before < WRITTEN_MAX, "{before} bytes were read");
 }
+
+/// Guards against a host that endpoints fill up together, each with less than the limit of one answer:
+/// the requests of other callers ended with it.
+#[tokio::test]
+async fn answers_without_end_do_not_fill_the_memory_together() {
+    /// Within the limit of one answer.
+    const ANSWER_BYTES: usize = 3 << 20;
+    /// As many requests as two endpoints get from one host at once.
+    const REQUESTS: usize = 16;
+    /// Answers of which a host of 160 MB can hold all at once.
+    const HELD_MAX_BYTES: usize = 40 << 20;
+    let listener = http::bind(ANY).await.unwrap();
+    let broken = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            open.push(tokio::spawn(async move {
+                let mut request = [0; 4_096];
+                let _ = stream.read(&mut request).await;
+                let head = b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\n\r\n";
+                let _ = stream.write_all(head).await;
+                let _ = stream.write_all(&vec![b'7'; ANSWER_BYTES]).await;
+                std::future::pending::<()>().await;
+            }));
+        }
+    });
+    let hosts = [("south", "south"), ("north", "north")];
+    let tier = Tier::start_scarce(&hosts, SHARDS, CONNECTIONS, Some(broken)).await;
+    wait_until("the plan is followed", async || tier.get_from("s1").await.status().is_success())
+        .await;
+    let requests: Vec<_> =
+        (0..REQUESTS).map(|_| tokio::spawn(get_from(tier.entry, "s0"))).collect();
+    wait_until("enough answers are given up", async || {
+        let given_up = requests.iter().filter(|r| r.is_finished()).count();
+        (REQUESTS - given_up) * ANSWER_BYTES <= HELD_MAX_BYTES
+    })
+    .await;
+    assert!(tier.get_from("s1").await.status().is_success(), "other callers are served");
+    requests.iter().for_each(tokio::task::JoinHandle::abort);
+}
+
+/// Guards against heads that many endpoints send at once and that fill the memory together.
+#[tokio::test]
+async fn head_of_an_answer_is_bounded() {
+    const HEADERS: &[u8] = &[b'7'; 256 << 10];
+    let head = [
+        &b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\ncontent-length: 0\r\nx-more: "[..],
+        HEADERS,
+        b"\r\n\r\n",
+    ];
+    let (broken, _) = start_broken(head.concat().leak(), b"").await;
+    let hosts = [("south", "south"), ("north", "north")];
+    let tier = Tier::start_scarce(&hosts, SHARDS, CONNECTIONS, Some(broken)).await;
+    wait_until("the plan is followed", async || tier.get_from("s1").await.status().is_success())
+        .await;
+    let status = tier.get_from("s0").await.status();
+    assert!(status.is_server_error(), "{status}");
+}
