Prepare tables for gathers when they change, not on a request's way

Cause: after each change of an endpoint the next gather of each host built the replicas of all shards, the zones that it needs and its share of the connections to each endpoint (a hash for each host) before it sent anything; a host takes a gather each second or so, and endpoints change as often. It also took a lock for each shard to count the request, and filtered the headers of each part of a gather, which nobody reads.

Now the routes in use are prepared when the table or the hosts change.

No test counts it.

Not measured: what preparing costs a host while many endpoints change.

--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -4,7 +4,7 @@
 use super::Relay;
 use super::failure_log::AttemptLog;
 use super::forward::{BATCH_MIN_CALLS, Batch, BatchResult, PendingBatch, Records};
-use super::pools::{CallTimes, PART_MAX_BYTES, RESPONSE_MAX_BYTES};
+use super::pools::{CallTimes, PART_MAX_BYTES, RESPONSE_MAX_BYTES, end_to_end};
 use super::protocol::{Call, EndpointResponse, Outcome};
 use super::table::{RouteEntry, RouteTable};
 use super::timeline::{GatherEnd, GatherTimeline};
@@ -226,7 +226,7 @@
         let detail = "this host is about to stop";
         return refuse(Refusal::not_run(Reason::Unavailable, detail));
     }
-    services(route, part.unwrap_or(0)).for_each(|s| relay.traffic.record_request(started, s));
+    relay.traffic.record_request(started, services(route, part.unwrap_or(0)));
     let margin = relay.merge_time.margin();
     let deadline = started + timing::subtract_margin(timeout, margin);
     let waited = relay.ctx.now().since(started);
@@ -308,7 +308,9 @@
     };
     match &route.destination {
         Destination::Split(_) => match (gather.into_parts().next(), last_failure) {
-            (Some((_, part)), _) | (None, Some(part)) => Outcome::Forwarded(part),
+            (Some((_, part)), _) | (None, Some(part)) => {
+                Outcome::Forwarded(EndpointResponse { headers: end_to_end(part.headers), ..part })
+            }
             (None, None) => refused(Reason::Unavailable),
         },
         Destination::Gather { top, .. } => {
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -273,7 +273,7 @@
         let next = RouteTable::new(newest, routes.clone());
         let current = self.table.load_full().map(|t| Arc::clone(&t.plan));
         let Some(current) = current.filter(|current| current.number < next.plan.number) else {
-            self.table.store(Some(Arc::new(next)));
+            self.set_table(next);
             return false;
         };
         let old = RouteTable::new(current, routes);
@@ -295,10 +295,29 @@
                 "plan {plan} waits for its endpoints; requests still follow plan {previous}"
             );
         }
-        self.table.store(Some(Arc::new(if switches { next } else { old })));
+        self.set_table(if switches { next } else { old });
         !switches
     }
 
+    /// Has requests use a table, for which all is prepared that they would otherwise wait for.
+    fn set_table(&self, table: RouteTable) {
+        if let Some(previous) = self.table.load_full() {
+            self.prepare(&table, &previous);
+        }
+        self.table.store(Some(Arc::new(table)));
+    }
+
+    /// Prepares a table for the gathers that `previous` served.
+    fn prepare(&self, table: &RouteTable, previous: &RouteTable) {
+        let snapshots = table.prepare(previous);
+        if !snapshots.is_empty() {
+            self.cover(self.ctx.now(), table);
+        }
+        for snapshot in snapshots {
+            self.traffic.cache_reach(snapshot.shards.iter().flatten());
+        }
+    }
+
     fn set_members(&self, members: &[Member]) {
         // Lost members count too: behind a network partition they may still send requests.
         let relays = members.iter().filter(|m| !m.durable && m.health < Health::Left);
@@ -306,6 +325,9 @@
         let count = relays.len();
         if self.traffic.set_hosts(relays) {
             log::info!(relays = count; "{count} hosts share the retry budgets and endpoint limits");
+            if let Some(table) = self.table.load_full() {
+                self.prepare(&table, &table);
+            }
         }
         let alive = members.iter().filter(|m| !m.durable && m.health == Health::Alive);
         self.forwarder.set_hosts(alive.map(|m| (m.host.clone(), m.zone.clone())));
--- a/src/wisteriahead/services/relay/pools.rs
+++ b/src/wisteriahead/services/relay/pools.rs
@@ -158,7 +158,7 @@
     };
     let (body, memory) = relay.pools.memory.read(body, max_bytes).await?;
     let (status, reusable) = (head.status, !closes_connection(&head.headers));
-    let headers = end_to_end(head.headers);
+    let headers = head.headers;
     let part = |signature| EndpointResponse { status, headers, body, signature, memory };
     Ok((result.map(part), reusable))
 }
--- a/src/wisteriahead/services/relay/protocol.rs
+++ b/src/wisteriahead/services/relay/protocol.rs
@@ -57,7 +57,7 @@
 pub struct EndpointResponse {
     /// Status.
     pub status: StatusCode,
-    /// End-to-end headers.
+    /// Headers; only the end-to-end ones once the outcome is known.
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
--- a/src/wisteriahead/services/relay/table.rs
+++ b/src/wisteriahead/services/relay/table.rs
@@ -133,6 +133,17 @@
         all.get(part).cloned()
     }
 
+    /// Builds the snapshots of the gathering routes that were in use in `previous`, so that no request
+    /// has to; returns them.
+    pub fn prepare(&self, previous: &Self) -> Vec<Arc<Snapshot>> {
+        let used = previous.entries.iter().filter(|e| e.snapshots.get().is_some());
+        let gathers = used.filter(|e| matches!(e.route.destination, Destination::Gather { .. }));
+        gathers
+            .filter_map(|old| self.entries.iter().find(|e| e.route.name == old.route.name))
+            .filter_map(|entry| self.snapshot(entry, 0))
+            .collect()
+    }
+
     fn build_snapshot(&self, services: &[Arc<str>]) -> Arc<Snapshot> {
         let name = self.plan.number.to_string().into();
         Arc::new(Snapshot { name, shards: services.iter().map(|s| self.replicas(s)).collect() })
--- a/src/wisteriahead/services/relay/traffic.rs
+++ b/src/wisteriahead/services/relay/traffic.rs
@@ -207,6 +207,18 @@
         self.reach(&self.state.lock(), to).share
     }
 
+    /// Works out how this host reaches endpoints, which takes a hash for each host, before a request
+    /// needs it.
+    pub fn cache_reach<'a>(&self, targets: impl Iterator<Item = &'a Target>) {
+        let State { endpoints, groups, .. } = &mut *self.state.lock();
+        for t in targets {
+            let Some(e) = endpoints.entry(t.key).map(|e| e.or_default()) else { continue };
+            if e.reach(t).is_none() {
+                e.reach = Some(self.find_reach(groups, t));
+            }
+        }
+    }
+
     fn reach(&self, s: &State, to: &Target) -> Reach {
         let known = s.endpoints.get(to.key).and_then(|e| e.reach(to));
         known.unwrap_or_else(|| self.find_reach(&s.groups, to))
@@ -271,15 +283,17 @@
         notices.closed_until(now, shards, self.bounds.drain, shards_min)
     }
 
-    /// Counts a request for a service.
-    pub fn record_request(&self, now: Time, service: &Arc<str>) {
-        let bounds = &self.bounds.retry_budget;
-        self.state
-            .lock()
-            .retry_budgets
-            .entry(service.clone())
-            .or_default()
-            .record_request(now, bounds);
+    /// Counts a request for each of the services.
+    pub fn record_request<'a>(&self, now: Time, services: impl Iterator<Item = &'a Arc<str>>) {
+        let budgets = &mut self.state.lock().retry_budgets;
+        for service in services {
+            if !budgets.contains_key(service) {
+                budgets.insert(service.clone(), RetryBudget::default());
+            }
+            if let Some(budget) = budgets.get_mut(service) {
+                budget.record_request(now, &self.bounds.retry_budget);
+            }
+        }
     }
 
     /// Spends one extra arrival from the budget of a service, if any is left.
