--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -31,8 +31,9 @@
 /// Least time reserved for the network between caller and host (specified as 3 ms each way) and for
 /// processing, since callers measure their timeout from when they send.
 const NETWORK_MARGIN: Span = Span::millis(10);
-/// Steps of a gather that take about as long as a merge: reading the request, merging, writing.
-const MERGE_STEPS: u64 = 3;
+/// Steps on the way of a gather's request and answer, besides the gather, that take about as long as a
+/// merge: reading head and body, the timer, merging, building the answer, writing it.
+const MERGE_STEPS: u64 = 6;
 /// Inverse of the weight of the newest merge in the moving average.
 const MERGE_WEIGHT_DIVISOR: u64 = 8;
 /// Divisor of the latency objective that gives the timeout for connecting to an endpoint.
@@ -50,8 +51,8 @@
 const RESPONSE_WAIT_MIN: Span = Span::millis(250);
 /// Interval at which a request that waits checks whether the host is about to stop.
 const STOP_CHECK_INTERVAL: Span = Span::millis(500);
-/// Moving average of the time that a host takes to merge the shards of an answer and log it. On a
-/// slow host, reading the request and writing the answer take about as long each.
+
+/// Moving average of the time that a host takes to merge the shards of an answer.
 #[derive(Default)]
 pub struct MergeTime(AtomicU64);
 
@@ -266,19 +267,20 @@
     attempt_log.record_unanswered(&gather);
     let outcome = to_outcome(route, gather, shards, failure);
     let id = id.to_str().unwrap_or_default();
-    relay.failure_logger.log(relay.ctx.now(), id, route, &snapshot, &attempt_log, &outcome);
     if let Outcome::Merged { missing, .. } = outcome {
         let merged = relay.ctx.now();
         relay.merge_time.record(merged.since(ended));
         if let Some(timeline) = timeline {
             let sent = attempt_log.sent();
-            timeline.log(
-                id,
-                &route.name,
-                &GatherEnd { decided: ended, merged, margin, sent, missing },
-            );
+            let end = GatherEnd { decided: ended, merged, margin, sent, missing };
+            let (id, route) = (id.to_owned(), route.name.clone());
+            tokio::spawn(async move { timeline.log(&id, &route, &end) });
         }
     }
+    let (now, logger) = (relay.ctx.now(), &relay.failure_logger);
+    if let Some(line) = logger.line(now, id, route, &snapshot, attempt_log, &outcome) {
+        tokio::spawn(async move { line.write() });
+    }
     outcome
 }
 
--- a/src/wisteriahead/services/relay/failure_log.rs
+++ b/src/wisteriahead/services/relay/failure_log.rs
@@ -137,37 +137,31 @@
         );
     }
 
-    /// Logs a request if it failed or its answer lacks shards.
-    pub fn log(
+    /// Line about a request if it failed or its answer lacks shards; `None` if it did not, or is
+    /// left out by the rate limit.
+    pub fn line(
         &self,
         now: Time,
         id: &str,
         route: &Route,
-        snapshot: &Snapshot,
-        attempt_log: &AttemptLog,
+        snapshot: &Arc<Snapshot>,
+        attempt_log: AttemptLog,
         outcome: &Outcome,
-    ) {
+    ) -> Option<FailureLine> {
         let (verdict, reason) = match outcome {
             Outcome::Refused { refusal, .. } => (refusal.verdict, refusal.reason),
             Outcome::Forwarded(part) if !part.status.is_success() => {
                 (Verdict::Ran, Reason::Internal)
             }
             Outcome::Merged { missing, .. } if *missing > 0 => (Verdict::Ran, Reason::Coverage),
-            Outcome::Forwarded(_) | Outcome::Merged { .. } => return,
+            Outcome::Forwarded(_) | Outcome::Merged { .. } => return None,
         };
         let partial = matches!(outcome, Outcome::Merged { .. });
         let dropped = if partial {
             self.partial.lock().admit(now, PARTIAL_LINES_PER_SECOND)
         } else {
             self.failed.lock().admit(now, FAILED_LINES_PER_SECOND)
-        };
-        let Some(dropped) = dropped else { return };
-        if dropped > 0 {
-            log::info!(event = "lines-dropped", dropped; "{dropped} lines like the next one were dropped by the rate limit");
-        }
-        let (route, sent, shards) = (&route.name, attempt_log.sent, snapshot.shards.len());
-        let (known, faults) = (snapshot.shards_held(), attempt_log.summary());
-        let (verdict, reason) = (verdict.name(), format!("{reason:?}"));
+        }?;
         let answer = match outcome {
             Outcome::Refused { refusal, .. } => refusal.detail.clone(),
             Outcome::Forwarded(part) => {
@@ -177,11 +171,47 @@
                 format!("{missing} shards are missing from the answer")
             }
         };
-        let event = if partial { "answer-partial" } else { "request-failed" };
+        Some(FailureLine {
+            event: if partial { "answer-partial" } else { "request-failed" },
+            request: id.to_owned(),
+            route: route.name.clone(),
+            snapshot: snapshot.clone(),
+            attempt_log,
+            verdict,
+            reason,
+            answer,
+            dropped,
+        })
+    }
+}
+
+/// A line that is written once the caller has its answer, since that takes a slow host a millisecond.
+pub struct FailureLine {
+    event: &'static str,
+    request: String,
+    route: Arc<str>,
+    snapshot: Arc<Snapshot>,
+    attempt_log: AttemptLog,
+    verdict: Verdict,
+    reason: Reason,
+    answer: String,
+    dropped: u64,
+}
+
+impl FailureLine {
+    /// Writes the line.
+    pub fn write(&self) {
+        let Self { event, request, route, snapshot, attempt_log, answer, dropped, .. } = self;
+        if *dropped > 0 {
+            log::info!(event = "lines-dropped", dropped = *dropped; "{dropped} lines like the next one were dropped by the rate limit");
+        }
+        let (sent, shards) = (attempt_log.sent, snapshot.shards.len());
+        let (known, faults) = (snapshot.shards_held(), attempt_log.summary());
+        let (verdict, reason) = (self.verdict.name(), format!("{:?}", self.reason));
         log::info!(
-            event, request = id, route = **route, plan = *snapshot.name, verdict, reason,
-            shards, known, sent, faults;
-            "request {id}: {answer}"
+            event = *event, request = **request, route = **route, plan = *snapshot.name, verdict,
+            reason, shards, known, sent, faults;
+            "request {request}: {answer}"
         );
     }
 }
