--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -806,6 +806,8 @@
     endless_header = { b"HTTP/1.1 200 OK\r\nsignature: ", b"0123456789abcdef" },
     endless_body = { b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\n\r\n", &[b'7'; 65_536] },
     endless_chunks = { b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\ntransfer-encoding: chunked\r\n\r\n", b"4\r\nmore\r\n" },
+    endless_trailers = { b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", b"x-more: 0123456789abcdef\r\n" },
+    endless_chunk_extension = { b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\ntransfer-encoding: chunked\r\n\r\n4", b";more" },
     no_answer_at_all = { b"\x00\x01\x02", &[0xff; 4_096] },
 )]
 #[test_macro(tokio::test)]
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -12,12 +12,14 @@
 use wisteriahead::core::records::{RECORD_BYTES, merge};
 use wisteriahead::core::relay::cover::{Need, ZoneCover};
 use wisteriahead::core::relay::early::{EarlyConnections, ROUND_MAX};
+use wisteriahead::core::relay::flush::Flush;
 use wisteriahead::core::relay::groups::Groups;
 use wisteriahead::core::relay::notices::{Access, Notice, Notices, QUIET_MAX};
 use wisteriahead::core::relay::plan_switch::PlanSwitch;
 use wisteriahead::core::relay::rate::RateLimiter;
 use wisteriahead::core::relay::retry_budget::{Bounds, RetryBudget};
 use wisteriahead::core::relay::stale_address::StaleAddresses;
+use wisteriahead::core::relay::timing::FlushTimes;
 use wisteriahead::core::relay::zones::ZoneMonitor;
 use wisteriahead::core::routes::Target;
 use wisteriahead::core::time::{Span, Time};
@@ -392,3 +394,37 @@
     assert_eq!(&*first(60_000_000), "far");
     assert_eq!(&*first(90_000_000), "own");
 }
+
+/// A batch of ten calls, of which so many end one after another, a millisecond apart from 1 ms on.
+fn batch_with_ends(ends: u64) -> Flush {
+    let times = FlushTimes { first: Span::millis(12), useful: Span::millis(30) };
+    let mut flush = Flush::new(Time(0), 10, times);
+    (1..=ends).for_each(|ms| flush.record_end(Time(ms * 1_000)));
+    flush
+}
+
+#[test]
+fn results_of_a_batch_leave_once_its_calls_fall_quiet() {
+    assert_eq!(batch_with_ends(0).due(), None);
+    assert_eq!(batch_with_ends(10).due(), Some(Time(10_000)), "all calls have ended");
+    assert_eq!(batch_with_ends(8).due(), Some(Time(11_000)), "two calls seem to be paused");
+    assert_eq!(batch_with_ends(2).due(), Some(Time(12_000)), "most calls are open");
+    let mut flush = batch_with_ends(2);
+    flush.record_end(Time(11_500));
+    assert_eq!(flush.due(), Some(Time(14_500)), "calls still end");
+}
+
+/// Guards against a message for each late result, which takes the host that gathers as long as several
+/// calls.
+#[test]
+fn late_results_of_a_batch_come_in_one_message_while_they_can_be_used() {
+    let mut flush = batch_with_ends(7);
+    flush.record_message(Time(10_000));
+    flush.record_end(Time(15_000));
+    flush.record_end(Time(25_000));
+    assert_eq!(flush.due(), Some(Time(30_000)));
+    flush.record_message(Time(30_000));
+    assert_eq!(flush.due(), None);
+    flush.record_end(Time(31_000));
+    assert_eq!(flush.due(), Some(Time(31_000)), "all calls have ended");
+}
