Judge a hedge by when it was due, not by when its timer fired

Found while reading the change: a hedge that is moved forward to the last time at which it can help was held back whenever its timer fired a moment late, that is always, and went out only after the objective.

--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -302,7 +302,7 @@
                     self.send(shard, step);
                 }
                 Wait::Budget { until } if until <= now => self.retry(shard, false, step),
-                Wait::Hedge { until } if until <= now => self.hedge(shard, step),
+                Wait::Hedge { until } if until <= now => self.hedge(shard, until, step),
                 _ => {}
             }
         }
--- a/src/wisteriahead/core/query/policy.rs
+++ b/src/wisteriahead/core/query/policy.rs
@@ -70,10 +70,11 @@
         }
     }
 
-    /// Until when unanswered shards may not be hedged, if they may not be now.
-    pub(super) fn hedges_held_until(&self, now: Time) -> Option<Time> {
+    /// Until when a hedge that was due at `due` is held back, if it may not be sent now. What counts is
+    /// when it was due, since timers fire late.
+    pub(super) fn hedge_held_until(&self, now: Time, due: Time) -> Option<Time> {
         let useless =
-            self.policy.hedges_useless.filter(|(from, until)| *from < now && now < *until);
+            self.policy.hedges_useless.filter(|(from, until)| *from < due && now < *until);
         if let Some((_, until)) = useless {
             return Some(until);
         }
--- a/src/wisteriahead/core/query/send.rs
+++ b/src/wisteriahead/core/query/send.rs
@@ -5,7 +5,7 @@
 };
 use crate::core::quarantine::SuspectRun;
 use crate::core::routes::Target;
-use crate::core::time::Span;
+use crate::core::time::{Span, Time};
 use std::sync::Arc;
 
 /// Delay before a shard that waits for a slot tries again without being notified.
@@ -94,13 +94,18 @@
         self.wake_at(until, step);
     }
 
-    /// Sends a second attempt while the first is still open.
-    pub(super) fn hedge<E: Environment>(&mut self, shard: usize, step: &mut Step<'_, E>) {
+    /// Sends a second attempt, which was due at `due`, while the first is still open.
+    pub(super) fn hedge<E: Environment>(
+        &mut self,
+        shard: usize,
+        due: Time,
+        step: &mut Step<'_, E>,
+    ) {
         self.shards[shard].wait = Wait::Nothing;
         if !self.may_send(shard) {
             return;
         }
-        if let Some(until) = self.hedges_held_until(step.now) {
+        if let Some(until) = self.hedge_held_until(step.now, due) {
             self.shards[shard].wait = Wait::Hedge { until };
             return;
         }
--- a/tests/testsuite/policy.rs
+++ b/tests/testsuite/policy.rs
@@ -227,10 +227,12 @@
     let at = |ms| Time(0) + Span::millis(ms);
     let late = Policy { hedges_useless: Some((at(3), at(50))), ..policy() };
     let mut run = QueryRun::new(4, 1.0, 99, late);
-    run.step(3, Event::Wake);
-    assert_eq!(run.sent.len(), 8, "sent before they are due, rather than too late");
-    let mut run = QueryRun::new(4, 1.0, 99, late);
     run.step(4, Event::Wake);
+    assert_eq!(run.sent.len(), 8, "sent before they are due, though the timer fires late");
+    // Most shards are still open when the hedges are due.
+    let late = Policy { hedge_few_until: Some(at(40)), ..late };
+    let mut run = QueryRun::new(4, 1.0, 99, late);
+    run.step(3, Event::Wake);
     run.step(49, Event::Wake);
     assert_eq!(run.sent.len(), 4, "a hedge could not be answered by the objective");
     run.step(50, Event::Wake);
