Fill the cache of reached endpoints in one place

A second reading of the change: acquire and cache_reach held the same loop; counting requests looked a budget up three times to save a reference count; the hedge delay of a request was asked for twice.

Conclusion: less code, the same decisions.

--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -255,8 +255,7 @@
         timeline: is_gather.then(|| relay.timelines.gather(started)).flatten(),
     };
     let shards = snapshot.shard_count();
-    let hedge_delay = relay.traffic.hedge_delay(&route.name, route.objective);
-    let policy = timing::policy(route, started, margin, hedge_delay);
+    let policy = timing::policy(route, started, margin, driver.hedge_delay());
     let gather = Gather::new(snapshot.clone(), deadline, min_coverage).with_policy(policy);
     let Finished { gather, failure, mut attempt_log, timeline } = driver.run(gather).await;
     let ended = relay.ctx.now();
--- a/src/wisteriahead/services/relay/traffic.rs
+++ b/src/wisteriahead/services/relay/traffic.rs
@@ -211,6 +211,15 @@
     /// needs it.
     pub fn cache_reach<'a>(&self, targets: impl Iterator<Item = &'a Target>) {
         let State { endpoints, groups, .. } = &mut *self.state.lock();
+        self.fill_reach(endpoints, groups, targets);
+    }
+
+    fn fill_reach<'a>(
+        &self,
+        endpoints: &mut SecondaryMap<EndpointKey, Endpoint>,
+        groups: &Groups,
+        targets: impl Iterator<Item = &'a Target>,
+    ) {
         for t in targets {
             let Some(e) = endpoints.entry(t.key).map(|e| e.or_default()) else { continue };
             if e.reach(t).is_none() {
@@ -287,12 +296,8 @@
     pub fn record_request<'a>(&self, now: Time, services: impl Iterator<Item = &'a Arc<str>>) {
         let budgets = &mut self.state.lock().retry_budgets;
         for service in services {
-            if !budgets.contains_key(service) {
-                budgets.insert(service.clone(), RetryBudget::default());
-            }
-            if let Some(budget) = budgets.get_mut(service) {
-                budget.record_request(now, &self.bounds.retry_budget);
-            }
+            let budget = budgets.entry(service.clone()).or_default();
+            budget.record_request(now, &self.bounds.retry_budget);
         }
     }
 
@@ -349,12 +354,7 @@
             zone_monitor,
             ..
         } = &mut *s;
-        for t in replicas {
-            let Some(e) = endpoints.entry(t.key).map(|e| e.or_default()) else { continue };
-            if e.reach(t).is_none() {
-                e.reach = Some(self.find_reach(groups, t));
-            }
-        }
+        self.fill_reach(endpoints, groups, replicas.iter());
         let notices = self.notices.lock();
         let notice_of = |t: &Target| notices.access(now, t, self.bounds.drain);
         let in_flight = |key| endpoints.get(key).map_or(0, |e| e.sent.len() as u32);
