--- a/review/standin/src/cases/evacuation.rs
+++ b/review/standin/src/cases/evacuation.rs
@@ -20,7 +20,7 @@
 /// Time for which requests are counted after each evacuation.
 const JUDGED: Duration = Duration::from_millis(3_000);
 /// Core hosts that stand still, one after the other, until the rule is broken.
-const ROUNDS: usize = 6;
+const ROUNDS: usize = 8;
 
 pub fn play(world: &Arc<World>, folder: &Path, trouble: bool) -> Verdict {
     let tier = Tier::start(world, folder, 4, 2);
