--- a/review/standin/src/balancer.rs
+++ b/review/standin/src/balancer.rs
@@ -74,13 +74,13 @@
 
 /// Starts `count` requesters in a zone. Each keeps its connection and sends a request every
 /// `period_ms`, each at its own time. A request that is not answered within `patience_ms` is
-/// abandoned with its connection, and sent once more on a new one.
+/// abandoned with its connection; a GET is then sent once more on a new one.
 pub fn start_requesters(
     world: &Arc<World>,
     balancer: &Arc<Balancer>,
     log: &Arc<Log>,
     (zone, count): (&'static str, u64),
-    path: &'static str,
+    (method, path): (&'static str, &'static str),
     (period_ms, deadline_ms, patience_ms): (u64, u64, u64),
 ) {
     for i in 0..count {
@@ -101,11 +101,13 @@
                             }
                         }
                     };
-                    let sent = send(&world, &stream, front, path, left, patience_ms);
+                    let sent = send(&world, &stream, front, (method, path), left, patience_ms);
                     let answered = sent.status != 0;
                     log.0.lock().unwrap().push(sent);
                     if answered {
                         kept = Some((front, stream));
+                    }
+                    if answered || method != "GET" {
                         break;
                     }
                 }
@@ -121,7 +123,7 @@
     world: &World,
     stream: &TcpStream,
     front: SocketAddr,
-    path: &str,
+    (method, path): (&str, &str),
     deadline_ms: u64,
     patience_ms: u64,
 ) -> Sent {
@@ -135,12 +137,13 @@
     let answer = stream.try_clone().and_then(|mut stream| {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_millis(patience_ms)))?;
-        http::write(&mut stream, &format!("GET {path} HTTP/1.1"), &headers, &[])?;
+        let body = if method == "POST" { "one order" } else { "" };
+        http::write(&mut stream, &format!("{method} {path} HTTP/1.1"), &headers, body.as_bytes())?;
         http::read(&mut stream, &mut Vec::new())
     });
     let status = answer.ok().flatten().map_or(0, |m| m.status());
     world.note(format!(
-        "requester: GET {path} {id} sent at {:.3} to {front}: {status}",
+        "requester: {method} {path} {id} sent at {:.3} to {front}: {status}",
         at.as_secs_f64()
     ));
     Sent { at, id, status }
--- a/review/standin/src/cases/evacuation.rs
+++ b/review/standin/src/cases/evacuation.rs
@@ -33,7 +33,7 @@
     let leafs: Vec<_> = (0..4)
         .map(|i| {
             let place = ("orderdesk", ["hk-a", "hk-b"][i % 2], tier.net.leaf(i));
-            Leaf::start(world, &controls, place, (2, 20), None)
+            Leaf::start(world, &controls, place, (2, 20), None, usize::MAX)
         })
         .collect();
     tier.await_ready(world)?;
--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,8 +1,8 @@
 //! The cases, one module each.
 
 pub mod evacuation;
+pub mod memory;
 pub mod poison;
-pub mod thaw;
 pub mod zone_back;
 
 use crate::client::Log;
--- a/review/standin/src/cases/poison.rs
+++ b/review/standin/src/cases/poison.rs
@@ -36,13 +36,13 @@
     let leafs: Vec<_> = (0..4)
         .map(|i| {
             let place = ("orderdesk", ["hk-a", "hk-b"][i % 2], tier.net.leaf(i));
-            Leaf::start(world, &controls, place, (2, 60), Some("crash-me"))
+            Leaf::start(world, &controls, place, (2, 60), Some("crash-me"), usize::MAX)
         })
         .collect();
     tier.await_ready(world)?;
     for leaf in &leafs {
         let (leaf, world) = (Arc::clone(leaf), Arc::clone(world));
-        thread::spawn(move || leaf.revive(&world));
+        thread::spawn(move || leaf.revive(&world, BACK_MS));
     }
     let log = Arc::new(Log::default());
     for i in 0..2 {
@@ -95,17 +95,3 @@
         ),
     ))
 }
-
-impl Leaf {
-    /// Starts the leaf again some time after each crash, until the case is over.
-    fn revive(&self, world: &World) {
-        while !world.is_over() {
-            if !self.is_up() {
-                sleep_ms(BACK_MS);
-                self.begin_life();
-                self.beat(&mut 0);
-            }
-            sleep_ms(10);
-        }
-    }
-}
--- a/review/standin/src/leaf.rs
+++ b/review/standin/src/leaf.rs
@@ -22,6 +22,7 @@
     waiting: usize,
     /// Number of lifetimes so far; runs of an earlier one end without an answer.
     life: u64,
+    crashes: u64,
     conns: Vec<TcpStream>,
 }
 
@@ -44,6 +45,8 @@
     pub work: Duration,
     /// A request whose path contains this text crashes the leaf.
     pub poison: Option<String>,
+    /// Requests begun in a second at which the leaf crashes while it is cold.
+    pub cold_crash: usize,
     world: Arc<World>,
     controls: Vec<SocketAddr>,
     state: Mutex<State>,
@@ -58,6 +61,7 @@
         (service, zone, address): (&str, &str, SocketAddr),
         (slots, work_ms): (usize, u64),
         poison: Option<&str>,
+        cold_crash: usize,
     ) -> Arc<Self> {
         let leaf = Arc::new(Self {
             service: service.to_owned(),
@@ -66,6 +70,7 @@
             slots,
             work: Duration::from_millis(work_ms),
             poison: poison.map(str::to_owned),
+            cold_crash,
             world: Arc::clone(world),
             controls: controls.to_owned(),
             state: Mutex::default(),
@@ -106,11 +111,29 @@
         self.world.note("the heartbeat that says so is acknowledged");
     }
 
+    /// Starts the leaf again some time after each crash, until the case is over.
+    pub fn revive(&self, world: &World, after_ms: u64) {
+        while !world.is_over() {
+            if !self.is_up() {
+                sleep_ms(after_ms);
+                self.begin_life();
+                self.beat(&mut 0);
+            }
+            sleep_ms(10);
+        }
+    }
+
+    /// Number of crashes so far.
+    pub fn crashes(&self) -> u64 {
+        self.state.lock().unwrap().crashes
+    }
+
     /// Ends the lifetime without notice: its connections are reset and its port refuses others.
     pub fn crash(&self) {
         let mut s = self.state.lock().unwrap();
         s.up = false;
         s.life += 1;
+        s.crashes += 1;
         for conn in s.conns.drain(..) {
             let _ = conn.shutdown(Shutdown::Both);
         }
@@ -248,6 +271,10 @@
             });
             runs.len() - 1
         };
+        if cold > 0 && self.begun_in_last_second() >= self.cold_crash {
+            self.crash();
+            return None;
+        }
         if self.poison.as_ref().is_some_and(|p| path.contains(p.as_str())) {
             sleep_ms(5);
             self.crash();
@@ -272,6 +299,11 @@
         if ended { None } else { Some(()) }
     }
 
+    fn begun_in_last_second(&self) -> usize {
+        let (runs, now) = (self.runs.lock().unwrap(), self.world.now());
+        runs.iter().rev().take_while(|r| r.cold && now - r.at < Duration::from_secs(1)).count()
+    }
+
     /// Waits for a slot; false if too many wait, none if the lifetime has ended.
     fn take_slot(&self, life: u64) -> Option<bool> {
         let mut s = self.state.lock().unwrap();
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -26,8 +26,8 @@
     let (folder, trouble) = (Path::new(folder), trouble != "0");
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "evacuation" => cases::evacuation::play(&world, folder, trouble),
+        "memory" => cases::memory::play(&world, folder, trouble),
         "poison" => cases::poison::play(&world, folder, trouble),
-        "thaw" => cases::thaw::play(&world, folder, trouble),
         "zone-back" => cases::zone_back::play(&world, folder, trouble),
         other => Err(format!("there is no case `{other}`")),
     });
--- a/review/standin/src/tier.rs
+++ b/review/standin/src/tier.rs
@@ -19,6 +19,9 @@
 const READY: u16 = 18;
 const LEAF: u16 = 19;
 
+/// Time after which a process that has ended is started again.
+const RESTART_MS: u64 = 500;
+
 /// Addresses of a case: a loopback network and a port that are free.
 #[derive(Clone, Copy)]
 pub struct Net {
@@ -68,10 +71,59 @@
 /// One process of the tier.
 pub struct Host {
     pub name: String,
+    settings: PathBuf,
+    log: PathBuf,
+    pids: PathBuf,
     child: Child,
 }
 
 impl Host {
+    /// Starts the program with the commands of the deploy file.
+    fn start(
+        world: &World,
+        name: String,
+        (settings, log, pids): (PathBuf, PathBuf, PathBuf),
+    ) -> Self {
+        let child = Self::spawn(world, &settings, &log, &pids);
+        Self { name, settings, log, pids, child }
+    }
+
+    fn spawn(world: &World, settings: &Path, log: &Path, pids: &Path) -> Child {
+        let append = |path: &Path| File::options().create(true).append(true).open(path);
+        let log = append(log).expect("log");
+        let child = Command::new("target/release/wisteriahead-platform")
+            .env(world.name("env_settings"), settings)
+            .env(world.name("env_secret"), "secret-of-the-trials")
+            // As where the platform plays it; otherwise each thread has memory of its own.
+            .env("MALLOC_ARENA_MAX", "1")
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("log"))
+            .stderr(log)
+            .spawn()
+            .expect("the build of the deploy file");
+        // For the script, which ends what a stopped stand-in leaves behind.
+        writeln!(append(pids).expect("pids"), "{}", child.id()).expect("pids");
+        child
+    }
+
+    /// Memory that the process holds, in MB.
+    pub fn memory_mb(&self) -> f64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|l| l.split_whitespace().next()?.parse::<f64>().ok());
+        kb.unwrap_or(0.0) / 1024.0
+    }
+
+    /// Kills the process, as the platform does when it holds too much memory, and starts it again
+    /// with its disk.
+    pub fn kill_and_restart(&mut self, world: &World) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        sleep_ms(RESTART_MS);
+        self.child = Self::spawn(world, &self.settings, &self.log, &self.pids);
+    }
+
     pub fn signal(&self, world: &World, signal: &str) {
         world.note(format!("operator of the case: {signal} to {}", self.name));
         let pid = self.child.id().to_string();
@@ -158,20 +210,8 @@
         );
         let file = self.folder.join(format!("{name}.json"));
         fs::write(&file, settings).expect("settings");
-        let log = File::create(self.folder.join(format!("{name}.log"))).expect("log");
-        let child = Command::new("target/release/wisteriahead-platform")
-            .env(world.name("env_settings"), &file)
-            .env(world.name("env_secret"), "secret-of-the-trials")
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("log"))
-            .stderr(log)
-            .spawn()
-            .expect("the build of the deploy file");
-        // For the script, which ends what a stopped stand-in leaves behind.
-        let pids = self.folder.join("pids");
-        let mut pids = File::options().create(true).append(true).open(pids).expect("pids");
-        writeln!(pids, "{}", child.id()).expect("pids");
-        Host { name, child }
+        let log = self.folder.join(format!("{name}.log"));
+        Host::start(world, name, (file, log, self.folder.join("pids")))
     }
 
     pub fn control(&self, i: usize) -> SocketAddr {
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -11,6 +11,7 @@
     start: Instant,
     data: PathBuf,
     names: HashMap<String, String>,
+    templates: Mutex<HashMap<String, String>>,
     record: Mutex<Vec<(Duration, String)>>,
     pub over: AtomicBool,
     next: AtomicU64,
@@ -25,6 +26,7 @@
             start: Instant::now(),
             data: data.to_owned(),
             names,
+            templates: Mutex::default(),
             record: Mutex::default(),
             over: AtomicBool::new(false),
             next: AtomicU64::new(1),
@@ -42,7 +44,11 @@
 
     /// Template of that name, with `@key@` replaced.
     pub fn fill(&self, template: &str, values: &[(&str, &str)]) -> String {
-        let mut text = fs::read_to_string(self.data.join(template)).expect(template);
+        let mut text = {
+            let mut templates = self.templates.lock().unwrap();
+            let read = || fs::read_to_string(self.data.join(template)).expect(template);
+            templates.entry(template.to_owned()).or_insert_with(read).clone()
+        };
         for (key, value) in values {
             text = text.replace(&format!("@{key}@"), value);
         }
