--- a/review/play.sh
+++ b/review/play.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays a case: play.sh NAME FOLDER, with the record in FOLDER. TROUBLE=0 leaves the disruption out.
+# Plays a case: play.sh NAME RECORD. TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/.."
 folder=$(mktemp -d)
@@ -10,6 +10,6 @@
 }
 trap end EXIT
 trap 'exit 2' INT TERM
-timeout 115 target/review/release/review-standin "$1" review/standin/data "$2/record.txt" "$folder" "${TROUBLE:-1}"
+timeout 115 target/review/release/review-standin "$1" review/standin/data "$2" "$folder" "${TROUBLE:-1}"
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
