Quarantine requests that crash endpoints on the relay too

Cause: nothing of a failed attempt outlasted its request on the relay. It answered the query's question for the quarantine with "allowed", counted no lost connection as a death, and the platform's program started no quarantine. Ruled out: hosts that do not tell each other (one host alone sent it on after four crashes of its own) and an identity that differs from copy to copy (there was no state).

The relay now asks the quarantine that the search path keeps. That one grew what the relay needs: - a death counts as the next in a row only if its run began after the one before was known, so an availability zone that fails counts once; - an answer clears a request at all hosts, since the most popular request is always in flight where endpoints end; - a quarantined request is tried after 30 s, 2 min and 8 min, by one host at a time; - hosts tell each other each second what is quarantined, for those that start anew or were cut off for longer than reports are repeated; - a gather that has crashed endpoints and has no answer is sent again to one shard only; a request that may run once is not sent again at all. On the relay a broken connection is a death only if nothing accepts connections at the address 10 ms later.

The relay's test tier moves to a file of its own, and its endpoints can end and start again. Tests of the quarantine state for each death what was known when its run began; what they assert is unchanged.

--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -104,6 +104,8 @@
     /// When free slots are checked again, while a gang start waits for them.
     gang_retry: Option<Time>,
     quarantined: bool,
+    /// Whether endpoints died running the same query before and none has answered it since.
+    suspect: bool,
     finished: bool,
 }
 
@@ -135,6 +137,7 @@
             canary: None,
             gang_retry: None,
             quarantined: false,
+            suspect: false,
             finished: false,
         }
     }
@@ -146,6 +149,12 @@
         self
     }
 
+    /// Sets whether endpoints died running the same query before, so that the quarantine decides on
+    /// each attempt until one is answered.
+    pub fn with_suspicion(self, suspect: bool) -> Self {
+        Self { suspect, ..self }
+    }
+
     /// The same query under another policy.
     pub fn with_policy(self, policy: Policy) -> Self {
         Self { policy, ..self }
@@ -230,6 +239,7 @@
     }
 
     fn on_answer<E: Environment>(&mut self, shard: usize, hits: T, step: &mut Step<'_, E>) {
+        self.suspect = false;
         let s = &mut self.shards[shard];
         s.hits = Some(hits);
         s.wait = Wait::Nothing;
@@ -254,7 +264,8 @@
         if refusal.suggests_death() && self.policy.detect_deaths {
             s.deaths += 1;
             self.quarantined |= s.deaths >= DEATHS_MAX;
-            if s.open.is_empty() {
+            s.no_resend |= !self.policy.idempotent;
+            if s.open.is_empty() && !s.no_resend {
                 self.back_off(shard, DEATH_WAIT, step);
             }
             return;
--- a/src/wisteriahead/core/query/send.rs
+++ b/src/wisteriahead/core/query/send.rs
@@ -47,9 +47,13 @@
 
     /// Whether a shard may be sent to; if endpoints died running the query, the quarantine decides.
     fn passes_quarantine<E: Environment>(&mut self, shard: usize, step: &mut Step<'_, E>) -> bool {
-        if self.shards[shard].deaths == 0 {
+        if self.shards[shard].deaths == 0 && !self.suspect {
             return true;
         }
+        if self.is_other_suspect_open(shard) {
+            self.back_off(shard, DEATH_WAIT, step);
+            return false;
+        }
         match step.env.try_suspect(step.now, self.canary.is_none().then_some(shard as u32)) {
             SuspectRun::Allowed => return true,
             SuspectRun::Wait => self.back_off(shard, DEATH_WAIT, step),
@@ -58,11 +62,20 @@
         false
     }
 
+    /// Whether another shard runs the query after a death there, while no shard has answered: a query
+    /// that crashes endpoints of all shards would otherwise crash another of each.
+    fn is_other_suspect_open(&self, shard: usize) -> bool {
+        let suspects = self.shards.iter().enumerate().filter(|(_, s)| s.deaths > 0);
+        self.missing == self.shards.len()
+            && suspects.into_iter().any(|(other, s)| other != shard && !s.open.is_empty())
+    }
+
     /// Schedules a hedge for a shard if the policy allows one and an untried replica is left.
     fn schedule_hedge<E: Environment>(&mut self, shard: usize, step: &mut Step<'_, E>) {
         let s = &mut self.shards[shard];
         let replicas = &self.snapshot.shards[shard];
         if s.deaths == 0
+            && !self.suspect
             && self.policy.idempotent
             && s.sent < self.policy.max_attempts
             && s.tried.len() < replicas.len()
--- a/src/wisteriahead/core/relay/timing.rs
+++ b/src/wisteriahead/core/relay/timing.rs
@@ -48,7 +48,7 @@
         gang_start: gathers,
         hedge_few_until: gathers.then_some(answer_by),
         hedges_useless: gathers.then_some((answer_by - hedge_time, overdue)),
-        detect_deaths: false,
+        detect_deaths: true,
         partial_after: Some(answer_by),
         slot_deadline: Some(started + Span(route.objective.0 / SLOT_WAIT_DIVISOR)),
     }
--- a/src/wisteriahead/services/entry/orders.rs
+++ b/src/wisteriahead/services/entry/orders.rs
@@ -5,7 +5,7 @@
 use super::Entry;
 use super::request::OrderBody;
 use crate::core::order::{self, Action, ClaimStatus, Environment, Event, Order, Outcome};
-use crate::core::quarantine::{Death, Fingerprint};
+use crate::core::quarantine::{Admission, Death, Fingerprint};
 use crate::core::routes::{Snapshot, Target};
 use crate::prelude::*;
 use crate::services::{self, Attempt, Claim, Claims, Permit};
@@ -74,7 +74,7 @@
         return Err(Refusal::not_run(Reason::UnknownCollection, detail));
     }
     let digest = body.digest();
-    if entry.quarantine.is_banned(&digest) {
+    if matches!(entry.quarantine.admit(&digest, &|_| true), Admission::Refused(_)) {
         let detail = "endpoints died while they ran this order";
         return Err(Refusal::not_run(Reason::Quarantined, detail));
     }
@@ -151,10 +151,17 @@
             timeout: self.deadline.since(self.entry.ctx.now()),
             body: self.body.order.clone(),
         };
+        let quarantine = &self.entry.quarantine;
+        let request = Fingerprint { digest: self.body.digest(), shard: None };
+        let known = quarantine.record(&request);
         let result = self.entry.transport.run(target, attempt, permit).await;
-        if result.as_ref().is_err_and(Refusal::suggests_death) {
-            let request = Fingerprint { digest: self.body.digest(), shard: None };
-            self.entry.quarantine.record_death(Death { request, endpoint: target.instance_name() });
+        match &result {
+            Ok(_) => quarantine.record_answer(&request),
+            Err(refusal) if refusal.suggests_death() => {
+                let endpoint = target.instance_name();
+                quarantine.record_death(Death { request, endpoint, known });
+            }
+            Err(_) => {}
         }
         result
     }
--- a/src/wisteriahead/services/entry/request.rs
+++ b/src/wisteriahead/services/entry/request.rs
@@ -3,8 +3,7 @@
 use crate::core::admission::AdmissionRequest;
 use crate::core::document::Rules;
 use crate::core::endpoint::check_name;
-use crate::core::order;
-use crate::core::quarantine::Digest;
+use crate::core::quarantine::{Digest, request_digest};
 use crate::core::wait_queue::Urgency;
 use crate::prelude::*;
 use crate::util::http::read_body;
@@ -91,7 +90,7 @@
 impl OrderBody {
     /// Digest that identifies the order in the quarantine, regardless of its key.
     pub fn digest(&self) -> Digest {
-        digest(&self.collection, &self.order)
+        request_digest(&self.collection, "", &self.order)
     }
 
     /// Reads and validates the body of an order.
@@ -165,17 +164,10 @@
     }
 }
 
-fn digest(collection: &str, body: &[u8]) -> Digest {
-    let full = order::digest(collection, "", body);
-    let mut digest = Digest::default();
-    digest.copy_from_slice(&full[..size_of::<Digest>()]);
-    digest
-}
-
 impl SearchBody {
     /// Digest that identifies the query in the quarantine.
     pub fn digest(&self) -> Digest {
-        digest(&self.collection, &self.query)
+        request_digest(&self.collection, "", &self.query)
     }
 
     /// Reads and validates the body of a search; `min_coverage` is used if the body gives none.
--- a/src/wisteriahead/services/entry/search.rs
+++ b/src/wisteriahead/services/entry/search.rs
@@ -6,7 +6,7 @@
 use super::request::SearchBody;
 use super::slot_queue::Waiter;
 use crate::core::hits::{self, Hit, Hits};
-use crate::core::quarantine::{Death, Digest, Fingerprint, SuspectRun};
+use crate::core::quarantine::{Admission, Death, Digest, Fingerprint, Record, SuspectRun};
 use crate::core::query::{Action, AttemptId, Coverage, Environment, Event, Gather};
 use crate::core::routes::{Snapshot, Target};
 use crate::core::wait_queue::Urgency;
@@ -105,6 +105,9 @@
     /// Identifier of the attempt at its endpoint.
     wire_id: Arc<str>,
     at: Time,
+    /// Fingerprint of the query at this time, and what was known about it.
+    request: Fingerprint,
+    known: Record,
 }
 
 /// Driver of one search.
@@ -153,10 +156,12 @@
     };
     let deadline = guard.urgency().deadline;
     let digest = body.digest();
-    if entry.quarantine.is_banned(&digest) {
+    let admission = entry.quarantine.admit(&digest, &|_| true);
+    if matches!(admission, Admission::Refused(_)) {
         return Err(quarantined());
     }
     let gather = new_gather(entry, snapshot, deadline, &body, &digest);
+    let gather = gather.with_suspicion(matches!(admission, Admission::Suspect(_)));
     let driver = SearchDriver {
         entry,
         body: &body,
@@ -231,7 +236,7 @@
             let mut env =
                 SearchEnvironment { entry, collection, digest, suspect_runs, slot_requests };
             let actions = gather.step(entry.ctx.now(), event, &mut env);
-            if self.execute(actions) {
+            if self.execute(actions, &gather) {
                 self.report_end(&gather);
                 return gather;
             }
@@ -242,13 +247,14 @@
     }
 
     /// Carries out the actions; returns whether the query is finished.
-    fn execute(&mut self, actions: Vec<Action<Permit>>) -> bool {
+    fn execute(&mut self, actions: Vec<Action<Permit>>, gather: &Gather) -> bool {
         let mut finished = false;
         for action in actions {
             match action {
                 Action::Send { attempt, snapshot, shard, target, permit } => {
                     self.use_slot(&target);
-                    self.send(attempt, snapshot, shard, target, permit);
+                    let alone = gather.is_canary_only();
+                    self.send((attempt, alone), snapshot, shard, target, permit);
                 }
                 Action::Cancel(id) => self.cancel(id),
                 Action::Wake(at) => self.wake = self.wake.min(at),
@@ -258,9 +264,10 @@
         finished
     }
 
+    /// Sends an attempt; `alone` says whether the query has been sent to no other shard.
     fn send(
         &mut self,
-        id: AttemptId,
+        (id, alone): (AttemptId, bool),
         snapshot: Arc<Snapshot>,
         shard: u32,
         target: Target,
@@ -279,7 +286,10 @@
             body: self.body.query.clone(),
         };
         let wire_id = Arc::clone(&attempt.id);
-        self.sent.insert(id, SentAttempt { shard, target: target.clone(), wire_id, at: now });
+        let request = Fingerprint { digest: self.digest, shard: (!alone).then_some(shard) };
+        let known = entry.quarantine.record(&request);
+        let sent = SentAttempt { shard, target: target.clone(), wire_id, at: now, request, known };
+        self.sent.insert(id, sent);
         self.in_flight.push(Box::pin(async move {
             let result = entry.transport.run(&target, attempt, permit).await;
             EndedAttempt { id, result: result.and_then(|bytes| decode_hits(&bytes)) }
@@ -314,7 +324,7 @@
         for shard in [Some(shard), None] {
             let request = Fingerprint { digest: self.digest, shard };
             if self.suspect_runs.swap_remove(&request) {
-                self.entry.quarantine.clear_suspect(&request);
+                self.entry.quarantine.record_answer(&request);
             }
         }
     }
@@ -326,9 +336,10 @@
         let shard = (!gather.is_canary_only()).then_some(sent.shard);
         let request = Fingerprint { digest: self.digest, shard };
         self.deaths += 1;
-        self.entry
-            .quarantine
-            .record_death(Death { request, endpoint: sent.target.instance_name() });
+        // What was known about the query alone says nothing about it on this shard.
+        let known = if request == sent.request { sent.known } else { Record::default() };
+        let endpoint = sent.target.instance_name();
+        self.entry.quarantine.record_death(Death { request, endpoint, known });
     }
 
     /// Reports to the quarantine that the query was answered and no endpoint died running it.
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -10,7 +10,9 @@
 use super::timeline::{GatherEnd, GatherTimeline};
 use super::traffic::Permit;
 use crate::core::plan::{Destination, Route};
-use crate::core::quarantine::SuspectRun;
+use crate::core::quarantine::{
+    Admission, Death, Digest, Fingerprint, Record, SuspectRun, TRIAL_DELAY, service_shard,
+};
 use crate::core::query::{
     Action, AttemptId, Environment, Event, Gather, meets_coverage, shards_for_coverage,
 };
@@ -79,6 +81,9 @@
     /// Whether attempts may go through other hosts.
     gathers: bool,
     cover: &'a ZoneCover,
+    identity: &'a mut Identity,
+    /// Services of the shards.
+    services: &'a [Arc<str>],
 }
 
 impl Environment for RelayEnvironment<'_> {
@@ -112,8 +117,88 @@
         None
     }
 
-    fn try_suspect(&mut self, _now: Time, _shard: Option<u32>) -> SuspectRun {
-        SuspectRun::Allowed
+    fn try_suspect(&mut self, _now: Time, shard: Option<u32>) -> SuspectRun {
+        let shard = shard.map_or(self.identity.canary, |shard| shard as usize);
+        let Some(service) = self.services.get(shard) else { return SuspectRun::Allowed };
+        let request = Fingerprint::at_service(self.identity.digest(), service);
+        let run = self.relay.quarantine.begin_run(&request);
+        if run == SuspectRun::Allowed {
+            self.identity.suspect_runs.insert(request);
+        }
+        run
+    }
+}
+
+/// What the quarantine knows a request by.
+struct Identity {
+    call: Arc<Call>,
+    /// Computed when it is needed.
+    digest: Option<Digest>,
+    /// Shard that the request is sent to first if it is a suspect.
+    canary: usize,
+    /// Runs as a suspect that have not ended.
+    suspect_runs: IndexSet<Fingerprint>,
+}
+
+impl Identity {
+    fn new(call: Arc<Call>) -> Self {
+        Self { call, digest: None, canary: 0, suspect_runs: IndexSet::new() }
+    }
+
+    fn digest(&mut self) -> Digest {
+        *self.digest.get_or_insert_with(|| self.call.digest())
+    }
+}
+
+impl Relay {
+    /// Whether a call failed since its endpoint ended while it ran it.
+    pub async fn has_died(
+        &self,
+        endpoint: &Target,
+        result: &Result<EndpointResponse, Refusal>,
+    ) -> bool {
+        let failed = result.as_ref().is_err_and(Refusal::suggests_death);
+        failed && self.death_checks.is_gone(endpoint.address).await
+    }
+
+    /// Tells the quarantine how an attempt ended, for which `known` was known about the request.
+    fn record_run(&self, call: &Call, to: &Target, known: Option<Known>, end: RunEnd) {
+        if end == RunEnd::Unknown || (end == RunEnd::Answered && self.quarantine.is_empty()) {
+            return;
+        }
+        let (request, known) = known.unwrap_or_else(|| {
+            (Fingerprint::at_service(call.digest(), &to.service), Record::default())
+        });
+        if end == RunEnd::Answered {
+            self.quarantine.record_answer(&request);
+        } else {
+            let endpoint = to.instance_name();
+            self.quarantine.record_death(Death { request, endpoint, known });
+        }
+    }
+}
+
+/// A request at a service, and what is known about it.
+type Known = (Fingerprint, Record);
+
+/// What the end of an attempt says about its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunEnd {
+    /// An endpoint has run it.
+    Answered,
+    /// The endpoint ended.
+    Died,
+    /// Nothing.
+    Unknown,
+}
+
+impl RunEnd {
+    const fn new(result: &Result<EndpointResponse, Refusal>, died: bool) -> Self {
+        match result {
+            Ok(_) => Self::Answered,
+            Err(_) if died => Self::Died,
+            Err(_) => Self::Unknown,
+        }
     }
 }
 
@@ -126,6 +211,8 @@
     merged: bool,
     /// Whether the result came from another host.
     batched: bool,
+    /// Whether the endpoint ended while it ran the attempt.
+    died: bool,
 }
 
 /// An attempt to be sent.
@@ -134,6 +221,8 @@
     shard: u32,
     to: Target,
     permit: Permit,
+    /// What is known about the request when it is sent, while any request is known.
+    known: Option<Known>,
 }
 
 /// Input to the next step of the query.
@@ -156,6 +245,9 @@
     table: &'a RouteTable,
     route: &'a Route,
     call: Arc<Call>,
+    identity: Identity,
+    /// Services of the shards.
+    services: Vec<Arc<str>>,
     /// Zones that the calls of a gather are sent to.
     cover: Arc<ZoneCover>,
     deadline: Instant,
@@ -227,7 +319,14 @@
         let detail = "this host is about to stop";
         return refuse(Refusal::not_run(Reason::Unavailable, detail));
     }
-    relay.traffic.record_request(started, services(route, part.unwrap_or(0)));
+    let services: Vec<_> = services(route, part.unwrap_or(0)).cloned().collect();
+    let call = Arc::new(call);
+    let mut identity = Identity::new(call.clone());
+    let suspect = match admit(relay, &mut identity, &services) {
+        Ok(suspect) => suspect,
+        Err(outcome) => return outcome,
+    };
+    relay.traffic.record_request(started, services.iter());
     let margin = relay.merge_time.margin();
     let deadline = started + timing::subtract_margin(timeout, margin);
     let waited = relay.ctx.now().since(started);
@@ -237,7 +336,9 @@
         relay,
         table,
         route,
-        call: Arc::new(call),
+        call,
+        identity,
+        services,
         cover: relay.cover(started, table),
         deadline: Instant::now() + Span(timeout.0.saturating_sub(waited.0)).to_std(),
         pending: FuturesUnordered::new(),
@@ -256,7 +357,11 @@
     };
     let shards = snapshot.shard_count();
     let policy = timing::policy(route, started, margin, driver.hedge_delay());
-    let gather = Gather::new(snapshot.clone(), deadline, min_coverage).with_policy(policy);
+    let mut gather = Gather::new(snapshot.clone(), deadline, min_coverage).with_policy(policy);
+    gather = gather.with_suspicion(suspect.is_some());
+    if let Some(shard) = suspect.filter(|_| is_gather) {
+        gather = gather.with_canary(shard, timeout);
+    }
     let Finished { gather, failure, mut attempt_log, timeline } = driver.run(gather).await;
     let ended = relay.ctx.now();
     attempt_log.record_unanswered(&gather);
@@ -285,6 +390,38 @@
     route.destination.services().skip(part).take(if one { 1 } else { usize::MAX })
 }
 
+/// Shard that a suspect is sent to first; none for a request that is no suspect.
+///
+/// # Errors
+///
+/// Returns the refusal of a request that is quarantined.
+fn admit(
+    relay: &Relay,
+    identity: &mut Identity,
+    services: &[Arc<str>],
+) -> Result<Option<u32>, Outcome> {
+    if relay.quarantine.is_empty() {
+        return Ok(None);
+    }
+    let shards: Vec<u32> = services.iter().map(|service| service_shard(service)).collect();
+    let runs_on = |shard: Option<u32>| shard.is_some_and(|shard| shards.contains(&shard));
+    match relay.quarantine.admit(&identity.digest(), &runs_on) {
+        Admission::Clear => Ok(None),
+        Admission::Suspect(shard) => {
+            identity.canary = shards.iter().position(|s| Some(*s) == shard).unwrap_or_default();
+            Ok(Some(identity.canary as u32))
+        }
+        Admission::Refused(span) => {
+            Err(Outcome::Refused { refusal: quarantined(Verdict::NotRun), retry_after: Some(span) })
+        }
+    }
+}
+
+fn quarantined(verdict: Verdict) -> Refusal {
+    let detail = "endpoints ended while they ran this request".to_owned();
+    Refusal { verdict, reason: Reason::Quarantined, detail }
+}
+
 fn refuse(refusal: Refusal) -> Outcome {
     let retry_after = (refusal.verdict == Verdict::NotRun).then_some(RETRY_AFTER);
     Outcome::Refused { refusal, retry_after }
@@ -299,6 +436,10 @@
 ) -> Outcome {
     let coverage = gather.coverage();
     let verdict = gather.verdict();
+    if gather.is_quarantined() {
+        let retry_after = (verdict == Verdict::NotRun).then_some(TRIAL_DELAY);
+        return Outcome::Refused { refusal: quarantined(verdict), retry_after };
+    }
     let refused = |reason| {
         let detail = format!("{} of {shards} shards answered", coverage.answered);
         refuse(Refusal { verdict, reason, detail })
@@ -346,8 +487,17 @@
             let hedge_delay = self.hedge_delay();
             let gathers = self.gathers();
             let cover = &*self.cover.clone();
-            let mut environment =
-                RelayEnvironment { relay, table, now, hedge_delay, gathers, cover };
+            let (identity, services) = (&mut self.identity, &*self.services);
+            let mut environment = RelayEnvironment {
+                relay,
+                table,
+                now,
+                hedge_delay,
+                gathers,
+                cover,
+                identity,
+                services,
+            };
             let actions = gather.step(now, event, &mut environment);
             let stepped = self.timeline.is_some().then(|| relay.ctx.now());
             let finished = self.execute(actions);
@@ -380,7 +530,8 @@
         for action in actions {
             match action {
                 Action::Send { attempt, shard, target, permit, .. } => {
-                    sends.push(Attempt { id: attempt, shard, to: target, permit });
+                    let known = self.known(&target);
+                    sends.push(Attempt { id: attempt, shard, to: target, permit, known });
                 }
                 // The task keeps running, so that its connection can be reused.
                 Action::Cancel(id) => drop(self.tasks.swap_remove(&id)),
@@ -392,6 +543,14 @@
         finished
     }
 
+    /// What is known about the request at the service of an endpoint, while any request is known.
+    fn known(&mut self, to: &Target) -> Option<Known> {
+        let quarantine = &self.relay.quarantine;
+        let request = (!quarantine.is_empty())
+            .then(|| Fingerprint::at_service(self.identity.digest(), &to.service))?;
+        Some((request, quarantine.record(&request)))
+    }
+
     /// Whether the answers of several shards are merged.
     fn gathers(&self) -> bool {
         matches!(self.route.destination, Destination::Gather { .. })
@@ -484,27 +643,32 @@
 
     /// Sends an attempt directly to its endpoint.
     fn send(&mut self, attempt: Attempt) {
-        let Attempt { id, to, permit, .. } = attempt;
+        let Attempt { id, to, permit, known, .. } = attempt;
         let (relay, call) = (Arc::clone(self.relay), Arc::clone(&self.call));
         let endpoint = to.clone();
         let at = relay.ctx.now();
         let times = self.times();
         let route = self.route.name.clone();
-        let task: JoinHandle<Result<EndpointResponse, Refusal>> = tokio::spawn(async move {
-            // At least one, since a request may be sent even if the share is zero.
-            let connections = relay.traffic.max_connections(&to).max(1);
-            let sent = relay.pools.send(&relay, &call, &to, connections, times);
-            let result = sent.await;
-            let now = relay.ctx.now();
-            relay.traffic.record_end(now, &route, &to, result.as_ref().err(), now.since(at));
-            drop(permit);
-            result
-        });
+        let task: JoinHandle<(Result<EndpointResponse, Refusal>, bool)> =
+            tokio::spawn(async move {
+                // At least one, since a request may be sent even if the share is zero.
+                let connections = relay.traffic.max_connections(&to).max(1);
+                let sent = relay.pools.send(&relay, &call, &to, connections, times);
+                let result = sent.await;
+                let now = relay.ctx.now();
+                relay.traffic.record_end(now, &route, &to, result.as_ref().err(), now.since(at));
+                drop(permit);
+                let died = relay.has_died(&to, &result).await;
+                relay.record_run(&call, &to, known, RunEnd::new(&result, died));
+                (result, died)
+            });
         self.tasks.insert(id, task.abort_handle());
         self.pending.push(Box::pin(async move {
-            let aborted = |_| Err(Refusal::may_have_run(Reason::Internal, "the call was stopped"));
-            let result = task.await.unwrap_or_else(aborted);
-            (vec![EndedAttempt { id, to: endpoint, result, merged: false, batched: false }], None)
+            let aborted =
+                |_| (Err(Refusal::may_have_run(Reason::Internal, "the call was stopped")), false);
+            let (result, died) = task.await.unwrap_or_else(aborted);
+            let (merged, batched) = (false, false);
+            (vec![EndedAttempt { id, to: endpoint, result, merged, batched, died }], None)
         }));
     }
 
@@ -534,9 +698,15 @@
         // A host that is merely late must not be left for one that has no open connection.
         let response_timeout = Span(flush.first.0 + hedge_delay.0).max(RESPONSE_WAIT_MIN);
         let task = tokio::spawn(async move {
-            let names = (&route, call.meta.id.to_str().unwrap_or_default());
-            let receive =
-                receive_batch(&relay, pending, attempts, names, records, response_timeout, &tx);
+            let receive = receive_batch(
+                &relay,
+                pending,
+                attempts,
+                (&route, &call),
+                records,
+                response_timeout,
+                &tx,
+            );
             // After the deadline the caller no longer waits for an answer.
             let _ = tokio::time::timeout_at(until, receive).await;
         });
@@ -600,7 +770,7 @@
         &mut self,
         ended: EndedAttempt,
     ) -> (AttemptId, Result<EndpointResponse, Refusal>) {
-        let EndedAttempt { id, to, result, .. } = ended;
+        let EndedAttempt { id, to, result, died, .. } = ended;
         let result = match result {
             Ok(part) if !part.status.is_success() => {
                 let detail = format!("the endpoint answered {}", part.status);
@@ -612,6 +782,12 @@
         if let Err(refusal) = &result {
             self.attempt_log.record_failure(&to, refusal, self.relay.ctx.now().since(self.started));
         }
+        // The endpoint has closed the connection and is still there, which says nothing against the
+        // request.
+        let result = result.map_err(|refusal| match refusal.suggests_death() && !died {
+            true => Refusal { reason: Reason::Internal, ..refusal },
+            false => refusal,
+        });
         (id, result)
     }
 }
@@ -621,6 +797,7 @@
         // If the caller has disconnected, attempts may still run; aborting them closes their
         // connections, which stops the endpoints' work.
         self.tasks.values().for_each(AbortHandle::abort);
+        self.identity.suspect_runs.iter().for_each(|run| self.relay.quarantine.end_run(run));
     }
 }
 
@@ -640,17 +817,18 @@
 
 /// Receives the results of a batch, records them in the traffic state and passes them on. If none
 /// arrives within `response_timeout`, the host that relays the batch is avoided for a while. The
-/// batch belongs to a route and a request, given by name and identifier.
+/// batch belongs to a route, given by its name, and a call.
 async fn receive_batch(
     relay: &Relay,
     mut batch: PendingBatch,
     attempts: Vec<Attempt>,
-    (route, request): (&Arc<str>, &str),
+    (route, call): (&Arc<str>, &Call),
     records: Records,
     response_timeout: Span,
     tx: &mpsc::UnboundedSender<Vec<EndedAttempt>>,
 ) {
     let mut attempts: Vec<Option<Attempt>> = attempts.into_iter().map(Some).collect();
+    let request = call.meta.id.to_str().unwrap_or_default();
     let mut responded = false;
     while batch.remaining > 0 {
         let results = match tokio::time::timeout(response_timeout.to_std(), batch.next()).await {
@@ -664,15 +842,17 @@
         responded = true;
         let now = relay.ctx.now();
         let mut list = Vec::new();
-        for BatchResult { index, result, time, notice } in results {
-            let Some(Attempt { id, to, .. }) = attempts.get_mut(index).and_then(Option::take)
+        for BatchResult { index, result, time, notice, died } in results {
+            let Some(Attempt { id, to, known, .. }) =
+                attempts.get_mut(index).and_then(Option::take)
             else {
                 continue;
             };
             relay.traffic.record_notice(now, request, &to, notice);
             relay.traffic.record_end(now, route, &to, result.as_ref().err(), time);
+            relay.record_run(call, &to, known, RunEnd::new(&result, died));
             let merged = records == Records::Merged;
-            list.push(EndedAttempt { id, to, result, merged, batched: true });
+            list.push(EndedAttempt { id, to, result, merged, batched: true, died });
         }
         // The receiver is gone if the request has ended in the meantime.
         let _ = tx.send(list);
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -84,6 +84,9 @@
         /// Instead of `records`: those of each successful response, in the order of the results.
         #[serde(default)]
         separate: Vec<serde_bytes::ByteBuf>,
+        /// Indices of the calls whose endpoints ended while they ran them.
+        #[serde(default)]
+        died: Vec<u32>,
     },
     /// Cancels the batch of this number.
     Stop(u64),
@@ -151,8 +154,23 @@
     pub time: Span,
     /// What the endpoint said about further requests.
     pub notice: Notice,
+    /// Whether the endpoint ended while it ran the call.
+    pub died: bool,
+}
+
+/// Results of a batch, as they arrive in one message.
+struct Parts {
+    answered: Vec<CallResult>,
+    records: Bytes,
+    separate: Vec<Bytes>,
+    notices: Vec<CalleeNotice>,
+    died: Vec<u32>,
 }
 
+/// A call that has ended: its index in the batch, its result, how long it took, and whether its
+/// endpoint ended.
+type EndedCall = (usize, Result<EndpointResponse, Refusal>, Span, bool);
+
 #[derive(Default)]
 struct State {
     /// Hosts to send batches through, by zone, in the order of preference of this host.
@@ -289,14 +307,9 @@
         }
     }
 
-    /// Passes results on to the request that waits for them; `merged` or `separate` holds the records.
-    fn deliver(
-        &self,
-        number: u64,
-        answered: Vec<CallResult>,
-        (merged, separate): (Bytes, Vec<Bytes>),
-        notices: Vec<CalleeNotice>,
-    ) {
+    /// Passes results on to the request that waits for them.
+    fn deliver(&self, number: u64, parts: Parts) {
+        let Parts { answered, records: merged, separate, notices, died } = parts;
         let Some((wanted, tx)) = self.state.lock().local_batches.get(&number).cloned() else {
             return;
         };
@@ -331,7 +344,8 @@
                 Err(refusal) => Err(refusal),
             };
             let notice = notices.get(&index).copied().unwrap_or_default();
-            BatchResult { index: index as usize, result, time: Span::micros(time), notice }
+            let died = died.contains(&index);
+            BatchResult { index: index as usize, result, time: Span::micros(time), notice, died }
         });
         // The receiver is gone if the request has ended in the meantime.
         let _ = tx.send(list.collect());
@@ -384,11 +398,12 @@
     fn receive(&self, from: &str, body: &[u8]) {
         match decode(body) {
             Ok(Message::Ask(request)) => self.start_remote_batch(from.into(), *request),
-            Ok(Message::Parts { number, answered, records, notices, separate }) => {
+            Ok(Message::Parts { number, answered, records, notices, separate, died }) => {
                 self.forwarder.state.lock().avoided.swap_remove(from);
                 let records = records.into();
                 let separate = separate.into_iter().map(|r| r.into_vec().into()).collect();
-                self.forwarder.deliver(number, answered, (records, separate), notices);
+                let parts = Parts { answered, records, separate, notices, died };
+                self.forwarder.deliver(number, parts);
             }
             Ok(Message::Stop(number)) => {
                 let task =
@@ -444,7 +459,9 @@
         let calls = targets.iter().enumerate().map(|(index, target)| async move {
             let connections = self.traffic.max_connections(target).max(1);
             let result = self.pools.send(self, call, target, connections, times).await;
-            (index, result, self.ctx.now().since(started))
+            let time = self.ctx.now().since(started);
+            let died = self.has_died(target, &result).await;
+            (index, result, time, died)
         });
         let mut calls: FuturesUnordered<_> = calls.collect();
         let mut flush = Flush::new(started, targets.len(), flush);
@@ -491,7 +508,7 @@
         to: &str,
         request: &BatchRequest,
         targets: &[Target],
-        results: &mut Vec<(usize, Result<EndpointResponse, Refusal>, Span)>,
+        results: &mut Vec<EndedCall>,
     ) {
         if results.is_empty() {
             return;
@@ -504,8 +521,10 @@
             said.then(|| CalleeNotice(*index as u32, leaving, quiet.map(|span| span.0)))
         });
         let notices = notices.collect();
+        let died = results.iter().filter(|(.., died)| *died).map(|(index, ..)| *index as u32);
+        let died = died.collect();
         let mut bodies = Vec::new();
-        let answered = results.drain(..).map(|(index, result, time)| {
+        let answered = results.drain(..).map(|(index, result, time, _)| {
             let result = match result {
                 Ok(part) if part.status.is_success() => {
                     bodies.push(part.body);
@@ -529,7 +548,7 @@
             records = records::merge(bodies.iter().map(|b| &b[..]), top).to_vec();
         }
         let number = request.number;
-        let message = Message::Parts { number, answered, records, notices, separate };
+        let message = Message::Parts { number, answered, records, notices, separate, died };
         self.forwarder.peers.send(to, Topic::Relay, encode(&message));
     }
 }
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -3,6 +3,7 @@
 //! A request goes unchanged to a single endpoint, or to one endpoint of each shard, whose answers
 //! are merged.
 
+mod deaths;
 mod drive;
 mod failure_log;
 mod forward;
@@ -15,6 +16,7 @@
 pub use self::pools::end_to_end;
 pub use self::traffic::RelayBounds;
 
+use self::deaths::DeathChecks;
 use self::drive::MergeTime;
 use self::failure_log::{FailureLogger, UnknownRoute};
 use self::forward::Forwarder;
@@ -23,6 +25,7 @@
 use self::table::RouteTable;
 use self::timeline::TimelineSampler;
 use self::traffic::TrafficState;
+use super::quarantine::{RequestQuarantine, SharedQuarantine};
 use super::{AcceptedDocument, Control, Endpoints, Member, Members, Peers};
 use crate::core::member::Health;
 use crate::core::message::Topic;
@@ -94,6 +97,8 @@
     failure_logger: FailureLogger,
     merge_time: MergeTime,
     timelines: TimelineSampler,
+    quarantine: Arc<dyn RequestQuarantine>,
+    death_checks: DeathChecks,
     control: Arc<dyn Control>,
     accepted: watch::Receiver<AcceptedDocument>,
     /// Reference to the relay itself, for the tasks that it spawns.
@@ -380,6 +385,7 @@
     async fn run(&self, ctx: &Context) -> Result<()> {
         let peers = ctx.find::<dyn Peers>(<dyn Peers>::NAME)?;
         let control = ctx.find::<dyn Control>(<dyn Control>::NAME)?;
+        let quarantine = ctx.find::<dyn RequestQuarantine>(<dyn RequestQuarantine>::NAME);
         let s = &self.settings;
         let relay = Arc::new_cyclic(|weak| Relay {
             weak: weak.clone(),
@@ -397,6 +403,8 @@
             failure_logger: FailureLogger::default(),
             merge_time: MergeTime::default(),
             timelines: TimelineSampler::default(),
+            quarantine: quarantine.unwrap_or_else(|_| Arc::new(SharedQuarantine::new(ctx, None))),
+            death_checks: DeathChecks::default(),
             accepted: control.watch(),
             control: control.clone(),
         });
--- a/src/wisteriahead/services/relay/protocol.rs
+++ b/src/wisteriahead/services/relay/protocol.rs
@@ -2,13 +2,14 @@
 //!
 //! An implementation only reads and writes messages; the relay makes all decisions.
 
+use crate::core::quarantine::{Digest, request_digest};
 use crate::core::relay::notices::Notice;
 use crate::core::routes::Target;
 use crate::prelude::*;
 use crate::services::transport::MemoryShare;
 use crate::util::http::Answer;
 use bytes::Bytes;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::http::{request, response};
 use hyper::{Method, StatusCode, Uri};
 
@@ -36,6 +37,16 @@
     pub meta: RequestMeta,
 }
 
+impl Call {
+    /// Digest that identifies the request in the quarantine, whoever sends it and however often.
+    pub fn digest(&self) -> Digest {
+        let host = self.headers.get(HOST).map_or(&[][..], HeaderValue::as_bytes);
+        let host = String::from_utf8_lossy(host);
+        let route = format!("{} {}", self.method, self.uri);
+        request_digest(&host, &route, &self.body)
+    }
+}
+
 /// Meaning of an endpoint's response, read from its head.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,8 @@
 mod query;
 mod registry;
 mod relay;
+mod relay_quarantine;
+mod relay_tier;
 mod renewal;
 mod replica;
 mod scripted;
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -15,7 +15,8 @@
 use wisteria_testkit::wait::wait_until;
 use wisteriahead::core::message::Topic;
 use wisteriahead::core::quarantine::{
-    Death, Digest, Fingerprint, Quarantine, SUSPECT_TTL, SuspectRun,
+    Admission, Death, Digest, Finding, Fingerprint, Quarantine, Record, SUSPECT_TTL, SuspectRun,
+    TRIAL_DELAY,
 };
 use wisteriahead::core::time::Time;
 use wisteriahead::kernel::Kernel;
@@ -53,7 +54,8 @@
     quarantine: Quarantine,
     alive: [bool; REPLICAS],
     incarnation: usize,
-    in_flight: BTreeMap<(u8, usize), bool>,
+    /// What was known of each request in flight when it was sent.
+    in_flight: BTreeMap<(u8, usize), Record>,
     suspects: BTreeMap<u8, usize>,
     killed: usize,
 }
@@ -86,7 +88,8 @@
         {
             return;
         }
-        self.in_flight.insert((request, at), suspect);
+        let known = self.quarantine.record(Time(1), &Self::fingerprint(request));
+        self.in_flight.insert((request, at), known);
     }
 
     fn end(&mut self, at: usize) {
@@ -99,7 +102,7 @@
         for request in done {
             self.in_flight.remove(&(request, at));
             self.suspects.remove(&request);
-            self.quarantine.clear_suspect(&Self::fingerprint(request));
+            self.quarantine.record_answer(&Self::fingerprint(request));
         }
     }
 
@@ -107,11 +110,11 @@
         self.alive[at] = false;
         let lost: Vec<u8> = self.in_flight.keys().filter(|k| k.1 == at).map(|k| k.0).collect();
         for request in lost {
-            self.in_flight.remove(&(request, at));
+            let known = self.in_flight.remove(&(request, at)).unwrap();
             *self.suspects.entry(request).or_default() += 1;
             let request = Self::fingerprint(request);
             let endpoint = format!("leaf-{at}#{}", self.incarnation);
-            self.quarantine.record_death(Time(1), &Death { request, endpoint });
+            self.quarantine.record_death(Time(1), &Death { request, endpoint, known });
         }
         self.incarnation += 1;
     }
@@ -173,14 +176,103 @@
 fn quarantine_expires() {
     let mut q = Quarantine::default();
     let request = Fingerprint { digest: digest(1), shard: None };
-    for endpoint in ["a", "a", "b"] {
+    let first = Record::default();
+    let second = Record { deaths: 1, ..first };
+    for (endpoint, known) in [("a", first), ("a", first), ("b", second)] {
         assert!(!q.is_banned(Time(5), &request.digest));
-        q.record_death(Time(5), &Death { request, endpoint: endpoint.to_owned() });
+        q.record_death(Time(5), &Death { request, endpoint: endpoint.to_owned(), known });
     }
     assert!(q.is_banned(Time(5), &request.digest));
     assert!(!q.is_banned(Time(5) + SUSPECT_TTL, &request.digest));
 }
 
+const REQUEST: Fingerprint = Fingerprint { digest: [1; 16], shard: Some(3) };
+
+fn death(known: Record) -> Death {
+    Death { request: REQUEST, endpoint: "a".to_owned(), known }
+}
+
+/// Guards against a quarantine of all requests in flight in an availability zone that fails: its
+/// endpoints end together, or one after the other before any host has heard of the first.
+#[test]
+fn deaths_that_are_seen_together_count_as_one() {
+    let mut q = Quarantine::default();
+    let known = q.record(Time(1), &REQUEST);
+    for _ in 0..20 {
+        q.record_death(Time(1), &death(known));
+    }
+    assert_eq!(q.admit(Time(1), &REQUEST.digest, |_| true), Admission::Suspect(Some(3)));
+    q.record_answer(&REQUEST);
+    assert_eq!(q.admit(Time(1), &REQUEST.digest, |_| true), Admission::Clear);
+    // A run that began before the answer says nothing that is not known.
+    q.record_death(Time(1), &death(known));
+    assert_eq!(q.admit(Time(1), &REQUEST.digest, |_| true), Admission::Clear);
+}
+
+/// Guards against requests that are refused for good though they are harmless: one run is let through
+/// from time to time, ever more rarely while it crashes endpoints.
+#[test]
+fn quarantined_request_is_tried_from_time_to_time() {
+    let (mut q, mut now) = (Quarantine::default(), Time(1));
+    for _ in 0..2 {
+        q.record_death(now, &death(q.record(now, &REQUEST)));
+    }
+    let mut delay = TRIAL_DELAY;
+    for _ in 0..2 {
+        assert_eq!(q.admit(now, &REQUEST.digest, |_| true), Admission::Refused(delay));
+        assert_eq!(q.begin_run(now, &REQUEST), SuspectRun::Quarantined);
+        now = now + delay;
+        assert_eq!(q.admit(now, &REQUEST.digest, |_| true), Admission::Suspect(Some(3)));
+        assert_eq!(q.begin_run(now, &REQUEST), SuspectRun::Allowed);
+        assert_eq!(q.begin_run(now, &REQUEST), SuspectRun::Quarantined, "one at a time");
+        q.record_death(now, &death(q.record(now, &REQUEST)));
+        delay = Span(delay.0 * 4);
+    }
+    q.record_answer(&REQUEST);
+    assert_eq!(q.admit(now, &REQUEST.digest, |_| true), Admission::Clear);
+}
+
+/// Guards against a request that stays refused where it went before, once it goes elsewhere.
+#[test]
+fn request_is_refused_only_where_endpoints_died() {
+    let mut q = Quarantine::default();
+    for _ in 0..2 {
+        q.record_death(Time(1), &death(q.record(Time(1), &REQUEST)));
+    }
+    let admit = |shard| q.admit(Time(1), &REQUEST.digest, |s| s == Some(shard));
+    assert_eq!(admit(3), Admission::Refused(TRIAL_DELAY));
+    assert_eq!(admit(4), Admission::Clear);
+}
+
+fn record() -> impl Strategy<Value = Record> {
+    (0u32..3, 0u32..4).prop_map(|(clearances, deaths)| Record { clearances, deaths })
+}
+
+proptest! {
+    #![proptest_config(config(1_000))]
+
+    /// Hosts that were cut off from each other agree whatever order their reports arrive in, and
+    /// however often.
+    #[test]
+    fn findings_may_arrive_in_any_order(
+        records in prop::collection::vec(record(), 0..8),
+        order in prop::collection::vec(0usize..8, 0..24),
+    ) {
+        let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+        let finding = |record| Finding { request: REQUEST, record };
+        for &record in &records {
+            here.merge(Time(1), &finding(record));
+        }
+        let repeated = order.iter().filter_map(|i| records.get(*i));
+        for &record in repeated.chain(records.iter().rev()) {
+            there.merge(Time(1), &finding(record));
+        }
+        prop_assert_eq!(here.record(Time(1), &REQUEST), there.record(Time(1), &REQUEST));
+        let digest = &REQUEST.digest;
+        prop_assert_eq!(here.is_banned(Time(1), digest), there.is_banned(Time(1), digest));
+    }
+}
+
 /// Delivers messages to one other host, but loses the first.
 #[derive(Default)]
 struct LossyPeers {
@@ -221,7 +313,8 @@
     let other = peers.other.get_or_init(|| Arc::new(SharedQuarantine::new(kernel.context(), None)));
     let request = Fingerprint { digest: digest(1), shard: None };
     for endpoint in ["a", "b"] {
-        here.record_death(Death { request, endpoint: endpoint.to_owned() });
+        let known = here.record(&request);
+        here.record_death(Death { request, endpoint: endpoint.to_owned(), known });
     }
     wait_until("the other host quarantines the request", async || other.is_banned(&request.digest))
         .await;
