Refuse late copies of orders on zones

A core host that had stood still for 2.2 s carried out its copy of the order before, which another host had long acknowledged.

Cause: the platform's orders carry no identifier, so the log took each copy for a new change and the last one won.

The state machine refuses it if the zone was changed later, and acknowledges it without effect if the zone is in that state.

--- a/src/wisteriahead/core/control/changes.rs
+++ b/src/wisteriahead/core/control/changes.rs
@@ -103,6 +103,9 @@
     operator: String,
     text: Arc<str>,
     zones: IndexMap<String, ZoneState>,
+    /// Revision that last changed the state of each zone.
+    #[serde(default)]
+    zone_changes: IndexMap<String, Revision>,
     ids: IndexMap<String, ChangeOutcome>,
     carried: Vec<String>,
     #[serde(default)]
@@ -155,12 +158,21 @@
         // A zone state edited in the document replaces one set earlier by a zone change.
         self.zones.retain(|zone, _| !zones.contains(zone));
         self.text = change.text.into();
+        let revision = self.revision + 1;
+        self.zone_changes.extend(zones.iter().map(|zone| (zone.clone(), revision)));
         self.accept(change.id, change.operator)
     }
 
     /// Sets the state of the zone named by the change's text; a resend gets the first outcome.
-    /// Unlike an edit, it applies whatever revision is in force.
-    pub fn set_zone(&mut self, change: Change, state: ZoneState) -> ChangeOutcome {
+    /// Unlike an edit, it applies whatever revision is in force, unless the zone was changed after the
+    /// revision `seen`: then the change may be a late copy, and is refused. If the zone is in that state
+    /// already, such a change is accepted without effect.
+    pub fn set_zone(
+        &mut self,
+        change: Change,
+        state: ZoneState,
+        seen: Option<Revision>,
+    ) -> ChangeOutcome {
         if let Some(outcome) = self.ids.get(&change.id) {
             return outcome.clone();
         }
@@ -168,6 +180,20 @@
             return ChangeOutcome::Refused(outcome_forgotten(&change));
         }
         let Change { id, operator, text: zone, .. } = change;
+        if let Some(seen) = seen {
+            if self.zones.get(&zone) == Some(&state) {
+                return self.remember(id, ChangeOutcome::Accepted(self.revision));
+            }
+            if let Some(&changed) = self.zone_changes.get(&zone).filter(|at| **at > seen) {
+                let detail = format!(
+                    "revision {changed} changed zone `{zone}`, and this host has not known it for \
+                     long enough to tell that the order is not an older one; give it again"
+                );
+                let refusal = Refusal::not_run(Reason::Conflict, detail);
+                return self.remember(id, ChangeOutcome::Refused(refusal));
+            }
+        }
+        self.zone_changes.insert(zone.clone(), self.revision + 1);
         self.zones.insert(zone, state);
         self.carried.push(id.clone());
         let old = self.carried.len().saturating_sub(CARRIED_MAX);
--- a/src/wisteriahead/core/control/mod.rs
+++ b/src/wisteriahead/core/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod currency;
 pub mod homes;
 pub mod lockout;
+pub mod settled;
 
 use self::audit::{AuditTrail, ChangeRequest};
 use self::changes::{Change, ChangeOutcome, Changes};
@@ -60,6 +61,11 @@
         /// Revision in force at the host that received the call. It is not a precondition but
         /// tells how old the call is.
         base: Revision,
+        /// Newest revision that the caller certainly had regard to, if the call has no identifier of
+        /// its own: it may be a late copy, and is refused if the zone was changed since. Older
+        /// releases ignore the field.
+        #[serde(default)]
+        seen: Option<Revision>,
     },
     /// Adds a change of voters that was made or refused to the audit trail.
     Voters {
@@ -144,9 +150,9 @@
         self.time_ms = self.time_ms.max(time_ms);
         Ok(match command {
             Command::Edit { change, fault, zones } => self.edit(change, fault, &zones),
-            Command::Zone { id, operator, zone, state, base } => {
+            Command::Zone { id, operator, zone, state, base, seen } => {
                 let change = Change { id, operator, base, text: zone };
-                self.set_zone(change, state)
+                self.set_zone(change, state, seen)
             }
             Command::Voters { id, operator, what, fault } => {
                 let result = fault.unwrap_or_else(|| ACCEPTED.to_owned());
@@ -213,7 +219,7 @@
         Reply::Published(self.changes.revision)
     }
 
-    fn set_zone(&mut self, change: Change, state: ZoneState) -> Reply {
+    fn set_zone(&mut self, change: Change, state: ZoneState, seen: Option<Revision>) -> Reply {
         let verb = if state == ZoneState::Out { "out" } else { "in" };
         let request = ChangeRequest {
             operator: change.operator.clone(),
@@ -225,7 +231,7 @@
             return Reply::Change(outcome.into());
         }
         let resent = self.changes.has_outcome(&change.id);
-        let outcome = self.changes.set_zone(change, state);
+        let outcome = self.changes.set_zone(change, state, seen);
         self.finish(request, resent, outcome)
     }
 
--- a/src/wisteriahead/services/control/admin.rs
+++ b/src/wisteriahead/services/control/admin.rs
@@ -35,7 +35,7 @@
             ZoneOverride { id: id.clone(), operator: operator.clone(), zone: zone.clone(), base };
         let local = state == ZoneState::Out && zone == self.peers.zone();
         let bound = if local { ZONE_TIMEOUT } else { CHANGE_TIMEOUT };
-        let command = Command::Zone { id, operator, zone, state, base };
+        let command = Command::Zone { id, operator, zone, state, base, seen: None };
         match self.change(command, bound).await {
             Ok(revision) => Ok(ZoneOutcome::Accepted(revision)),
             Err(refusal) if local && refusal.reason == Reason::NoQuorum => {
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -28,6 +28,7 @@
 };
 use crate::core::control::currency::Currency;
 use crate::core::control::lockout::{lockout, retired_hosts};
+use crate::core::control::settled::SettledRevision;
 use crate::core::control::{Command, Reply};
 use crate::core::document::{Document, Revision};
 use crate::core::log::Replica;
@@ -108,6 +109,7 @@
     /// Newest revision applied by this host's replica.
     published: Arc<AtomicU64>,
     currency: Mutex<Currency>,
+    settled: Mutex<SettledRevision>,
     started: Instant,
     voter_repair: Option<VoterRepair>,
     /// When this host became leader, as far as its repair task has noticed.
@@ -191,6 +193,7 @@
             statuses: Mutex::default(),
             published: Arc::default(),
             currency: Mutex::default(),
+            settled: Mutex::default(),
             started: Instant::now(),
             voter_repair: settings.voter_repair,
             leader_since: Mutex::new(None),
--- a/src/wisteriahead/services/control/tasks.rs
+++ b/src/wisteriahead/services/control/tasks.rs
@@ -53,6 +53,7 @@
         () = repair_loop(&shared) => {}
         () = retire_loop(&shared) => {}
         () = restart_loop(&shared) => {}
+        () = settle_loop(&shared) => {}
     }
 }
 
@@ -73,6 +74,18 @@
     }
 }
 
+/// Notes when each revision comes into force here.
+async fn settle_loop(shared: &Shared) {
+    let mut accepted = shared.revisions.watch();
+    loop {
+        let revision = accepted.borrow_and_update().revision;
+        shared.settled.lock().record(shared.now(), revision);
+        if accepted.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
 async fn repair_loop(shared: &Shared) {
     loop {
         shared.repair_voters().await;
@@ -257,8 +270,8 @@
     /// Submits the zones that are taken out locally to the log.
     async fn submit_overrides(&self) {
         for ZoneOverride { id, operator, zone, base } in self.revisions.overrides() {
-            let command =
-                Command::Zone { id: id.clone(), operator, zone, state: ZoneState::Out, base };
+            let (id_of, state) = (id.clone(), ZoneState::Out);
+            let command = Command::Zone { id: id_of, operator, zone, state, base, seen: None };
             match submit::submit(self, TIER_GROUP, command, OVERRIDE_TIMEOUT).await {
                 // The override stays until the revision that replaces it is in force here.
                 Ok(Reply::Change(Ok(revision))) if !self.wait_for_revision(revision).await => {
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -247,11 +247,14 @@
     /// Refuses if no quorum is reached, since a newer plan may then be in force.
     fn newest(&self) -> BoxFuture<'_, Result<Option<Arc<Plan>>, Refusal>>;
 
-    /// Takes a zone out of service or puts it back; returns once this is durable at a quorum.
+    /// Takes a zone out of service or puts it back; returns once this is durable at a quorum. Calls
+    /// carry no identifier, so one that may be a late copy of an earlier call is refused; one that the
+    /// caller gives again later is not.
     ///
     /// # Errors
     ///
-    /// Refuses if no quorum is reached.
+    /// Refuses if no quorum is reached, and if the zone's state was changed and this host has known that
+    /// for less than a second.
     fn set_zone<'a>(
         &'a self,
         zone: &'a str,
--- a/tests/testsuite/changes.rs
+++ b/tests/testsuite/changes.rs
@@ -10,9 +10,11 @@
     ActiveRevision, Change, ChangeOutcome, Changes, IDS_MAX,
 };
 use wisteriahead::core::control::lockout::lockout;
+use wisteriahead::core::control::settled::{SETTLE_TIME, SettledRevision};
 use wisteriahead::core::control::{Command, Reply, StampedCommand, State};
 use wisteriahead::core::document::ZoneState;
 use wisteriahead::core::message::encode;
+use wisteriahead::core::time::{Span, Time};
 use wisteriahead::core::verdict::{Reason, Verdict};
 use wisteriahead::services::control::{RevisionStore, ZoneOverride};
 use wisteriahead::util::disk::Disk;
@@ -54,8 +56,14 @@
         Step::Zone { id, out } => {
             let zone = if *out { ZoneState::Out } else { ZoneState::In };
             let (id, operator) = (*id, "ann".into());
-            let command =
-                Command::Zone { id: id.to_string(), operator, zone: "z".into(), state: zone, base };
+            let command = Command::Zone {
+                id: id.to_string(),
+                operator,
+                zone: "z".into(),
+                state: zone,
+                base,
+                seen: None,
+            };
             (id, command)
         }
         Step::Restart => {
@@ -189,7 +197,7 @@
 
 fn zone_change(id: &str, state: ZoneState, base: u64) -> Command {
     let (id, operator, zone) = (id.to_owned(), "ann".to_owned(), "z".to_owned());
-    Command::Zone { id, operator, zone, state, base }
+    Command::Zone { id, operator, zone, state, base, seen: None }
 }
 
 /// Guards against a resend of a zone change that is applied again: its outcome is no longer kept,
@@ -252,3 +260,95 @@
     drop(keeper);
     assert_eq!(RevisionStore::open(Some(&disk)).unwrap().revision(), 3);
 }
+
+/// A change of a zone by a caller that has regard to the revision `seen`.
+fn order(id: &str, state: ZoneState, seen: u64) -> Command {
+    let (id, operator, zone) = (id.to_owned(), "ann".to_owned(), "z".to_owned());
+    Command::Zone { id, operator, zone, state, base: seen, seen: Some(seen) }
+}
+
+/// Guards against a late copy of an order that undoes a later one (review/1): a host that stood still
+/// gives the log a copy of an order that another host has carried out.
+#[test]
+fn late_copy_of_a_zone_order_has_no_effect() {
+    let mut state = State::default();
+    let out = apply_command(&mut state, order("1", ZoneState::Out, 0));
+    assert_eq!(out, Reply::Change(Ok(1)));
+    assert_eq!(apply_command(&mut state, order("2", ZoneState::In, 1)), Reply::Change(Ok(2)));
+    assert_eq!(apply_command(&mut state, order("3", ZoneState::Out, 2)), Reply::Change(Ok(3)));
+    let Reply::Change(Err(late)) = apply_command(&mut state, order("4", ZoneState::In, 1)) else {
+        panic!("the late copy was accepted");
+    };
+    assert_eq!((late.reason, late.verdict), (Reason::Conflict, Verdict::NotRun));
+    // A copy that asks for what is in force is acknowledged, as the order itself was.
+    assert_eq!(apply_command(&mut state, order("5", ZoneState::Out, 1)), Reply::Change(Ok(3)));
+    let state = State::read(&state.write()).unwrap();
+    assert_eq!(state.changes.active().zones["z"], ZoneState::Out);
+}
+
+/// A step of an operator who gives one order after the other and sends copies of each to hosts.
+#[derive(Clone, Debug)]
+enum OrderStep {
+    /// A new order, at a host that has known the newest revision for long enough.
+    Give(bool),
+    /// A copy of an order that was given before arrives at a host that knew this many revisions less
+    /// when it took the copy.
+    Late { order: prop::sample::Index, behind: u64 },
+}
+
+proptest! {
+    #![proptest_config(config(512))]
+
+    /// However late copies of orders arrive, the zone is in the state that the last order asked for, as
+    /// long as each was taken before a later order was acknowledged.
+    #[test]
+    fn zone_is_in_the_state_of_the_last_order(steps in prop::collection::vec(
+        prop_oneof![
+            any::<bool>().prop_map(OrderStep::Give),
+            (any::<prop::sample::Index>(), 0..3u64)
+                .prop_map(|(order, behind)| OrderStep::Late { order, behind }),
+        ],
+        1..40,
+    )) {
+        let mut state = State::default();
+        // The orders given, each with the revision that was in force when it was.
+        let mut given: Vec<(ZoneState, u64)> = Vec::new();
+        for (i, step) in steps.into_iter().enumerate() {
+            let id = i.to_string();
+            match step {
+                OrderStep::Give(out) => {
+                    let zone = if out { ZoneState::Out } else { ZoneState::In };
+                    let seen = state.changes.revision;
+                    let reply = apply_command(&mut state, order(&id, zone, seen));
+                    prop_assert!(matches!(reply, Reply::Change(Ok(_))), "{:?}", reply);
+                    given.push((zone, seen));
+                }
+                OrderStep::Late { order: which, behind } if !given.is_empty() => {
+                    let (zone, at) = given[which.index(given.len())];
+                    apply_command(&mut state, order(&id, zone, at.saturating_sub(behind)));
+                }
+                OrderStep::Late { .. } => {}
+            }
+            let last = given.last().map(|(zone, _)| *zone);
+            prop_assert_eq!(state.changes.active().zones.get("z").copied(), last);
+        }
+    }
+}
+
+/// Guards against a host that takes a late copy for a new order, since it has just learnt what came
+/// after it.
+#[test]
+fn revision_is_settled_once_it_has_been_known_for_a_while() {
+    let mut known = SettledRevision::default();
+    known.record(Time(1), 3);
+    assert_eq!(known.get(Time(1) + Span(SETTLE_TIME.0 - 1)), 0);
+    assert_eq!(known.get(Time(1) + SETTLE_TIME), 3);
+    // The host stands still, and learns of two changes when it goes on.
+    let wakes = Time(1) + Span::secs(9);
+    (4..=5).for_each(|revision| known.record(wakes, revision));
+    assert_eq!(known.get(wakes + Span::millis(500)), 3);
+    assert_eq!(known.get(wakes + SETTLE_TIME), 5);
+    // Many changes in a row are not forgotten.
+    (6..=2_000).for_each(|revision| known.record(wakes + Span::secs(2), revision));
+    assert_eq!(known.get(wakes + Span::secs(2) + SETTLE_TIME), 2_000);
+}
--- a/tests/testsuite/plan.rs
+++ b/tests/testsuite/plan.rs
@@ -121,6 +121,7 @@
         zone: "north".into(),
         state: ZoneState::Out,
         base: 1,
+        seen: None,
     };
     state.apply(&encode(&StampedCommand { time_ms: 0, command })).unwrap();
     let document = state.changes.active().document().unwrap();
