Treat endpoints that may have become cold unseen as cold

Cause: hosts took an endpoint's last word at face value, however long nothing had been sent there.

Endpoints are now taken to be in cold start - after their zone is put back, until they would have left it; the document in force carries the revision that last changed each zone, so hosts that missed that it was out, or start, do the same; - after a connection was refused, until a new incarnation announces itself; - at a host that stood still for 1.5 s, for one second; - for 1.5 s at a service to which a plan first sends requests. What was sent in the last second before a host hears that an endpoint is cold counts against its limit. No probes: an answer to one comes no earlier than the heartbeat would on average.

The relay's test tier now follows later plans.

--- a/src/wisteriahead/core/control/changes.rs
+++ b/src/wisteriahead/core/control/changes.rs
@@ -56,6 +56,9 @@
     pub text: Arc<str>,
     /// Zone states set by zone changes; they override those in the document.
     pub zones: IndexMap<String, ZoneState>,
+    /// Revision that last changed the state of each zone.
+    #[serde(default)]
+    pub zone_changes: IndexMap<String, Revision>,
     /// Identifiers of the latest zone changes, oldest first.
     pub carried: Vec<String>,
     /// The current plan, if the tier is run by a plan.
@@ -76,6 +79,7 @@
                 zone.state = state;
             }
         }
+        document.zone_changes = self.zone_changes.clone();
         if self.plan.is_some() {
             self.replace_inventory(&mut document);
         }
@@ -123,6 +127,7 @@
             operator: self.operator.clone(),
             text: self.text.clone(),
             zones: self.zones.clone(),
+            zone_changes: self.zone_changes.clone(),
             carried: self.carried.clone(),
             plan: self.plan.clone(),
         }
--- a/src/wisteriahead/core/gossip.rs
+++ b/src/wisteriahead/core/gossip.rs
@@ -213,7 +213,8 @@
         if !gone.is_empty() {
             out.extend(self.broadcast(&Message::Gone(gone.clone())));
         }
-        (!gone.is_empty(), out)
+        let warm = self.registry.expire_returns(now);
+        (warm || !gone.is_empty(), out)
     }
 
     fn send_heartbeats(&mut self, out: &mut Vec<Outgoing>) {
--- a/src/wisteriahead/core/plan.rs
+++ b/src/wisteriahead/core/plan.rs
@@ -108,6 +108,9 @@
     pub connections: u32,
     /// Requests per second that each endpoint can handle in cold start, in thousandths.
     pub cold_rate: u64,
+    /// Longest time that an endpoint stays in cold start.
+    #[serde(default)]
+    pub cold_time: Span,
 }
 
 /// Limits on the requests and connections of callers.
--- a/src/wisteriahead/core/registry.rs
+++ b/src/wisteriahead/core/registry.rs
@@ -17,6 +17,8 @@
 
 /// Time without a heartbeat after which an endpoint is removed.
 pub const EXPIRY: Span = Span::secs(5);
+/// Longest time that an endpoint stays in cold start where no plan states it.
+pub const COLD_TIME: Span = Span::secs(5);
 /// Time for which the tombstone of a removed endpoint rejects its delayed announcements.
 pub const TOMBSTONE_TTL: Span = Span::secs(60);
 /// A shard count that a snapshot is announced with is ignored if it has fewer replicas than the
@@ -92,6 +94,10 @@
     /// Removed endpoints, with the version up to which announcements are ignored.
     tombstones: IndexMap<Arc<str>, (Version, Time)>,
     document: Arc<Document>,
+    /// Zones that were put back lately, and when this host heard of it.
+    returned: IndexMap<String, Time>,
+    /// Longest time that an endpoint stays in cold start.
+    cold_time: Option<Span>,
     /// Overrides [`EXPIRY`].
     expiry: Option<Span>,
 }
@@ -216,11 +222,40 @@
         self.expiry = Some(expiry);
     }
 
-    /// Sets the document in force.
-    pub fn set_document(&mut self, document: Arc<Document>) {
+    /// Sets the document in force. Endpoints of a zone that it puts back may have become cold in the
+    /// meantime, and are taken to be in cold start until they would have left it.
+    ///
+    /// Answers this load pattern: all requests of a zone move back to it at once, before its endpoints
+    /// have said that they are cold.
+    pub fn set_document(&mut self, now: Time, document: Arc<Document>) {
+        let changed = |d: &Document, zone: &str| d.zone_changes.get(zone).copied().unwrap_or(0);
+        for zone in &document.zones {
+            let name = zone.name.as_str();
+            let was_out = self.document.zone(name).is_some_and(|z| z.state == ZoneState::Out);
+            // A host that missed the time out sees only that there was a change.
+            let was_changed = changed(&document, name) > changed(&self.document, name);
+            if zone.state == ZoneState::Out {
+                self.returned.swap_remove(name);
+            } else if was_out || was_changed {
+                self.returned.insert(name.to_owned(), now);
+            }
+        }
         self.document = document;
     }
 
+    /// Sets the longest time that an endpoint stays in cold start; [`COLD_TIME`] if none is known.
+    pub fn set_cold_time(&mut self, time: Option<Span>) {
+        self.cold_time = time;
+    }
+
+    /// Forgets the zones that were put back long enough ago; returns whether there were any.
+    pub fn expire_returns(&mut self, now: Time) -> bool {
+        let before = self.returned.len();
+        let cold_time = self.cold_time.unwrap_or(COLD_TIME);
+        self.returned.retain(|_, at| now.since(*at) < cold_time);
+        self.returned.len() < before
+    }
+
     /// Removes the monitored endpoints that have been silent too long, and returns them.
     pub fn expire(&mut self, now: Time) -> Vec<(Arc<str>, Version)> {
         self.tombstones.retain(|_, (_, at)| now.since(*at) < TOMBSTONE_TTL);
@@ -259,6 +294,7 @@
         let limit = a.allowed().min(cap.map_or(u32::MAX, |c| c.slots));
         let allowed = match state {
             _ if out => 0,
+            HostState::Serving if self.returned.contains_key(zone) => limit.min(a.bearable),
             HostState::Serving => limit,
             HostState::Starting => limit.min(a.bearable),
             HostState::Leaving | HostState::Retired => 0,
@@ -293,7 +329,8 @@
             }
             let host = hosts.get(a.host.as_str()).map(|h| (h.zone.as_str(), h.state));
             let Some((zone, allowed)) = self.admit(host, a) else { continue };
-            let target = target(key, a, &zone, allowed);
+            let returned = self.returned.contains_key(&zone);
+            let target = target(key, a, &zone, allowed, returned);
             targets.insert(target.name.clone(), target.clone());
             if allowed > 0 {
                 services.entry(target.service.clone()).or_default().push(target.clone());
@@ -315,7 +352,7 @@
     }
 }
 
-fn target(key: EndpointKey, a: &Announcement, zone: &str, allowed: u32) -> Target {
+fn target(key: EndpointKey, a: &Announcement, zone: &str, allowed: u32, returned: bool) -> Target {
     Target {
         key,
         name: a.endpoint.as_str().into(),
@@ -326,7 +363,7 @@
         allowed,
         connections: a.connections,
         bearable: a.bearable,
-        cold: a.state == EndpointState::Starting,
+        cold: returned || a.state == EndpointState::Starting,
     }
 }
 
--- a/src/wisteriahead/core/relay/mod.rs
+++ b/src/wisteriahead/core/relay/mod.rs
@@ -5,6 +5,7 @@
 //! The budget and the rate are limits on the sum over all hosts. They hold without coordination:
 //! each host keeps to its own share, and the shares add up to less than the whole.
 
+pub mod cold;
 pub mod cover;
 pub mod early;
 pub mod flush;
--- a/src/wisteriahead/core/relay/rate.rs
+++ b/src/wisteriahead/core/relay/rate.rs
@@ -21,13 +21,19 @@
 
     /// Counts a request as sent now, unless it would exceed `max_rate` requests per second.
     pub fn try_acquire(&mut self, now: Time, max_rate: u32) -> bool {
-        while self.sent.front().is_some_and(|at| now.since(*at) >= WINDOW) {
-            self.sent.pop_front();
-        }
         let granted = self.allows(now, max_rate);
         if granted {
-            self.sent.push_back(now);
+            self.record(now);
         }
         granted
     }
+
+    /// Counts a request as sent now. Those sent before an endpoint falls back into cold start count
+    /// against its limit too, since the host hears of it late.
+    pub fn record(&mut self, now: Time) {
+        while self.sent.front().is_some_and(|at| now.since(*at) >= WINDOW) {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(now);
+    }
 }
--- a/src/wisteriahead/services/registry.rs
+++ b/src/wisteriahead/services/registry.rs
@@ -2,7 +2,9 @@
 //! endpoints by HTTP, replicates them between the hosts, and rebuilds the routes when the registry
 //! or the document changes.
 
-use super::{Announce, Control, Endpoints, Handler, Health, Members, Peers, Views};
+use super::{
+    AcceptedDocument, Announce, Control, Endpoints, Handler, Health, Members, Peers, Views,
+};
 use crate::core::gossip::{Gossip, Message, Outgoing};
 use crate::core::lag::LagMonitor;
 use crate::core::message::{Topic, decode, encode};
@@ -92,6 +94,14 @@
         self.gossip.lock().set_others(self.ctx.now(), others);
     }
 
+    fn set_document(&self, accepted: &AcceptedDocument) {
+        let mut gossip = self.gossip.lock();
+        let services = accepted.plan.as_ref().map(|plan| plan.services.values());
+        let cold_time = services.map(|s| s.map(|s| s.cold_time).max().unwrap_or_default());
+        gossip.registry.set_cold_time(cold_time);
+        gossip.registry.set_document(self.ctx.now(), accepted.document.clone());
+    }
+
     fn announce_json(&self, bytes: &[u8]) -> Result<(), Refusal> {
         let a: Announcement = serde_json::from_slice(bytes).map_err(|e| {
             let detail = format!("the body is not an announcement: {e}");
@@ -330,8 +340,8 @@
                 if changed.is_err() {
                     return;
                 }
-                let current = document.borrow_and_update().document.clone();
-                driver.gossip.lock().registry.set_document(current);
+                let accepted = document.borrow_and_update().clone();
+                driver.set_document(&accepted);
                 driver.mark_stale(true);
                 driver.tick();
             }
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -161,7 +161,11 @@
         result: &Result<EndpointResponse, Refusal>,
     ) -> bool {
         let failed = result.as_ref().is_err_and(Refusal::suggests_death);
-        failed && self.death_checks.is_gone(endpoint.address).await
+        let died = failed && self.death_checks.is_gone(endpoint.address).await;
+        if died {
+            self.traffic.record_endpoint_end(self.ctx.now(), endpoint);
+        }
+        died
     }
 
     /// Tells the quarantine how an attempt ended, for which `known` was known about the request.
@@ -860,6 +864,9 @@
             };
             relay.traffic.record_notice(now, request, &to, notice);
             relay.traffic.record_end(now, route, &to, result.as_ref().err(), time);
+            if died {
+                relay.traffic.record_endpoint_end(now, &to);
+            }
             relay.record_run(call, &to, known, RunEnd::new(&result, died));
             let merged = records == Records::Merged;
             list.push(EndedAttempt { id, to, result, merged, batched: true, died });
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -108,6 +108,7 @@
 impl Relay {
     async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Answer {
         let started = self.ctx.now();
+        self.traffic.record_alive(started);
         let outcome = match self.try_serve(started, request).await {
             Ok(outcome) => outcome,
             Err(refused) => refused,
@@ -294,6 +295,7 @@
                 event = "plan-followed", plan, previous, waited_ms = waited.as_millis(), fits;
                 "requests follow plan {plan}"
             );
+            self.traffic.record_plan(now, &old.plan, &next.plan);
         } else if waited == Span::ZERO {
             log::info!(
                 event = "plan-waits", plan, previous;
@@ -465,6 +467,7 @@
         }
         let ended = tokio::select! {
             _ = probe.tick() => {
+                relay.traffic.record_alive(relay.ctx.now());
                 relay.probe_zones();
                 relay.open_early(&mut early);
                 false
--- a/src/wisteriahead/services/relay/pools.rs
+++ b/src/wisteriahead/services/relay/pools.rs
@@ -96,8 +96,12 @@
     ) -> Result<EndpointResponse, Refusal> {
         let pool = self.pool(to.address, connections);
         let timed_out = || Refusal::not_run(Reason::Connection, "no connection was set up in time");
-        let lease = timeout(times.connect_timeout.to_std(), Pool::lease(pool)).await;
-        let mut lease = lease.unwrap_or_else(|_| Err(timed_out()))?;
+        let leased = timeout(times.connect_timeout.to_std(), Pool::lease(pool.clone())).await;
+        let leased = leased.unwrap_or_else(|_| Err(timed_out()));
+        if leased.is_err() && pool.is_refused() {
+            relay.traffic.record_endpoint_end(relay.ctx.now(), to);
+        }
+        let mut lease = leased?;
         let left = Span::from(times.deadline.saturating_duration_since(Instant::now()));
         if left < REMAINING_MIN {
             lease.give_back().await;
--- a/src/wisteriahead/services/relay/traffic.rs
+++ b/src/wisteriahead/services/relay/traffic.rs
@@ -8,6 +8,7 @@
 use crate::core::endpoint::host_share;
 use crate::core::latency::Histogram;
 use crate::core::plan::{Plan, WeightedRoundRobin};
+use crate::core::relay::cold::ColdSigns;
 use crate::core::relay::cover::{Need, ZoneCover, zone_rank};
 use crate::core::relay::groups::Groups;
 use crate::core::relay::notices::{self, Notice, Notices};
@@ -119,6 +120,7 @@
     endpoints: SecondaryMap<EndpointKey, Endpoint>,
     latencies: Latencies,
     stale_addresses: StaleAddresses,
+    cold_signs: ColdSigns,
     zone_monitor: ZoneMonitor,
     hosts: Vec<Arc<str>>,
     groups: Arc<Groups>,
@@ -348,6 +350,7 @@
             endpoints,
             latencies,
             stale_addresses,
+            cold_signs,
             choices,
             hosts,
             groups,
@@ -384,11 +387,12 @@
         let may_send = |t: &&Target| {
             !stale_addresses.contains(t) && !matches!(notice_of(t), notices::Access::Closed(_))
         };
+        let is_cold = |t: &Target| is_cold(cold_signs, now, t, plan);
         let mut order: Vec<_> = untried().filter(may_send).collect();
         order.sort_by_cached_key(|t| {
             let last = notice_of(t) == notices::Access::Last;
             let silent = zone_monitor.is_unresponsive(now, &t.zone);
-            (last, silent, t.cold, is_slow(t), latencies.rank(now, t, &context))
+            (last, silent, is_cold(t), is_slow(t), latencies.rank(now, t, &context))
         });
         for target in order {
             let Some(e) = endpoints.entry(target.key).map(|e| e.or_default()) else { continue };
@@ -396,7 +400,9 @@
             if e.sent.len() as u32 >= max_in_flight(target, connections) {
                 continue;
             }
-            if target.cold && !e.limiter.try_acquire(now, self.cold_rate(target, plan, hosts)) {
+            if !is_cold(target) {
+                e.limiter.record(now);
+            } else if !e.limiter.try_acquire(now, self.cold_rate(target, plan, hosts)) {
                 continue;
             }
             e.sent.push(now);
@@ -422,7 +428,8 @@
             let connections = connections(t).max(min_connections);
             let Some(e) = s.endpoints.get(t.key) else { return connections > 0 };
             let cold = || e.limiter.allows(now, self.cold_rate(t, plan, &s.hosts));
-            (e.sent.len() as u32) < max_in_flight(t, connections) && (!t.cold || cold())
+            (e.sent.len() as u32) < max_in_flight(t, connections)
+                && (!is_cold(&s.cold_signs, now, t, plan) || cold())
         })
     }
 
@@ -434,6 +441,28 @@
         host_share(&to.name, total as u32, &self.host, hosts)
     }
 
+    /// Records that nothing listens at an endpoint's address.
+    pub fn record_endpoint_end(&self, now: Time, endpoint: &Target) {
+        self.state.lock().cold_signs.record_end(now, endpoint);
+    }
+
+    /// Records that requests follow another plan.
+    pub fn record_plan(&self, now: Time, previous: &Plan, next: &Plan) {
+        self.state.lock().cold_signs.record_plan(now, previous, next);
+    }
+
+    /// Records that this host runs.
+    pub fn record_alive(&self, now: Time) {
+        if self.state.lock().cold_signs.record_alive(now) {
+            self.metrics.incr("relay.stood_still");
+            log::warn!(
+                event = "host-stood-still";
+                "this host stood still; endpoints get what they can bear in cold start until it has \
+                 heard what it missed"
+            );
+        }
+    }
+
     /// Other availability zones that do not respond to this host.
     pub fn unresponsive_zones(&self, now: Time) -> Vec<Arc<str>> {
         let mut zones = self.state.lock().zone_monitor.unresponsive(now);
@@ -493,6 +522,12 @@
     }
 }
 
+/// Whether an endpoint is in cold start, or may be.
+fn is_cold(signs: &ColdSigns, now: Time, endpoint: &Target, plan: &Plan) -> bool {
+    let cold_time = || plan.services.get(&endpoint.service).map_or(Span::ZERO, |s| s.cold_time);
+    endpoint.cold || signs.may_be_cold(now, endpoint, cold_time)
+}
+
 /// Maximum requests in flight at an endpoint over the given connections.
 fn max_in_flight(to: &Target, connections: u32) -> u32 {
     (to.allowed.max(1) * IN_FLIGHT_PER_SLOT).min(connections)
--- a/src/wisteriahead/services/transport/pool.rs
+++ b/src/wisteriahead/services/transport/pool.rs
@@ -27,6 +27,8 @@
     max: u32,
     /// Maximum number of idle connections.
     max_idle: usize,
+    /// Whether nothing listened at the address when a connection was last set up.
+    refused: bool,
 }
 
 /// Connections to one address, limited in number.
@@ -67,6 +69,11 @@
         self.state.lock().open
     }
 
+    /// Whether nothing listened at the address when a connection was last set up.
+    pub fn is_refused(&self) -> bool {
+        self.state.lock().refused
+    }
+
     /// Whether no connection is in use and the pool was not used for `span`.
     pub fn is_idle_for(&self, span: Duration) -> bool {
         let s = self.state.lock();
@@ -127,7 +134,11 @@
         let failed = |e: &dyn std::fmt::Display| {
             Refusal::not_run(Reason::Connection, format!("could not connect: {e}"))
         };
-        let stream = TcpStream::connect(self.pool.address).await.map_err(|e| failed(&e))?;
+        let connected = TcpStream::connect(self.pool.address).await;
+        let refused =
+            connected.as_ref().is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionRefused);
+        self.pool.state.lock().refused = refused;
+        let stream = connected.map_err(|e| failed(&e))?;
         // A request is one small write, which Nagle's algorithm would only delay.
         let _ = stream.set_nodelay(true);
         let mut builder = http1::Builder::new();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,6 +37,7 @@
 mod query;
 mod registry;
 mod relay;
+mod relay_cold;
 mod relay_quarantine;
 mod relay_tier;
 mod renewal;
--- a/tests/testsuite/plan.rs
+++ b/tests/testsuite/plan.rs
@@ -28,7 +28,7 @@
 }
 
 pub fn plan(number: u64) -> Plan {
-    let service = Service { connections: 25, cold_rate: 0 };
+    let service = Service { connections: 25, cold_rate: 0, cold_time: Span::ZERO };
     Plan {
         number,
         routes: vec![route("a", "h", "/a/"), route("ab", "h", "/a/b/"), route("root", "h", "/")],
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -7,13 +7,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use wisteriahead::core::digest::rank;
-use wisteriahead::core::document::{Admit, Document, Rules};
+use wisteriahead::core::document::{Admit, Document, Rules, Zone, ZoneState};
 use wisteriahead::core::endpoint::{Announcement, EndpointState, Holding};
 use wisteriahead::core::gossip::{Gossip, Message};
 use wisteriahead::core::message::encode;
 use wisteriahead::core::monitors::MONITOR_COUNT;
 use wisteriahead::core::registry::{ApplyOutcome, EXPIRY, Registry};
 use wisteriahead::core::time::{Span, Time};
+use yare::parameterized;
 
 const TICK: Span = Span::millis(50);
 
@@ -432,7 +433,7 @@
 fn partitioned(n: u32) -> Registry {
     let mut registry = Registry::default();
     let rules = Rules { admit: Admit::Any, ..Rules::default() };
-    registry.set_document(Arc::new(Document { rules, ..Document::default() }));
+    registry.set_document(Time(0), Arc::new(Document { rules, ..Document::default() }));
     let one = std::iter::once((0, 1));
     for (shard, shards) in one.chain((0..n).map(|shard| (shard, n))) {
         let mut a = announcement(&format!("leaf-{shard}-{shards}"), 1, 1);
@@ -472,7 +473,7 @@
         Document { rules: Rules { admit: Admit::Any, ..Rules::default() }, ..Document::default() };
     for names in [["old", "new"], ["new", "old"]] {
         let mut registry = Registry::default();
-        registry.set_document(Arc::new(document.clone()));
+        registry.set_document(Time(0), Arc::new(document.clone()));
         for name in names {
             let incarnation = if name == "new" { 2 } else { 1 };
             registry.announce(Time(0), announcement(name, incarnation, 1));
@@ -482,3 +483,61 @@
         assert_eq!(served, ["new"]);
     }
 }
+
+/// A document in which the zone `north` is in a state since a revision.
+fn zone_document(state: ZoneState, changed: u64) -> Arc<Document> {
+    let (name, region) = ("north".to_owned(), String::new());
+    Arc::new(Document {
+        zones: vec![Zone { name, region, state }],
+        rules: Rules { admit: Admit::Any, ..Rules::default() },
+        zone_changes: [("north".to_owned(), changed)].into(),
+        ..Document::default()
+    })
+}
+
+/// Whether an endpoint is taken to be in cold start, and the limit on its concurrent requests; none if
+/// it gets no requests.
+fn coldness(registry: &Registry) -> Option<(bool, u32)> {
+    let routes = registry.routes();
+    routes.services.get("kits").and_then(|t| t.first()).map(|t| (t.cold, t.allowed))
+}
+
+/// Guards against a zone that is put back and whose endpoints get all its requests at once, though they
+/// became cold shortly before and have not said so yet (review/4); also at a host that was cut off or
+/// stood still meanwhile, and at one that starts.
+#[parameterized(
+    taken_out_before = { &[(ZoneState::In, 0), (ZoneState::Out, 3), (ZoneState::In, 4)] },
+    missed_that_it_was_out = { &[(ZoneState::In, 2), (ZoneState::In, 4)] },
+    host_has_started = { &[(ZoneState::In, 4)] },
+    edited_in_the_text = { &[(ZoneState::Out, 0), (ZoneState::In, 0)] },
+)]
+fn endpoints_of_a_returned_zone_are_taken_to_be_cold(documents: &[(ZoneState, u64)]) {
+    const COLD: Span = Span::secs(3);
+    let mut host = Gossip::new("a".into());
+    host.registry.set_cold_time(Some(COLD));
+    for &(state, changed) in documents {
+        host.registry.set_document(Time(0), zone_document(state, changed));
+    }
+    host.announce(Time(0), announcement("leaf", 1, 1));
+    assert_eq!(coldness(&host.registry), Some((true, 1)));
+    // A heartbeat that was sent before the endpoint became cold may come now.
+    host.announce(Time(1), announcement("leaf", 1, 2));
+    let early = Time(0) + Span(COLD.0 - 1);
+    assert!(!host.tick(early).0);
+    assert_eq!(coldness(&host.registry), Some((true, 1)));
+    assert!(host.tick(Time(0) + COLD).0, "the routes change");
+    assert_eq!(coldness(&host.registry), Some((false, 2)));
+    // Other changes of the document do not count.
+    let (state, changed) = documents[documents.len() - 1];
+    host.registry.set_document(Time(0) + COLD, zone_document(state, changed));
+    assert_eq!(coldness(&host.registry), Some((false, 2)));
+}
+
+/// A zone that has always been in service is no returned one.
+#[test]
+fn endpoints_of_a_zone_without_changes_are_not_taken_to_be_cold() {
+    let mut registry = Registry::default();
+    registry.set_document(Time(0), zone_document(ZoneState::In, 0));
+    registry.announce(Time(0), announcement("leaf", 1, 1));
+    assert_eq!(coldness(&registry), Some((false, 2)));
+}
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -1,6 +1,7 @@
 //! The relay's retry budget, rate limiter, merge, stale addresses, zone monitor, plan switch, log
 //! limiter, currency, lag monitor, groups, cover of zones and early connections.
 
+use crate::plan::plan;
 use crate::props::Endpoints;
 use crate::support::config;
 use proptest::prelude::*;
@@ -9,7 +10,9 @@
 use wisteriahead::core::control::currency::Currency;
 use wisteriahead::core::lag::LagMonitor;
 use wisteriahead::core::log_limiter::LogLimiter;
+use wisteriahead::core::plan::{Destination, Plan, Route, Share};
 use wisteriahead::core::records::{RECORD_BYTES, merge};
+use wisteriahead::core::relay::cold::ColdSigns;
 use wisteriahead::core::relay::cover::{Need, ZoneCover};
 use wisteriahead::core::relay::early::{EarlyConnections, ROUND_MAX};
 use wisteriahead::core::relay::flush::Flush;
@@ -433,3 +436,86 @@
     flush.record_end(Time(29_000));
     assert_eq!(flush.due(), Some(Time(30_000)), "later it could not meet the objective");
 }
+
+/// Guards against an endpoint that ends, starts again under its name, and gets all requests at once
+/// before its announcement is here.
+#[test]
+fn endpoint_that_refused_connections_may_be_cold_once_it_accepts_them() {
+    const COLD: Span = Span::secs(3);
+    let mut endpoints = Endpoints::default();
+    let target = endpoints.snapshot("s1", &[1]).shards[0][0].clone();
+    let other = endpoints.snapshot("s2", &[1]).shards[0][0].clone();
+    let mut signs = ColdSigns::default();
+    let cold = |signs: &ColdSigns, at, t: &Target| signs.may_be_cold(at, t, || COLD);
+    assert!(!cold(&signs, Time(1), &target));
+    signs.record_end(Time(1), &target);
+    signs.record_end(Time(2), &target);
+    assert!(cold(&signs, Time(1) + COLD, &target));
+    assert!(!cold(&signs, Time(2) + COLD, &target));
+    assert!(!cold(&signs, Time(2), &other));
+    // A new process has announced itself; it says whether it is cold.
+    let next = Target { incarnation: target.incarnation + 1, ..target };
+    assert!(!cold(&signs, Time(2), &next));
+}
+
+/// Guards against a host that stands still and then sends by what it knew before: an endpoint may have
+/// become cold meanwhile.
+#[test]
+fn all_endpoints_may_be_cold_after_the_host_stood_still() {
+    let mut endpoints = Endpoints::default();
+    let target = endpoints.snapshot("s1", &[1]).shards[0][0].clone();
+    let mut signs = ColdSigns::default();
+    let cold = |signs: &ColdSigns, at| signs.may_be_cold(at, &target, || Span::ZERO);
+    let mut now = Time(7);
+    for _ in 0..20 {
+        assert!(!signs.record_alive(now), "it runs");
+        now = now + Span::secs(1);
+    }
+    assert!(!cold(&signs, now));
+    now = now + Span::secs(4);
+    assert!(signs.record_alive(now), "it stood still");
+    assert!(cold(&signs, now));
+    assert!(!signs.record_alive(now + Span::millis(200)));
+    assert!(cold(&signs, now + Span::millis(999)));
+    assert!(!cold(&signs, now + Span::secs(1)), "it has heard what it missed");
+}
+
+/// Guards against a route that moves to a service whose endpoints became cold before they got anything.
+#[test]
+fn endpoints_of_a_service_that_a_plan_first_sends_requests_to_may_be_cold() {
+    const COLD: Span = Span::secs(3);
+    let route = |destination| Route { destination, ..plan(1).routes[0].clone() };
+    let plan_to = |destination| Plan { routes: vec![route(destination)], ..plan(1) };
+    let single = |service: &str, weight| Destination::Split(vec![(service.into(), weight)]);
+    let shards = |service: &str| {
+        let least = Share::from_fraction(1.0);
+        Destination::Gather { shards: vec![service.into()], top: 1, least }
+    };
+    let mut endpoints = Endpoints::default();
+    let target = endpoints.snapshot("s1", &[1]).shards[0][0].clone();
+    let target = Target { service: "t".into(), ..target };
+    let becomes_cold = |before, after| {
+        let mut signs = ColdSigns::default();
+        signs.record_plan(Time(1), &plan_to(before), &plan_to(after));
+        assert!(!signs.may_be_cold(Time(1) + Span::millis(1_500), &target, || COLD));
+        signs.may_be_cold(Time(1), &target, || COLD)
+    };
+    assert!(becomes_cold(single("s", 1), single("t", 1)), "a route moved");
+    assert!(becomes_cold(single("t", 0), single("t", 1)), "a part got weight");
+    assert!(!becomes_cold(single("t", 1), single("t", 2)), "it got requests before");
+    assert!(!becomes_cold(shards("t"), single("t", 1)), "it got requests as a shard");
+    // A plan waits for its shards to be warm.
+    assert!(!becomes_cold(single("s", 1), shards("t")), "a shard");
+}
+
+/// Guards against a full share of a cold endpoint's rate on top of what was sent before the host heard
+/// that it is cold.
+#[test]
+fn requests_sent_before_an_endpoint_became_cold_count() {
+    let mut limiter = RateLimiter::default();
+    let now = Time(0) + Span::secs(9);
+    (0..3).for_each(|i| limiter.record(now + Span::millis(100 * i)));
+    assert!(!limiter.try_acquire(now + Span::millis(900), 3));
+    assert!(limiter.try_acquire(now + Span::millis(900), 4));
+    assert!(limiter.try_acquire(now + Span::millis(1_150), 4), "the first was sent long ago");
+}
--- a/tests/testsuite/relay_tier.rs
+++ b/tests/testsuite/relay_tier.rs
@@ -316,6 +316,7 @@
     /// What the host is told of the time since its plan was confirmed.
     pub unconfirmed: Mutex<Option<Span>>,
     pub routes: Arc<Routes>,
+    pub changes: watch::Sender<u64>,
     pub members: watch::Sender<Arc<Vec<Member>>>,
 }
 
@@ -337,6 +338,10 @@
     fn routes(&self) -> Arc<Routes> {
         self.routes.clone()
     }
+
+    fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
 }
 
 impl Members for StaticServices {
@@ -349,7 +354,7 @@
 /// first for requests that may run only once.
 pub fn plan(shards: usize, connections: u32) -> Plan {
     let all: Vec<Arc<str>> = (0..shards).map(|i| format!("s{i}").into()).collect();
-    let service = PlanService { connections, cold_rate: 0 };
+    let service = PlanService { connections, cold_rate: 0, cold_time: Span::ZERO };
     let services = all.iter().map(|s| (s.clone(), service.clone())).collect();
     let route = Route {
         name: "all".into(),
@@ -469,6 +474,7 @@
                 accepted: watch::channel(accepted).0,
                 unconfirmed: Mutex::new(Some(Span::ZERO)),
                 routes: routes.clone(),
+                changes: watch::channel(0).0,
                 members: watch::channel(members.clone()).0,
             });
             all_services.push(services_of_host.clone());
