Answer a gather without a shard whose endpoints ended

Also, the check whether an endpoint ended was stopped with its request, so that the death was lost.

The state machine now gives up that shard alone where it may answer in part, and still quarantines a query that nothing has answered. The check goes on after the request. policy::gather_is_answered_without_a_shard_whose_endpoints_ended fails without this; two more tests of deaths under the relay's policy pass before and after.

--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -259,12 +259,16 @@
         let shard = open.shard as usize;
         let not_run = refusal.verdict == Verdict::NotRun;
         self.not_run += usize::from(not_run);
+        // Where a part of the shards may do, a query that others have answered goes on without one whose
+        // endpoints die.
+        let partial = !self.policy.may_restart && self.missing < self.shards.len();
         let s = &mut self.shards[shard];
         s.snapshot_gone |= refusal.reason == Reason::WrongSnapshot;
         if refusal.suggests_death() && self.policy.detect_deaths {
             s.deaths += 1;
-            self.quarantined |= s.deaths >= DEATHS_MAX;
-            s.no_resend |= !self.policy.idempotent;
+            let given_up = s.deaths >= DEATHS_MAX;
+            s.no_resend |= given_up || !self.policy.idempotent;
+            self.quarantined |= given_up && !partial;
             if s.open.is_empty() && !s.no_resend {
                 self.back_off(shard, DEATH_WAIT, step);
             }
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -673,9 +673,20 @@
                 let now = relay.ctx.now();
                 relay.traffic.record_end(now, &route, &to, result.as_ref().err(), now.since(at));
                 drop(permit);
-                let died = relay.has_died(&to, &result).await;
-                relay.record_run(&call, &to, known, RunEnd::new(&result, died));
-                (result, died)
+                if !result.as_ref().is_err_and(Refusal::suggests_death) {
+                    relay.record_run(&call, &to, known, RunEnd::new(&result, false));
+                    return (result, false);
+                }
+                // Goes on if the request ends in the meantime.
+                let check = tokio::spawn(async move {
+                    let died = relay.has_died(&to, &result).await;
+                    relay.record_run(&call, &to, known, RunEnd::new(&result, died));
+                    (result, died)
+                });
+                let stopped = |_| {
+                    (Err(Refusal::may_have_run(Reason::Internal, "the check was stopped")), false)
+                };
+                check.await.unwrap_or_else(stopped)
             });
         self.tasks.insert(id, task.abort_handle());
         self.pending.push(Box::pin(async move {
--- a/tests/testsuite/policy.rs
+++ b/tests/testsuite/policy.rs
@@ -238,3 +238,47 @@
     run.step(50, Event::Wake);
     assert_eq!(run.sent.len(), 8, "the objective is missed, and all shards are still open");
 }
+
+fn death() -> Refusal {
+    Refusal::may_have_run(Reason::Connection, "")
+}
+
+/// Guards against a request that runs twice though it may run once: its endpoint ended while it ran.
+#[test]
+fn non_idempotent_query_is_not_resent_after_a_death() {
+    let policy = Policy { idempotent: false, detect_deaths: true, ..policy() };
+    let mut run = QueryRun::new(1, 1.0, 9, policy);
+    run.fail(1, death());
+    run.step(100, Event::Wake);
+    assert!(run.finished && run.sent.len() == 1);
+    assert_eq!(run.gather.verdict(), Verdict::MayHaveRun);
+}
+
+/// Guards against a gather that is refused as a whole since all endpoints of one shard ended while it was
+/// in flight there; the other shards have answered and suffice.
+#[test]
+fn gather_is_answered_without_a_shard_whose_endpoints_ended() {
+    let mut run = QueryRun::new(4, 0.75, 9, Policy { detect_deaths: true, ..policy() });
+    for shard in 1..4 {
+        run.step(1, Event::Done(run.sent[shard], Ok(7)));
+    }
+    run.step(2, Event::Done(run.sent[0], Err(death())));
+    run.step(50, Event::Wake);
+    assert_eq!(run.sent.len(), 5, "the other replica is tried");
+    run.fail(51, death());
+    assert!(run.finished && !run.gather.is_quarantined());
+    assert_eq!(run.gather.coverage().answered, 3);
+}
+
+/// Guards against a gather that crashes a second endpoint of each shard.
+#[test]
+fn gather_that_has_crashed_endpoints_is_sent_again_to_one_shard() {
+    let mut run = QueryRun::new(4, 0.75, 9, Policy { detect_deaths: true, ..policy() });
+    for shard in 0..4 {
+        run.step(1, Event::Done(run.sent[shard], Err(death())));
+    }
+    run.step(50, Event::Wake);
+    assert_eq!(run.sent.len(), 5);
+    run.fail(51, death());
+    assert!(run.finished && run.gather.is_quarantined());
+}
