--- a/src/wisteriahead/services/quarantine.rs
+++ b/src/wisteriahead/services/quarantine.rs
@@ -20,8 +20,8 @@
 /// Interval at which the next host in turn is told which requests are quarantined, since hosts start
 /// anew or may have been cut off from this one for longer than reports are repeated.
 const SYNC_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of findings in one message.
-const SYNC_MAX: usize = 256;
+/// Maximum number of findings in one message; about 130 bytes each.
+const SYNC_MAX: usize = 64;
 /// Time between the trials of two hosts; longer than a death takes to be reported.
 const TRIAL_STAGGER: Span = Span::secs(1);
 
