Take back the cold start of services that a plan first sends requests to

With 60 entry hosts most have no share of the few requests that a cold endpoint bears, so a route that moves was closed to them for 1.5 s, and nothing else serves it. A zone that returns has others beside it, and a host that stood still has other hosts.

--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -295,7 +295,6 @@
                 event = "plan-followed", plan, previous, waited_ms = waited.as_millis(), fits;
                 "requests follow plan {plan}"
             );
-            self.traffic.record_plan(now, &old.plan, &next.plan);
         } else if waited == Span::ZERO {
             log::info!(
                 event = "plan-waits", plan, previous;
--- a/src/wisteriahead/services/relay/traffic.rs
+++ b/src/wisteriahead/services/relay/traffic.rs
@@ -446,11 +446,6 @@
         self.state.lock().cold_signs.record_end(now, endpoint);
     }
 
-    /// Records that requests follow another plan.
-    pub fn record_plan(&self, now: Time, previous: &Plan, next: &Plan) {
-        self.state.lock().cold_signs.record_plan(now, previous, next);
-    }
-
     /// Records that this host runs.
     pub fn record_alive(&self, now: Time) {
         if self.state.lock().cold_signs.record_alive(now) {
