Count only zone changes as changes of a zone, not edits

Cause: an edit lists the zones that it adds among those whose state changes, and each became a returned zone, whose endpoints are taken to be cold for 5 s. Edits of a zone's state in the text are still seen by the states themselves.

changes::zone_that_an_edit_adds_is_no_changed_zone guards against it; the test that failed passes again, with 53 others of zones and orders.

--- a/src/wisteriahead/core/control/changes.rs
+++ b/src/wisteriahead/core/control/changes.rs
@@ -56,7 +56,7 @@
     pub text: Arc<str>,
     /// Zone states set by zone changes; they override those in the document.
     pub zones: IndexMap<String, ZoneState>,
-    /// Revision that last changed the state of each zone.
+    /// Revision of the last zone change of each zone.
     #[serde(default)]
     pub zone_changes: IndexMap<String, Revision>,
     /// Identifiers of the latest zone changes, oldest first.
@@ -107,7 +107,7 @@
     operator: String,
     text: Arc<str>,
     zones: IndexMap<String, ZoneState>,
-    /// Revision that last changed the state of each zone.
+    /// Revision of the last zone change of each zone; edits do not count, which list added zones too.
     #[serde(default)]
     zone_changes: IndexMap<String, Revision>,
     ids: IndexMap<String, ChangeOutcome>,
@@ -163,8 +163,6 @@
         // A zone state edited in the document replaces one set earlier by a zone change.
         self.zones.retain(|zone, _| !zones.contains(zone));
         self.text = change.text.into();
-        let revision = self.revision + 1;
-        self.zone_changes.extend(zones.iter().map(|zone| (zone.clone(), revision)));
         self.accept(change.id, change.operator)
     }
 
--- a/src/wisteriahead/core/document.rs
+++ b/src/wisteriahead/core/document.rs
@@ -138,7 +138,7 @@
     /// Rules.
     #[serde(default)]
     pub rules: Rules,
-    /// Revision that last changed the state of each zone, which is no part of the text.
+    /// Revision of the last zone change of each zone, which is no part of the text.
     #[serde(skip)]
     pub zone_changes: IndexMap<String, Revision>,
 }
--- a/tests/testsuite/changes.rs
+++ b/tests/testsuite/changes.rs
@@ -286,6 +286,17 @@
     assert_eq!(state.changes.active().zones["z"], ZoneState::Out);
 }
 
+/// Guards against a zone that an edit adds and that is taken for one that was put back, whose endpoints
+/// may be cold.
+#[test]
+fn zone_that_an_edit_adds_is_no_changed_zone() {
+    let mut state = State::default();
+    let change = Change { id: "1".into(), operator: "ann".into(), base: 0, text: String::new() };
+    let edit = Command::Edit { change, fault: None, zones: vec!["z".into()] };
+    assert_eq!(apply_command(&mut state, edit), Reply::Change(Ok(1)));
+    assert!(state.changes.active().zone_changes.is_empty());
+}
+
 /// A step of an operator who gives one order after the other and sends copies of each to hosts.
 #[derive(Clone, Debug)]
 enum OrderStep {
