--- a/src/wisteriahead/services/peers/traffic.rs
+++ b/src/wisteriahead/services/peers/traffic.rs
@@ -26,6 +26,10 @@
     sent_bytes: u64,
     received: u64,
     received_bytes: u64,
+    /// System calls that sent datagrams.
+    writes: u64,
+    /// System calls that received datagrams.
+    reads: u64,
 }
 
 /// An open connection and its totals at the last report.
@@ -103,6 +107,8 @@
         metrics.count("peers.received_bytes", sum.received_bytes as i64);
         metrics.count("peers.sent_datagrams", sum.sent as i64);
         metrics.count("peers.received_datagrams", sum.received as i64);
+        metrics.count("peers.writes", sum.writes as i64);
+        metrics.count("peers.reads", sum.reads as i64);
     }
 }
 
@@ -114,6 +120,8 @@
             sent_bytes: stats.udp_tx.bytes,
             received: stats.udp_rx.datagrams,
             received_bytes: stats.udp_rx.bytes,
+            writes: stats.udp_tx.ios,
+            reads: stats.udp_rx.ios,
         }
     }
 
@@ -122,6 +130,8 @@
         self.sent_bytes += to.sent_bytes.saturating_sub(from.sent_bytes);
         self.received += to.received.saturating_sub(from.received);
         self.received_bytes += to.received_bytes.saturating_sub(from.received_bytes);
+        self.writes += to.writes.saturating_sub(from.writes);
+        self.reads += to.reads.saturating_sub(from.reads);
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod member;
 mod operator;
 mod order_entry;
+mod peer_cost;
 mod peers;
 mod plan;
 mod policy;
