--- a/crates/wisteria-experiment/src/experiments/capacity.rs
+++ b/crates/wisteria-experiment/src/experiments/capacity.rs
@@ -27,8 +27,8 @@
 const SECONDS: f64 = 10.0;
 /// Delay before a measurement in which the hosts discover each other.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
-/// Size of the UDP and IPv4 headers of a datagram.
-const HEADER_BYTES: i64 = 28;
+/// Size of the TCP and IPv4 headers of a segment, timestamps included; a write is one segment or more.
+const HEADER_BYTES: i64 = 52;
 /// Tier size that the limits apply to.
 const DESIGN_HOSTS: f64 = 430.0;
 const DESIGN_ENDPOINTS: f64 = 2_000.0;
@@ -70,8 +70,8 @@
         title: "Control at rest, by hosts and endpoints",
         about: "Idle daemons in four zones and announcing endpoints, no queries. Means over the \
                 hosts of a run; memory is the greatest of any host. Sent bytes are those to other \
-                hosts, from the daemons' metrics `peers.sent_bytes` and `peers.sent_datagrams`, \
-                28 bytes of headers added to each datagram; announcements of endpoints and the \
+                hosts, from the daemons' metrics `peers.sent_bytes` and `peers.writes`, \
+                52 bytes of headers added to each write; announcements of endpoints and the \
                 answers to them go over another port and are not in it.",
         setup: format!(
             "{seconds} s a measurement. The daemons report once a second, so that the bytes of a \
@@ -137,7 +137,7 @@
 
 /// Total bytes that all hosts have sent to each other, headers included.
 fn sent_bytes(receiver: &MetricsReceiver) -> i64 {
-    receiver.sum("peers.sent_bytes") + HEADER_BYTES * receiver.sum("peers.sent_datagrams")
+    receiver.sum("peers.sent_bytes") + HEADER_BYTES * receiver.sum("peers.writes")
 }
 
 /// Total CPU time of all hosts.
--- a/src/bin/wisteriahead/cli.rs
+++ b/src/bin/wisteriahead/cli.rs
@@ -60,14 +60,14 @@
     .fallback("127.0.0.1:7102".into())
     .display_fallback();
     let peer_listen =
-        single("peer-listen", "WISTERIAHEAD_PEER_LISTEN", "IP:PORT", "UDP address for other hosts")
+        single("peer-listen", "WISTERIAHEAD_PEER_LISTEN", "IP:PORT", "TCP address for other hosts")
             .fallback("127.0.0.1:7103".into())
             .display_fallback();
     let peers = repeated(
         "peer",
         "WISTERIAHEAD_PEERS",
         "IP:PORT",
-        "UDP address of another host; comma-separated in the environment",
+        "TCP address of another host; comma-separated in the environment",
     );
     let ca = single("ca", "WISTERIAHEAD_CA", "FILE", "Certificate of the authority")
         .fallback("keys/ca.pem".into())
--- a/src/wisteriahead/core/message.rs
+++ b/src/wisteriahead/core/message.rs
@@ -6,6 +6,7 @@
 //! MessagePack value, then the uncompressed length and the LZ4 block.
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::borrow::Cow;
 
 /// Version of the envelope that this program supports.
 pub const VERSION: u16 = 1;
@@ -96,14 +97,51 @@
     ///
     /// Returns [`DecodeError`] if the bytes are not an envelope of [`VERSION`].
     pub fn read(bytes: &[u8]) -> Result<Self, DecodeError> {
-        let e: Self = match bytes.split_first() {
-            Some((&COMPRESSED_MARKER, block)) => decode(&decompress(block)?)?,
-            _ => decode(bytes)?,
-        };
+        let unpacked = unpack(bytes)?;
+        let EnvelopeView { version, from, topic, body } = EnvelopeView::read(&unpacked)?;
+        Ok(Self { version, from: from.to_owned(), topic, body: body.to_vec() })
+    }
+}
+
+/// An [`Envelope`] whose fields are borrowed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EnvelopeView<'a> {
+    /// Version of the envelope.
+    pub version: u16,
+    /// Name of the sending host.
+    pub from: &'a str,
+    /// Service that the message is for.
+    pub topic: Topic,
+    /// Body, encoded by the service.
+    #[serde(with = "serde_bytes")]
+    pub body: &'a [u8],
+}
+
+impl<'a> EnvelopeView<'a> {
+    /// Decodes an envelope that is not compressed and checks its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DecodeError`] if the bytes are not an envelope of [`VERSION`].
+    pub fn read(bytes: &'a [u8]) -> Result<Self, DecodeError> {
+        let e: Self =
+            rmp_serde::from_slice(bytes).map_err(|e| DecodeError::Malformed(e.to_string()))?;
         if e.version == VERSION { Ok(e) } else { Err(DecodeError::Version(e.version)) }
     }
 }
 
+/// Decompresses an envelope; one that is not compressed is returned unchanged.
+///
+/// # Errors
+///
+/// Returns [`DecodeError::Malformed`] if a compressed envelope is too large or cannot be decompressed.
+pub fn unpack(bytes: &[u8]) -> Result<Cow<'_, [u8]>, DecodeError> {
+    match bytes.split_first() {
+        Some((&COMPRESSED_MARKER, block)) => decompress(block).map(Cow::Owned),
+        _ => Ok(Cow::Borrowed(bytes)),
+    }
+}
+
 /// Compresses an encoded envelope of at least [`COMPRESS_MIN_BYTES`] bytes; returns shorter ones
 /// unchanged.
 pub fn compress(envelope: Vec<u8>) -> Vec<u8> {
--- a/src/wisteriahead/core/mod.rs
+++ b/src/wisteriahead/core/mod.rs
@@ -23,6 +23,7 @@
 pub mod message;
 pub mod monitors;
 pub mod order;
+pub mod peers;
 pub mod plan;
 pub mod quarantine;
 pub mod query;
--- /dev/null
+++ b/src/wisteriahead/core/peers/mod.rs
@@ -0,0 +1,30 @@
+//! Decisions on the connections between hosts: what waits for them and for how long, when they are
+//! opened again, and which inbound ones are let in.
+
+pub mod admission;
+pub mod outbox;
+pub mod reconnect;
+pub mod silence;
+
+/// Size from which a message takes the bulk connection of its host.
+pub const BULK_MIN_BYTES: usize = 64 << 10;
+
+/// One of the two connections to a host. A large message does not hold up those behind it, since they
+/// take the other one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Lane {
+    /// Messages and calls below [`BULK_MIN_BYTES`].
+    Small,
+    /// Larger ones: documents, parts of snapshots.
+    Bulk,
+}
+
+impl Lane {
+    /// Both lanes.
+    pub const ALL: [Self; 2] = [Self::Small, Self::Bulk];
+
+    /// Lane of a message of this size.
+    pub const fn of_size(bytes: usize) -> Self {
+        if bytes < BULK_MIN_BYTES { Self::Small } else { Self::Bulk }
+    }
+}
--- a/src/wisteriahead/ops/serve/settings.rs
+++ b/src/wisteriahead/ops/serve/settings.rs
@@ -69,9 +69,9 @@
     pub endpoint_listen: SocketAddr,
     /// Address for operators.
     pub operator_listen: SocketAddr,
-    /// UDP address for the tier's other hosts.
+    /// TCP address for the tier's other hosts.
     pub peer_listen: SocketAddr,
-    /// UDP addresses of other hosts, contacted at start to join the tier.
+    /// TCP addresses of other hosts, contacted at start to join the tier.
     pub peers: Vec<SocketAddr>,
     /// File of the authority's certificate.
     pub ca: PathBuf,
--- a/src/wisteriahead/services/peers/accept.rs
+++ b/src/wisteriahead/services/peers/accept.rs
@@ -1,133 +1,292 @@
 //! Accepts connections from other hosts and passes their messages and calls to the handlers.
 
-use super::hub::{Hub, InboundGuard};
-use super::wire::{Answer, HELLO_MAX_BYTES, Hello};
-use super::{HANDSHAKE_TIMEOUT, peer_identity};
-use crate::core::message::{self, ENVELOPE_MAX_BYTES, Envelope};
+use super::hub::{Hub, OpenConnection};
+use super::socket::{Socket, prepare};
+use super::wire::{Answer, Frame, FrameDecoder, Hello};
+use super::{CLOSE_TIMEOUT, HANDSHAKE_TIMEOUT, INBOUND_IDLE_TIMEOUT};
+use crate::core::message::{self, ENVELOPE_MAX_BYTES, EnvelopeView};
 use crate::prelude::*;
-use anyhow::bail;
-use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
-use tokio::sync::Semaphore;
-use tokio::time::timeout;
+use crate::util::tls::{Identity, Kind};
+use anyhow::{anyhow, bail};
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt as _;
+use std::convert::Infallible;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt as _, ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{sleep, timeout};
+use tokio_rustls::server::TlsStream;
+use tokio_util::codec::FramedRead;
 
 /// Maximum number of inbound connections open at once.
 const CONNECTIONS_MAX: usize = 2048;
-/// Maximum size of an answer: the body, of up to an envelope's size, and one byte for the outcome.
-pub const ANSWER_MAX_BYTES: usize = ENVELOPE_MAX_BYTES + 1;
-/// Time limit for receiving one message.
-const RECEIVE_TIMEOUT: Span = Span::secs(5);
-/// QUIC error code with which a connection from a host that is not accepted is closed.
-pub const CODE_REFUSED: u32 = 1;
-
-/// Accepts connections until the socket closes.
-pub async fn run(hub: Arc<Hub>, endpoint: Endpoint) {
-    let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
-    while let Some(incoming) = endpoint.accept().await {
-        let Ok(permit) = permits.clone().try_acquire_owned() else {
-            incoming.refuse();
-            continue;
+/// Maximum number of handshakes in progress; further connections wait in the system's queue.
+const HANDSHAKES_MAX: usize = 64;
+/// Pause after the system refused to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Maximum number of calls of a connection in progress, and answers waiting to be written to it.
+const CALLS_MAX: usize = 4_096;
+/// Maximum size of the calls of a connection in progress.
+const CALLS_MAX_BYTES: usize = 16 << 20;
+
+type Reader = FramedRead<ReadHalf<TlsStream<Socket>>, FrameDecoder>;
+type Writer = WriteHalf<TlsStream<Socket>>;
+
+/// A connection from another host, after the hellos.
+struct Inbound {
+    name: Arc<str>,
+    reader: Reader,
+    writer: Writer,
+    guard: OpenConnection,
+}
+
+/// Accepts connections until the service stops.
+pub async fn run(hub: Arc<Hub>, listener: TcpListener) {
+    let handshakes = Arc::new(Semaphore::new(HANDSHAKES_MAX));
+    let open = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        // Neither semaphore is ever closed.
+        let Ok(handshake) = handshakes.clone().acquire_owned().await else { return };
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                log::warn!("could not accept a connection from a host, trying again: {e}");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
-        let task = handle_connection(hub.clone(), incoming);
+        let Ok(permit) = open.clone().try_acquire_owned() else { continue };
+        if !hub.admission.lock().try_begin(hub.now(), from.ip()) {
+            continue;
+        }
+        let task_hub = hub.clone();
         hub.spawn(async move {
-            if let Err(e) = task.await {
-                log::debug!("an inbound connection failed: {e:#}");
+            let accepted = begin(&task_hub, stream, from).await;
+            record_handshake(&task_hub, from.ip(), accepted.as_ref().err());
+            drop(handshake);
+            if let Ok(inbound) = accepted {
+                let cause = serve(task_hub, inbound).await;
+                log::debug!("the connection from {from} closed: {cause:#}");
             }
             drop(permit);
         });
     }
 }
 
-async fn handle_connection(hub: Arc<Hub>, incoming: Incoming) -> Result<()> {
-    let link = timeout(HANDSHAKE_TIMEOUT.to_std(), incoming.accept()?)
-        .await
-        .context("the handshake timed out")??;
-    match timeout(HANDSHAKE_TIMEOUT.to_std(), exchange_hellos(&hub, &link))
-        .await
-        .context("no hello")
-    {
-        Ok(Ok((name, _guard))) => {
-            hub.traffic.track(&link);
-            serve(hub, link, name.into()).await
+fn record_handshake(hub: &Hub, from: IpAddr, failed: Option<&anyhow::Error>) {
+    let log = hub.admission.lock().record_end(hub.now(), from, failed.is_none());
+    match failed {
+        Some(e) if log => log::warn!(
+            "refused a connection from {from}; further ones are logged once a minute: {e:#}"
+        ),
+        Some(e) => log::debug!("refused a connection from {from}: {e:#}"),
+        None => {}
+    }
+}
+
+/// Completes the handshake and the exchange of hellos.
+async fn begin(hub: &Arc<Hub>, stream: TcpStream, from: SocketAddr) -> Result<Inbound> {
+    let tls = hub.tls.get().context("the service is not started")?;
+    let socket = prepare(stream, hub.traffic.clone())?;
+    let handshake = timeout(HANDSHAKE_TIMEOUT.to_std(), tls.acceptor.accept(socket));
+    let stream = handshake.await.context("the handshake timed out")??;
+    let id = Identity::expect(stream.get_ref().1.peer_certificates(), Kind::Host);
+    let (rx, mut writer) = tokio::io::split(stream);
+    let mut reader = FramedRead::new(rx, FrameDecoder::default());
+    let hellos = exchange_hellos(hub, id, &mut reader, &mut writer, from);
+    match timeout(HANDSHAKE_TIMEOUT.to_std(), hellos).await.context("no hello in time") {
+        Ok(Ok(guard)) => {
+            reader.decoder_mut().accept_envelopes();
+            Ok(Inbound { name: guard.host().clone(), reader, writer, guard })
         }
         Ok(Err(e)) | Err(e) => {
-            link.close(CODE_REFUSED.into(), e.to_string().as_bytes());
-            Err(e.context(format!("refused the connection from {}", link.remote_address())))
+            refuse(&mut writer, &format!("{e:#}")).await;
+            Err(e)
         }
     }
 }
 
-/// Exchanges hellos. Returns the name of the other host and the guard of its connection.
-async fn exchange_hellos(hub: &Arc<Hub>, link: &Connection) -> Result<(String, InboundGuard)> {
-    let id = peer_identity(link)?;
+async fn exchange_hellos(
+    hub: &Arc<Hub>,
+    id: Result<Identity>,
+    reader: &mut Reader,
+    writer: &mut Writer,
+    from: SocketAddr,
+) -> Result<OpenConnection> {
+    let id = id?;
     if id.name == hub.settings.host {
         bail!("`{}` is the name of this host; each host needs its own", id.name);
     }
     // Tracked before `accept_hello` checks the blocked hosts: the connection of a host that is
     // blocked in between is then closed too.
-    let guard = hub.track_inbound(&id.name, link);
-    let (mut tx, mut rx) = link.accept_bi().await?;
-    let hello = Hello::read(&rx.read_to_end(HELLO_MAX_BYTES).await?)?;
-    hub.accept_hello(&id, hello, link.remote_address())?;
-    tx.write_all(&message::encode(&hub.hello())).await?;
-    tx.finish()?;
-    Ok((id.name, guard))
+    let guard = hub.track(&id.name);
+    let hello = match reader.next().await.context("the connection ended before the hello")?? {
+        Frame::Hello(bytes) => Hello::read(&bytes)?,
+        _ => bail!("the first frame is no hello"),
+    };
+    hub.accept_hello(&id, hello, from)?;
+    let mut out = BytesMut::new();
+    Frame::Hello(message::encode(&hub.hello()).into()).write(&mut out);
+    writer.write_all(&out).await?;
+    writer.flush().await?;
+    Ok(guard)
 }
 
-/// Handles the streams of a connection until it closes.
-async fn serve(hub: Arc<Hub>, link: Connection, name: Arc<str>) -> Result<()> {
-    loop {
-        tokio::select! {
-            rx = link.accept_uni() => hub.spawn(receive_message(hub.clone(), name.clone(), rx?)),
-            pair = link.accept_bi() => {
-                let (tx, rx) = pair?;
-                hub.spawn(answer_call(hub.clone(), name.clone(), tx, rx));
-            }
+/// Tells the other host why its connection ends. It may be gone already.
+async fn refuse(writer: &mut Writer, cause: &str) {
+    let mut out = BytesMut::new();
+    Frame::Refused(cause.to_owned()).write(&mut out);
+    let said = async {
+        writer.write_all(&out).await?;
+        writer.shutdown().await
+    };
+    let _ = timeout(CLOSE_TIMEOUT.to_std(), said).await;
+}
+
+/// Handles the frames of a connection until it ends; returns why it did.
+async fn serve(hub: Arc<Hub>, inbound: Inbound) -> anyhow::Error {
+    let Inbound { name, mut reader, mut writer, guard } = inbound;
+    let (answers, waiting) = mpsc::channel(CALLS_MAX);
+    let calls = Calls { hub, name, answers, bytes: Arc::default() };
+    let cause = tokio::select! {
+        Err(cause) = calls.read(&mut reader) => cause,
+        Err(cause) = write_answers(waiting, &mut writer) => cause,
+        () = guard.closed() => anyhow!("the host is retired"),
+        else => anyhow!("it ended"),
+    };
+    refuse(&mut writer, &format!("{cause:#}")).await;
+    cause
+}
+
+async fn write_answers(
+    mut answers: mpsc::Receiver<Frame>,
+    writer: &mut Writer,
+) -> Result<Infallible> {
+    let mut out = BytesMut::new();
+    while let Some(frame) = answers.recv().await {
+        frame.write(&mut out);
+        while let Ok(next) = answers.try_recv() {
+            next.write(&mut out);
         }
+        writer.write_all(&out).await?;
+        writer.flush().await?;
+        out = BytesMut::new();
     }
+    bail!("no more answers")
 }
 
-async fn receive_message(hub: Arc<Hub>, name: Arc<str>, rx: RecvStream) {
-    match read_envelope(&hub, &name, rx).await {
-        Ok(e) => match hub.handler(e.topic) {
-            Some(handler) => handler.receive(&name, &e.body),
+/// Messages and calls that come over one connection.
+#[derive(Clone)]
+struct Calls {
+    hub: Arc<Hub>,
+    name: Arc<str>,
+    answers: mpsc::Sender<Frame>,
+    /// Size of the calls in progress.
+    bytes: Arc<AtomicUsize>,
+}
+
+impl Calls {
+    async fn read(&self, reader: &mut Reader) -> Result<Infallible> {
+        loop {
+            let next = timeout(INBOUND_IDLE_TIMEOUT.to_std(), reader.next()).await;
+            match next.context("it was not used")?.context("the host closed it")?? {
+                Frame::Message(bytes) => self.receive(&bytes),
+                Frame::Call(number, bytes) => self.start(number, bytes)?,
+                Frame::Probe => self.answer(Frame::Alive)?,
+                _ => bail!("the host sent a frame that is neither message nor call"),
+            }
+        }
+    }
+
+    fn receive(&self, bytes: &[u8]) {
+        if let Err(e) = self.pass_on(bytes) {
+            log::warn!("dropped a message from host `{}`: {e:#}", self.name);
+        }
+    }
+
+    fn pass_on(&self, bytes: &[u8]) -> Result<()> {
+        let unpacked = message::unpack(bytes)?;
+        let e = self.read_envelope(&unpacked, bytes.len())?;
+        match self.hub.handler(e.topic) {
+            Some(handler) => handler.receive(&self.name, e.body),
             None => log::debug!(
-                "dropped a message from host `{name}`: no handler of topic {:?}",
+                "dropped a message from host `{}`: no handler of topic {:?}",
+                self.name,
                 e.topic
             ),
-        },
-        Err(e) => log::warn!("dropped a message from host `{name}`: {e:#}"),
+        }
+        Ok(())
     }
-}
 
-async fn answer_call(hub: Arc<Hub>, name: Arc<str>, mut tx: SendStream, rx: RecvStream) {
-    let answer = match handle_call(&hub, &name, rx).await {
-        Ok(body) if body.len() <= ENVELOPE_MAX_BYTES => Answer::Done(body),
-        Ok(_) => Answer::Refused(format!("the answer exceeds {ENVELOPE_MAX_BYTES} bytes")),
-        Err(e) => Answer::Refused(format!("{e:#}")),
-    };
-    if tx.write_all(&answer.write()).await.is_err() || tx.finish().is_err() {
-        log::debug!("could not send an answer to host `{name}`");
+    /// Starts a call in a task of its own; refuses it if too many are in progress.
+    fn start(&self, number: u64, bytes: Bytes) -> Result<()> {
+        let held = HeldBytes::new(&self.bytes, bytes.len());
+        if held.total() > CALLS_MAX_BYTES {
+            let cause = "too many calls are in progress on the connection".to_owned();
+            return self.answer(Frame::Answer(number, Answer::Refused(cause)));
+        }
+        let calls = self.clone();
+        self.hub.spawn(async move {
+            let answer = match calls.handle(&bytes).await {
+                Ok(body) if body.len() <= ENVELOPE_MAX_BYTES => Answer::Done(body),
+                Ok(_) => Answer::Refused(format!("the answer exceeds {ENVELOPE_MAX_BYTES} bytes")),
+                Err(e) => Answer::Refused(format!("{e:#}")),
+            };
+            drop(held);
+            // The connection has ended if nobody takes the answer.
+            let _ = calls.answers.send(Frame::Answer(number, answer)).await;
+        });
+        Ok(())
+    }
+
+    async fn handle(&self, bytes: &[u8]) -> Result<Vec<u8>> {
+        let unpacked = message::unpack(bytes)?;
+        let e = self.read_envelope(&unpacked, bytes.len())?;
+        let handler =
+            self.hub.handler(e.topic).context("this host does not serve the topic yet")?;
+        let body = handler.answer(&self.name, e.body).await?;
+        self.hub.traffic.count_sent(e.topic, body.len());
+        Ok(body)
+    }
+
+    fn answer(&self, frame: Frame) -> Result<()> {
+        self.answers.try_send(frame).map_err(|_| anyhow!("the host does not read its answers"))
+    }
+
+    /// Decodes an envelope of `bytes` on the wire and checks that its sender is the host that the
+    /// certificate names.
+    fn read_envelope<'a>(&self, unpacked: &'a [u8], bytes: usize) -> Result<EnvelopeView<'a>> {
+        let e = EnvelopeView::read(unpacked)?;
+        self.hub.traffic.count_received(e.topic, bytes);
+        if e.from != &*self.name {
+            bail!("the message is signed by `{}`, the certificate by `{}`", e.from, self.name);
+        }
+        Ok(e)
     }
 }
 
-async fn handle_call(hub: &Hub, name: &str, rx: RecvStream) -> Result<Vec<u8>> {
-    let e = read_envelope(hub, name, rx).await?;
-    let handler = hub.handler(e.topic).context("this host does not serve the topic yet")?;
-    let body = handler.answer(name, &e.body).await?;
-    hub.traffic.count_sent(e.topic, body.len());
-    Ok(body)
+/// Adds to a sum of bytes until it is dropped.
+struct HeldBytes {
+    sum: Arc<AtomicUsize>,
+    bytes: usize,
+}
+
+impl HeldBytes {
+    fn new(sum: &Arc<AtomicUsize>, bytes: usize) -> Self {
+        sum.fetch_add(bytes, Ordering::Relaxed);
+        Self { sum: sum.clone(), bytes }
+    }
+
+    fn total(&self) -> usize {
+        self.sum.load(Ordering::Relaxed)
+    }
 }
 
-/// Reads an envelope and checks that its sender is the host that the certificate names.
-async fn read_envelope(hub: &Hub, name: &str, mut rx: RecvStream) -> Result<Envelope> {
-    let bytes = timeout(RECEIVE_TIMEOUT.to_std(), rx.read_to_end(ENVELOPE_MAX_BYTES))
-        .await
-        .context("the message took too long")?
-        .context("the message is cut off or too long")?;
-    let e = Envelope::read(&bytes)?;
-    hub.traffic.count_received(e.topic, bytes.len());
-    if e.from != name {
-        bail!("the message is signed by `{}`, the certificate by `{name}`", e.from);
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.sum.fetch_sub(self.bytes, Ordering::Relaxed);
     }
-    Ok(e)
 }
--- a/src/wisteriahead/services/peers/dial.rs
+++ b/src/wisteriahead/services/peers/dial.rs
@@ -1,83 +1,234 @@
-//! Opens one connection to each address on demand: connects, exchanges hellos, and retries with
-//! backoff. An unused connection closes by the idle timeout.
+//! Connects to other hosts on demand: exchanges hellos, writes what waits and reads answers. A
+//! connection without use closes after a while.
 
-use super::hub::{Hub, Peer};
-use super::wire::{HELLO_MAX_BYTES, Hello};
-use super::{HANDSHAKE_TIMEOUT, peer_identity};
+use super::hub::{Hub, OpenConnection, Peer};
+use super::lane::OutboundLane;
+use super::socket::{Socket, prepare};
+use super::wire::{Frame, FrameDecoder, Hello};
+use super::{CLOSE_TIMEOUT, HANDSHAKE_TIMEOUT, IDLE_TIMEOUT};
 use crate::core::message;
+use crate::core::peers::Lane;
+use crate::core::peers::reconnect::Reconnect;
+use crate::core::peers::silence::{Check, Silence};
 use crate::prelude::*;
-use crate::util::tls::SERVER_NAME;
-use quinn::Connection;
+use crate::util::tls::{Identity, Kind, SERVER_NAME};
+use anyhow::{anyhow, bail};
+use bytes::BytesMut;
+use futures::StreamExt as _;
+use parking_lot::Mutex;
+use rustls_pki_types::ServerName;
+use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use std::pin::pin;
+use tokio::io::{AsyncWriteExt as _, ReadHalf, WriteHalf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio_rustls::client::TlsStream;
+use tokio_util::codec::FramedRead;
 
-/// Delay before the first retry.
-const BACKOFF_MIN: Duration = Duration::from_millis(100);
-/// Maximum delay before a retry.
-const BACKOFF_MAX: Duration = Duration::from_secs(2);
+/// Capacity that a write buffer keeps.
+const BUFFER_KEPT_BYTES: usize = 64 << 10;
 
-/// Opens connections to an address on demand, until its host moves to another address. A seed has
-/// no name yet: it is dialed at once and until it answers.
-pub async fn run(hub: Arc<Hub>, name: Option<String>, address: SocketAddr) {
-    let mut backoff = BACKOFF_MIN;
-    let mut known_peer = name.as_deref().and_then(|n| hub.peer(n));
+type Reader = FramedRead<ReadHalf<TlsStream<Socket>>, FrameDecoder>;
+type Writer = WriteHalf<TlsStream<Socket>>;
+
+/// An open connection to a host, after the hellos.
+struct Link {
+    reader: Reader,
+    writer: Writer,
+    guard: OpenConnection,
+}
+
+/// Connects to an address whenever something waits for its host, until the host moves to another
+/// address. A seed has no name yet: it is dialed at once and until it answers.
+pub async fn run(hub: Arc<Hub>, name: Option<String>, address: SocketAddr, lane: Lane) {
+    let mut reconnect = Reconnect::default();
+    let mut peer = name.as_deref().and_then(|n| hub.peer(n));
     loop {
-        if let Some(peer) = &known_peer {
-            peer.connection_needed().await;
-        }
-        if name.as_deref().is_some_and(|n| hub.has_moved(n, address)) {
-            return hub.remove_dialer(address);
+        if let Some(peer) = &peer {
+            wait_until_needed(&hub, peer.lane(lane)).await;
+            if peer.has_moved(address) {
+                // The host's new address has a task of its own, which may have missed the wake-up.
+                peer.lane(lane).notify();
+                return hub.remove_dialer(address, lane);
+            }
         }
-        match connect(&hub, address).await {
-            Ok(Some((peer, link))) => {
-                backoff = BACKOFF_MIN;
-                hub.traffic.track(&link);
-                offer_connection(&hub, &peer, link).await;
-                known_peer = Some(peer);
-                continue;
+        let delay = match connect(&hub, address).await {
+            Ok(Some((found, link))) => {
+                let opened = hub.now();
+                let cause = serve(&hub, &found, lane, address, link).await;
+                log::debug!("connection to {address} closed: {cause:#}");
+                peer = Some(found);
+                reconnect.after_end(opened, hub.now(), rand::random())
             }
             Ok(None) => return,
-            Err(e) => log::debug!("could not connect to {address}: {e:#}"),
-        }
-        sleep(backoff.mul_f64(rand::random_range(0.5..1.0))).await;
-        backoff = (backoff * 2).min(BACKOFF_MAX);
+            Err(e) => {
+                log::debug!("could not connect to {address}: {e:#}");
+                let delay = reconnect.after_failure(rand::random());
+                if is_refused(&e) && reconnect.is_to_be_reported() {
+                    log::warn!(
+                        "no host listens on TCP at {address}; if one runs there with an older release, \
+                         which uses UDP, stop all hosts and start them with this one"
+                    );
+                }
+                delay
+            }
+        };
+        sleep(delay.to_std()).await;
     }
 }
 
-/// Lets senders use a connection until it closes.
-async fn offer_connection(hub: &Hub, peer: &Peer, link: Connection) {
-    let id = link.stable_id();
-    peer.link.send_replace(Some(link.clone()));
-    // The host may have been blocked since the exchange of hellos.
-    hub.close_blocked();
-    let cause = link.closed().await;
-    log::debug!("connection to {} closed: {cause}", link.remote_address());
-    peer.link.send_if_modified(|l| l.take_if(|l| l.stable_id() == id).is_some());
+fn is_refused(e: &anyhow::Error) -> bool {
+    let refused = std::io::ErrorKind::ConnectionRefused;
+    e.downcast_ref::<std::io::Error>().is_some_and(|e| e.kind() == refused)
+}
+
+async fn wait_until_needed(hub: &Hub, lane: &OutboundLane) {
+    while !lane.has_waiting(hub.now()) {
+        lane.changed().await;
+    }
 }
 
 /// Connects and exchanges hellos; `None` if the address is this host's own.
-async fn connect(hub: &Arc<Hub>, address: SocketAddr) -> Result<Option<(Arc<Peer>, Connection)>> {
-    let endpoint = hub.endpoint.get().context("the socket is not bound")?;
-    let connecting = endpoint.connect(address, SERVER_NAME)?;
-    let link = timeout(HANDSHAKE_TIMEOUT.to_std(), connecting)
-        .await
-        .context("the handshake timed out")??;
-    let id = peer_identity(&link)?;
+async fn connect(hub: &Arc<Hub>, address: SocketAddr) -> Result<Option<(Arc<Peer>, Link)>> {
+    let handshake = timeout(HANDSHAKE_TIMEOUT.to_std(), handshake(hub, address));
+    handshake.await.context("the handshake timed out")?
+}
+
+async fn handshake(hub: &Arc<Hub>, address: SocketAddr) -> Result<Option<(Arc<Peer>, Link)>> {
+    let tls = hub.tls.get().context("the service is not started")?;
+    let socket = prepare(TcpStream::connect(address).await?, hub.traffic.clone())?;
+    let name = ServerName::try_from(SERVER_NAME)?;
+    let stream = tls.connector.connect(name, socket).await?;
+    let id = Identity::expect(stream.get_ref().1.peer_certificates(), Kind::Host)?;
     if id.name == hub.settings.host {
-        link.close(0u32.into(), b"own address");
         return Ok(None);
     }
-    let hello = timeout(HANDSHAKE_TIMEOUT.to_std(), exchange_hellos(hub, &link))
-        .await
-        .context("the host sent no hello in time")??;
-    let peer = hub.accept_hello(&id, hello, link.remote_address())?;
-    Ok(Some((peer, link)))
+    let guard = hub.track(&id.name);
+    let (rx, mut writer) = tokio::io::split(stream);
+    let mut reader = FramedRead::new(rx, FrameDecoder::default());
+    let mut out = BytesMut::new();
+    Frame::Hello(message::encode(&hub.hello()).into()).write(&mut out);
+    writer.write_all(&out).await?;
+    writer.flush().await?;
+    let hello = match reader.next().await.context("the host sent no hello")?? {
+        Frame::Hello(bytes) => Hello::read(&bytes)?,
+        Frame::Refused(cause) => bail!("host `{}` refused the connection: {cause}", id.name),
+        _ => bail!("host `{}` sent no hello", id.name),
+    };
+    let peer = hub.accept_hello(&id, hello, address)?;
+    reader.decoder_mut().accept_envelopes();
+    Ok(Some((peer, Link { reader, writer, guard })))
+}
+
+/// Writes what waits for a host and reads its answers until the connection ends; returns why it did.
+async fn serve(
+    hub: &Hub,
+    peer: &Peer,
+    lane: Lane,
+    address: SocketAddr,
+    link: Link,
+) -> anyhow::Error {
+    let Link { mut reader, mut writer, guard } = link;
+    let lane = peer.lane(lane);
+    let silence = Mutex::new(Silence::default());
+    let mut lost = 0;
+    lane.set_open(true);
+    let write = WriteLoop { hub, peer, lane, address, id: guard.id(), silence: &silence };
+    let cause = tokio::select! {
+        Err(cause) = read_answers(hub, lane, &mut reader, &silence) => cause,
+        Err(cause) = write.run(&mut writer, &mut lost) => cause,
+        () = guard.closed() => anyhow!("the host is retired"),
+        else => anyhow!("it ended"),
+    };
+    lane.set_open(false);
+    lane.fail_calls(guard.id(), &cause, lost);
+    // The host may be gone; the socket is closed either way.
+    let _ = timeout(CLOSE_TIMEOUT.to_std(), writer.shutdown()).await;
+    cause
 }
 
-async fn exchange_hellos(hub: &Hub, link: &Connection) -> Result<Hello> {
-    let (mut tx, mut rx) = link.open_bi().await?;
-    tx.write_all(&message::encode(&hub.hello())).await?;
-    tx.finish()?;
-    Ok(Hello::read(&rx.read_to_end(HELLO_MAX_BYTES).await?)?)
+async fn read_answers(
+    hub: &Hub,
+    lane: &OutboundLane,
+    reader: &mut Reader,
+    silence: &Mutex<Silence>,
+) -> Result<Infallible> {
+    while let Some(frame) = reader.next().await {
+        silence.lock().record_heard(hub.now());
+        match frame? {
+            Frame::Answer(number, answer) => lane.answer(number, answer),
+            Frame::Alive => {}
+            Frame::Refused(cause) => bail!("refused: {cause}"),
+            _ => bail!("the host sent a frame that is no answer"),
+        }
+    }
+    bail!("the host closed it")
+}
+
+/// Writes to one connection.
+struct WriteLoop<'a> {
+    hub: &'a Hub,
+    peer: &'a Peer,
+    lane: &'a OutboundLane,
+    address: SocketAddr,
+    id: u64,
+    silence: &'a Mutex<Silence>,
+}
+
+impl WriteLoop<'_> {
+    /// Writes what waits until nothing was written for the idle time, the host moves to another address
+    /// or says nothing while calls wait. `lost` is the number of messages in an unfinished write.
+    async fn run(&self, writer: &mut Writer, lost: &mut usize) -> Result<Infallible> {
+        let mut out = BytesMut::new();
+        let mut used = Instant::now();
+        let mut timer = pin!(sleep_until(used + IDLE_TIMEOUT.to_std()));
+        loop {
+            if self.peer.has_moved(self.address) {
+                self.lane.notify();
+                bail!("the host has moved");
+            }
+            let now = self.hub.now();
+            let due = self.check_silence(now, &mut out)?;
+            *lost = self.lane.write_next(now, self.id, &mut out);
+            if !out.is_empty() {
+                writer.write_all(&out).await?;
+                writer.flush().await?;
+                (used, *lost) = (Instant::now(), 0);
+                out.clear();
+                if out.capacity() > BUFFER_KEPT_BYTES {
+                    out = BytesMut::new();
+                }
+                continue;
+            }
+            let idle_at = used + IDLE_TIMEOUT.to_std();
+            let wake_at = due.map_or(idle_at, |at| Instant::now() + at.since(now).to_std());
+            // The timer is left alone as long as it is early enough.
+            if timer.is_elapsed() || wake_at < timer.deadline() {
+                timer.as_mut().reset(wake_at);
+            }
+            tokio::select! {
+                () = self.lane.changed() => {}
+                () = &mut timer => {
+                    if due.is_none() && Instant::now() >= idle_at {
+                        bail!("it was not used");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks a silent host for a word if calls wait for it. Returns when to check again.
+    fn check_silence(&self, now: Time, out: &mut BytesMut) -> Result<Option<Time>> {
+        let calls_wait = self.lane.awaits_answer(self.id);
+        Ok(match self.silence.lock().check(now, calls_wait) {
+            Check::Rest => None,
+            Check::Wait(at) => Some(at),
+            Check::Probe(at) => {
+                Frame::Probe.write(out);
+                Some(at)
+            }
+            Check::Close => bail!("the host no longer answers"),
+        })
+    }
 }
--- a/src/wisteriahead/services/peers/hub.rs
+++ b/src/wisteriahead/services/peers/hub.rs
@@ -1,22 +1,24 @@
 //! State shared by the tasks of the service: the other hosts, their connections and the handlers.
 //! Implements [`Peers`].
 
-use super::PeerSettings;
-use super::queue::Queue;
+use super::dial;
+use super::lane::OutboundLane;
 use super::traffic::Traffic;
 use super::wire::{Answer, CONTACTS_MAX, Contact, Hello};
-use super::{accept, dial};
-use crate::core::message::{self, ENVELOPE_MAX_BYTES, Envelope, Topic};
+use super::{PeerSettings, TlsConfigs};
+use crate::core::message::{self, ENVELOPE_MAX_BYTES, EnvelopeView, Topic};
+use crate::core::peers::Lane;
+use crate::core::peers::admission::Admission;
 use crate::prelude::*;
 use crate::services::{Handler, Peers};
 use crate::util::tls::Identity;
 use anyhow::bail;
 use futures::future::BoxFuture;
 use parking_lot::{Mutex, RwLock};
-use quinn::{Connection, Endpoint};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{OnceLock, Weak};
+use std::time::Instant;
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
@@ -24,21 +26,12 @@
 const PEERS_MAX: usize = 1024;
 /// Time limit for a call, including the time to connect.
 const CALL_TIMEOUT: Span = Span::secs(5);
-/// Interval at which a sender without a connection wakes the dialer.
-const DIALER_WAKE_INTERVAL: Span = Span::millis(200);
-/// Time limit for getting a connection, and again for writing one message to it.
-const SEND_TIMEOUT: Span = Span::secs(2);
-
 /// Another host.
 pub struct Peer {
     /// Address that it listens on.
-    pub address: Mutex<SocketAddr>,
-    /// One-way messages to be sent to it.
-    pub queue: Queue,
-    /// Connection that this host opened to it, if any.
-    pub link: watch::Sender<Option<Connection>>,
-    /// Wakes the dialer when a connection is needed.
-    dialer_wake: Notify,
+    address: Mutex<SocketAddr>,
+    /// What is to be sent to it.
+    lanes: [Arc<OutboundLane>; Lane::ALL.len()],
     /// Whether it can read compressed envelopes.
     accepts_compressed: AtomicBool,
 }
@@ -47,16 +40,19 @@
     fn new(address: SocketAddr) -> Self {
         Self {
             address: Mutex::new(address),
-            queue: Queue::default(),
-            link: watch::channel(None).0,
-            dialer_wake: Notify::new(),
+            lanes: Default::default(),
             accepts_compressed: AtomicBool::new(false),
         }
     }
 
-    /// Completes when a sender needs a connection.
-    pub async fn connection_needed(&self) {
-        self.dialer_wake.notified().await;
+    /// What waits for one of the connections to the host.
+    pub fn lane(&self, lane: Lane) -> &Arc<OutboundLane> {
+        &self.lanes[lane as usize]
+    }
+
+    /// Whether the host is now known at another address.
+    pub fn has_moved(&self, address: SocketAddr) -> bool {
+        *self.address.lock() != address
     }
 
     /// Compresses an envelope if the host can read compressed ones.
@@ -67,39 +63,37 @@
             envelope
         }
     }
+}
 
-    /// Waits for a connection.
-    async fn connection(&self) -> Result<Connection> {
-        let mut rx = self.link.subscribe();
-        loop {
-            if rx.borrow_and_update().is_none() {
-                self.dialer_wake.notify_one();
-            }
-            let found = timeout(DIALER_WAKE_INTERVAL.to_std(), rx.wait_for(Option::is_some)).await;
-            if let Ok(link) = found {
-                let link = link.context("the host was forgotten")?;
-                return link.clone().context("the host is not connected");
-            }
-        }
-    }
+/// An open connection, as the hub sees it.
+struct TrackedConnection {
+    host: Arc<str>,
+    /// Ends it.
+    close: Arc<Notify>,
 }
 
 /// State that the tasks of the service share.
 pub struct Hub {
     /// Settings of the service.
     pub settings: PeerSettings,
-    /// The bound socket.
-    pub endpoint: OnceLock<Endpoint>,
+    /// Address that the listener is bound to.
+    pub bound: OnceLock<SocketAddr>,
+    /// Configurations of TLS, once the service is started.
+    pub tls: OnceLock<TlsConfigs>,
     /// Counters of the traffic between hosts.
-    pub traffic: Traffic,
+    pub traffic: Arc<Traffic>,
+    /// Inbound connections before their hello.
+    pub admission: Mutex<Admission>,
+    started: Instant,
     handlers: RwLock<IndexMap<Topic, Arc<dyn Handler>>>,
     peers: RwLock<IndexMap<String, Arc<Peer>>>,
     /// Addresses that have a dialer task, or turned out to be this host's own.
-    dialers: Mutex<IndexSet<SocketAddr>>,
+    dialers: Mutex<IndexSet<(SocketAddr, Lane)>>,
     /// Blocked hosts.
     blocked: RwLock<IndexSet<String>>,
-    /// Connections that other hosts opened, by connection ID, with the host's name.
-    inbound: Mutex<IndexMap<usize, (String, Connection)>>,
+    /// Open connections by number.
+    connections: Mutex<IndexMap<u64, TrackedConnection>>,
+    next_connection: AtomicU64,
     stop: watch::Sender<bool>,
     me: Weak<Self>,
 }
@@ -110,13 +104,17 @@
         Arc::new_cyclic(|me| Self {
             me: me.clone(),
             settings,
-            endpoint: OnceLock::new(),
-            traffic: Traffic::default(),
+            bound: OnceLock::new(),
+            tls: OnceLock::new(),
+            traffic: Arc::default(),
+            admission: Mutex::default(),
+            started: Instant::now(),
             handlers: RwLock::default(),
             peers: RwLock::default(),
             dialers: Mutex::default(),
             blocked: RwLock::default(),
-            inbound: Mutex::default(),
+            connections: Mutex::default(),
+            next_connection: AtomicU64::new(0),
             stop: watch::channel(false).0,
         })
     }
@@ -137,9 +135,20 @@
         self.stop.send_replace(true);
     }
 
-    /// Address that the socket is bound to.
+    /// Time since the service was created.
+    pub fn now(&self) -> Time {
+        Time(Span::from(self.started.elapsed()).0)
+    }
+
+    /// Address that the listener is bound to.
     pub fn address(&self) -> Option<SocketAddr> {
-        self.endpoint.get()?.local_addr().ok()
+        self.bound.get().copied()
+    }
+
+    /// Whether messages wait for a connection that is open, or are being written.
+    pub fn is_writing(&self) -> bool {
+        let now = self.now();
+        self.peers.read().values().flat_map(|p| &p.lanes).any(|lane| lane.is_writing(now))
     }
 
     /// Hello of this host.
@@ -182,7 +191,7 @@
         }
         let peer = self.add_peer(&id.name, listen)?;
         peer.accepts_compressed.store(hello.unpacks, Ordering::Relaxed);
-        self.start_dialer(Some(&id.name), listen);
+        self.start_dialers(Some(&id.name), listen);
         for contact in hello.others.into_iter().take(CONTACTS_MAX) {
             if self.peers.read().len() < CONTACTS_MAX {
                 self.learn(&contact.name, contact.listen);
@@ -203,26 +212,24 @@
         Ok(())
     }
 
-    /// Tracks a connection that another host opened, until the guard is dropped.
-    pub fn track_inbound(self: &Arc<Self>, name: &str, link: &Connection) -> InboundGuard {
-        let id = link.stable_id();
-        self.inbound.lock().insert(id, (name.to_owned(), link.clone()));
-        InboundGuard { hub: self.clone(), id }
+    /// Tracks an open connection with a host until the guard is dropped.
+    pub fn track(self: &Arc<Self>, name: &str) -> OpenConnection {
+        let id = self.next_connection.fetch_add(1, Ordering::Relaxed);
+        let (host, close) = (Arc::from(name), Arc::new(Notify::new()));
+        let tracked = TrackedConnection { host: Arc::clone(&host), close: close.clone() };
+        self.connections.lock().insert(id, tracked);
+        OpenConnection { hub: self.clone(), id, host, close }
     }
 
-    /// Closes all connections with blocked hosts.
+    /// Closes all connections with blocked hosts, and drops what waits for them.
     pub fn close_blocked(&self) {
         let blocked = self.blocked.read();
-        let inbound = self.inbound.lock();
-        let inbound_blocked = inbound.values().filter(|(name, _)| blocked.contains(name));
-        inbound_blocked.for_each(|(_, link)| close_retired(link));
+        let connections = self.connections.lock();
+        let retired = connections.values().filter(|c| blocked.contains(&*c.host));
+        retired.for_each(|c| c.close.notify_one());
         let peers = self.peers.read();
-        let outbound_blocked = blocked.iter().filter_map(|name| peers.get(name));
-        for peer in outbound_blocked {
-            if let Some(link) = &*peer.link.borrow() {
-                close_retired(link);
-            }
-        }
+        let lanes = blocked.iter().filter_map(|name| peers.get(name)).flat_map(|p| &p.lanes);
+        lanes.for_each(|lane| lane.clear());
     }
 
     /// Adds a host or updates its address.
@@ -238,29 +245,27 @@
         }
         let peer = Arc::new(Peer::new(listen));
         peers.insert(name.to_owned(), peer.clone());
-        self.spawn(send_queued(peer.clone()));
         Ok(peer)
     }
 
-    /// Starts a dialer task, which connects to an address on demand, unless it has one already.
-    pub fn start_dialer(self: &Arc<Self>, name: Option<&str>, address: SocketAddr) {
+    /// Starts the tasks that connect to an address on demand, unless it has them already. An address
+    /// without a name is dialed at once.
+    pub fn start_dialers(self: &Arc<Self>, name: Option<&str>, address: SocketAddr) {
         if name == Some(self.settings.host.as_str()) {
             return;
         }
+        let lanes = if name.is_some() { &Lane::ALL[..] } else { &[Lane::Small] };
         let mut dialers = self.dialers.lock();
-        if dialers.len() < PEERS_MAX && dialers.insert(address) {
-            self.spawn(dial::run(self.clone(), name.map(str::to_owned), address));
+        for &lane in lanes {
+            if dialers.len() < PEERS_MAX * Lane::ALL.len() && dialers.insert((address, lane)) {
+                self.spawn(dial::run(self.clone(), name.map(str::to_owned), address, lane));
+            }
         }
     }
 
     /// Records that the dialer task of an address has ended, so that another can be started later.
-    pub fn remove_dialer(&self, address: SocketAddr) {
-        self.dialers.lock().swap_remove(&address);
-    }
-
-    /// Whether the host is now known at another address.
-    pub fn has_moved(&self, name: &str, address: SocketAddr) -> bool {
-        self.peers.read().get(name).is_some_and(|p| *p.address.lock() != address)
+    pub fn remove_dialer(&self, address: SocketAddr, lane: Lane) {
+        self.dialers.lock().swap_remove(&(address, lane));
     }
 
     /// Handler of a topic, if one is set.
@@ -270,7 +275,7 @@
 
     /// Number of one-way messages that were dropped so far.
     pub fn dropped(&self) -> u64 {
-        self.peers.read().values().map(|p| p.queue.dropped()).sum()
+        self.peers.read().values().flat_map(|p| &p.lanes).map(|lane| lane.dropped()).sum()
     }
 
     /// A host by name; `None` if it is unknown or blocked.
@@ -282,9 +287,9 @@
     }
 
     /// Encodes an envelope with this host as the sender.
-    fn encode_envelope(&self, topic: Topic, body: Vec<u8>) -> Result<Vec<u8>> {
-        let from = self.settings.host.clone();
-        let bytes = message::encode(&Envelope { version: message::VERSION, from, topic, body });
+    fn encode_envelope(&self, topic: Topic, body: &[u8]) -> Result<Vec<u8>> {
+        let (version, from) = (message::VERSION, self.settings.host.as_str());
+        let bytes = message::encode(&EnvelopeView { version, from, topic, body });
         if bytes.len() > ENVELOPE_MAX_BYTES {
             bail!(
                 "the message has {} bytes; at most {ENVELOPE_MAX_BYTES} are allowed",
@@ -318,7 +323,7 @@
             return;
         }
         match (self.add_peer(host, address), self.me.upgrade()) {
-            (Ok(_), Some(me)) => me.start_dialer(Some(host), address),
+            (Ok(_), Some(me)) => me.start_dialers(Some(host), address),
             (Err(e), _) => log::debug!("{e}"),
             (Ok(_), None) => {}
         }
@@ -335,11 +340,11 @@
     }
 
     fn send(&self, to: &str, topic: Topic, body: Vec<u8>) {
-        match (self.peer(to), self.encode_envelope(topic, body)) {
+        match (self.peer(to), self.encode_envelope(topic, &body)) {
             (Some(peer), Ok(bytes)) => {
                 let bytes = peer.compress_for_host(bytes);
                 self.traffic.count_sent(topic, bytes.len());
-                peer.queue.push(bytes);
+                peer.lane(Lane::of_size(bytes.len())).send(self.now(), bytes);
             }
             (None, _) => log::debug!("dropped a message to unknown host `{to}`"),
             (_, Err(e)) => log::warn!("dropped a message to host `{to}`: {e}"),
@@ -354,9 +359,11 @@
     ) -> BoxFuture<'a, Result<Vec<u8>>> {
         Box::pin(async move {
             let peer = self.peer(to).with_context(|| format!("host `{to}` is not known here"))?;
-            let bytes = peer.compress_for_host(self.encode_envelope(topic, body)?);
+            let bytes = peer.compress_for_host(self.encode_envelope(topic, &body)?);
             self.traffic.count_sent(topic, bytes.len());
-            let answer = timeout(CALL_TIMEOUT.to_std(), send_call(&peer, &bytes))
+            let lane = peer.lane(Lane::of_size(bytes.len())).clone();
+            let call = lane.call(self.now(), CALL_TIMEOUT, bytes);
+            let answer = timeout(CALL_TIMEOUT.to_std(), call.answer())
                 .await
                 .with_context(|| format!("host `{to}` did not answer in {CALL_TIMEOUT}"))?
                 .with_context(|| format!("the call to host `{to}` failed"))?;
@@ -371,50 +378,33 @@
     }
 }
 
-/// Guard of a connection that another host opened; stops tracking it when dropped.
-pub struct InboundGuard {
+/// An open connection, until it is dropped.
+pub struct OpenConnection {
     hub: Arc<Hub>,
-    id: usize,
+    id: u64,
+    host: Arc<str>,
+    close: Arc<Notify>,
 }
 
-impl Drop for InboundGuard {
-    fn drop(&mut self) {
-        self.hub.inbound.lock().swap_remove(&self.id);
+impl OpenConnection {
+    /// Number of the connection.
+    pub fn id(&self) -> u64 {
+        self.id
     }
-}
-
-fn close_retired(link: &Connection) {
-    link.close(accept::CODE_REFUSED.into(), b"the host is retired");
-}
 
-async fn send_call(peer: &Peer, bytes: &[u8]) -> Result<Answer> {
-    let (mut tx, mut rx) = peer.connection().await?.open_bi().await?;
-    tx.write_all(bytes).await?;
-    tx.finish()?;
-    Ok(Answer::read(&rx.read_to_end(accept::ANSWER_MAX_BYTES).await?)?)
-}
+    /// Name of the other host.
+    pub fn host(&self) -> &Arc<str> {
+        &self.host
+    }
 
-/// Sends the queued messages of a host, each on a stream of its own.
-async fn send_queued(peer: Arc<Peer>) {
-    loop {
-        let bytes = peer.queue.pop().await;
-        let link = match timeout(SEND_TIMEOUT.to_std(), peer.connection()).await {
-            Ok(Ok(link)) => link,
-            Ok(Err(_)) => return,
-            Err(_) => {
-                peer.queue.count_dropped();
-                continue;
-            }
-        };
-        let sent = timeout(SEND_TIMEOUT.to_std(), send_message(&link, &bytes)).await;
-        if !matches!(sent, Ok(Ok(()))) {
-            peer.queue.count_dropped();
-        }
+    /// Completes when the connection is to be closed, since the other host is blocked.
+    pub async fn closed(&self) {
+        self.close.notified().await;
     }
 }
 
-async fn send_message(link: &Connection, bytes: &[u8]) -> Result<()> {
-    let mut tx = link.open_uni().await?;
-    tx.write_all(bytes).await?;
-    Ok(tx.finish()?)
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.hub.connections.lock().swap_remove(&self.id);
+    }
 }
--- /dev/null
+++ b/src/wisteriahead/services/peers/lane.rs
@@ -0,0 +1,162 @@
+//! One of the two connections to a host: what waits for it, and the calls that wait for answers.
+
+use super::wire::{Answer, write_call, write_message};
+use crate::core::peers::outbox::{Kind, MESSAGE_MAX_AGE, Outbox, Waiting};
+use crate::prelude::*;
+use anyhow::anyhow;
+use bytes::BytesMut;
+use parking_lot::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use tokio::sync::{Notify, oneshot};
+
+/// Bytes of messages written at once.
+const WRITE_BYTES: usize = 64 << 10;
+
+/// A call that waits for its answer.
+struct PendingCall {
+    /// Connection that it was written to, if any.
+    connection: Option<u64>,
+    answer: oneshot::Sender<Result<Answer>>,
+}
+
+/// What waits for a connection to a host.
+#[derive(Default)]
+pub struct OutboundLane {
+    outbox: Mutex<Outbox>,
+    calls: Mutex<IndexMap<u64, PendingCall>>,
+    next_call: AtomicU64,
+    changed: Notify,
+    /// Whether a connection is open, and whether something is being written to it.
+    open: AtomicBool,
+    writing: AtomicBool,
+}
+
+impl OutboundLane {
+    /// Adds a one-way message.
+    pub fn send(&self, now: Time, envelope: Vec<u8>) {
+        self.outbox.lock().push(now, MESSAGE_MAX_AGE, Kind::Message, envelope);
+        self.changed.notify_one();
+    }
+
+    /// Adds a call; dropping the result cancels it.
+    pub fn call(self: Arc<Self>, now: Time, max_age: Span, envelope: Vec<u8>) -> Call {
+        let number = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let (answer, result) = oneshot::channel();
+        self.calls.lock().insert(number, PendingCall { connection: None, answer });
+        self.outbox.lock().push(now, max_age, Kind::Call(number), envelope);
+        self.changed.notify_one();
+        Call { lane: self, number, result }
+    }
+
+    /// Waits until something was added since the last call.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Lets another task know that something waits.
+    pub fn notify(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Whether anything of use waits.
+    pub fn has_waiting(&self, now: Time) -> bool {
+        let mut outbox = self.outbox.lock();
+        outbox.drop_expired(now);
+        !outbox.is_empty()
+    }
+
+    /// Whether something waits for a connection that is open, or is being written to it.
+    pub fn is_writing(&self, now: Time) -> bool {
+        self.writing.load(Ordering::Relaxed)
+            || self.open.load(Ordering::Relaxed) && self.has_waiting(now)
+    }
+
+    /// Records whether a connection is open.
+    pub fn set_open(&self, open: bool) {
+        self.open.store(open, Ordering::Relaxed);
+        self.writing.store(false, Ordering::Relaxed);
+    }
+
+    /// Moves the next messages into `out` as frames; returns their number, zero if none waits.
+    pub fn write_next(&self, now: Time, connection: u64, out: &mut BytesMut) -> usize {
+        let taken = self.outbox.lock().take(now, WRITE_BYTES);
+        for Waiting { kind, envelope, .. } in &taken {
+            match *kind {
+                Kind::Message => write_message(out, envelope),
+                Kind::Call(number) => {
+                    if let Some(call) = self.calls.lock().get_mut(&number) {
+                        call.connection = Some(connection);
+                        write_call(out, number, envelope);
+                    }
+                }
+            }
+        }
+        self.writing.store(!taken.is_empty(), Ordering::Relaxed);
+        taken.len()
+    }
+
+    /// Passes an answer to the call that waits for it.
+    pub fn answer(&self, number: u64, answer: Answer) {
+        if let Some(call) = self.calls.lock().swap_remove(&number) {
+            // The caller may have given up in this moment.
+            let _ = call.answer.send(Ok(answer));
+        }
+    }
+
+    /// Whether a call that was written to a connection waits for its answer.
+    pub fn awaits_answer(&self, connection: u64) -> bool {
+        self.calls.lock().values().any(|c| c.connection == Some(connection))
+    }
+
+    /// Fails the calls of a connection that has ended, and counts messages that it took along.
+    pub fn fail_calls(&self, connection: u64, cause: &anyhow::Error, lost: usize) {
+        self.outbox.lock().count_lost(lost);
+        let mut calls = self.calls.lock();
+        let ended: Vec<u64> = calls
+            .iter()
+            .filter(|(_, c)| c.connection == Some(connection))
+            .map(|(n, _)| *n)
+            .collect();
+        for number in ended {
+            if let Some(call) = calls.swap_remove(&number) {
+                let _ = call.answer.send(Err(anyhow!("the connection ended: {cause:#}")));
+            }
+        }
+    }
+
+    /// Drops all that waits.
+    pub fn clear(&self) {
+        self.outbox.lock().clear();
+    }
+
+    /// Number of messages dropped so far.
+    pub fn dropped(&self) -> u64 {
+        self.outbox.lock().dropped()
+    }
+}
+
+/// A call that waits for its answer.
+pub struct Call {
+    lane: Arc<OutboundLane>,
+    number: u64,
+    result: oneshot::Receiver<Result<Answer>>,
+}
+
+impl Call {
+    /// Waits for the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ended after the call was written to it.
+    pub async fn answer(mut self) -> Result<Answer> {
+        (&mut self.result).await.context("the call was dropped")?
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if self.lane.calls.lock().swap_remove(&self.number).is_some() {
+            self.lane.outbox.lock().cancel_call(self.number);
+        }
+    }
+}
--- a/src/wisteriahead/services/peers/mod.rs
+++ b/src/wisteriahead/services/peers/mod.rs
@@ -1,43 +1,43 @@
-//! Messages between hosts over QUIC with mutual TLS.
+//! Messages between hosts over lasting connections: TCP with mutual TLS.
 //!
 //! A host connects to the seeds in its settings at start and to any other host once it has
-//! something to send to it. An unused connection closes after a few seconds. A host sends only over
+//! something to send to it. An unused connection closes after a while. A host sends only over
 //! connections that it opened itself and receives over those that others opened, so that it never
 //! depends on being dialed. It learns of a few hosts from the hello that opens each connection, and
-//! of all hosts from the membership. One-way messages may be lost or reordered.
+//! of all hosts from the membership. One-way messages may be lost, and large ones overtaken.
 
 mod accept;
 mod dial;
 mod hub;
-pub mod queue;
+mod lane;
+mod socket;
 mod traffic;
 pub mod wire;
 
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
 use crate::services::Peers;
+use crate::util::http;
 use crate::util::metrics::Metrics;
-use crate::util::tls::{ALPN_HOST, Credentials, HostKeys, Identity, Kind};
+use crate::util::tls::{ALPN_HOST, HostKeys, Identity, Kind};
 use anyhow::bail;
 use futures::future::BoxFuture;
 use hub::Hub;
-use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{ClientConfig, Connection, Endpoint, ServerConfig, TransportConfig, VarInt};
-use rustls_pki_types::CertificateDer;
 use std::net::SocketAddr;
-use tokio::time::timeout;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+use tokio_rustls::{TlsAcceptor, TlsConnector};
 
 /// Time limit for the handshake of a connection, and again for the exchange of hellos.
 const HANDSHAKE_TIMEOUT: Span = Span::secs(3);
-/// Time without traffic after which a connection, unused or broken, is closed, in milliseconds.
-const IDLE_TIMEOUT_MILLIS: u32 = 4_000;
-/// Maximum time to wait at shutdown until all connections are closed. One that is still in its
-/// handshake would take seconds to drain, without any benefit.
+/// Time without a message after which a host closes a connection that it opened.
+const IDLE_TIMEOUT: Span = Span::secs(30);
+/// The same for the host that accepted it; longer, so that the connecting host closes it first.
+const INBOUND_IDLE_TIMEOUT: Span = Span::secs(60);
+/// Maximum time to write what still waits at shutdown, or the cause with which a connection ends.
 const CLOSE_TIMEOUT: Span = Span::millis(250);
-/// Maximum number of open streams on a connection, unidirectional and bidirectional each.
-const STREAMS_MAX: u32 = 256;
-/// Maximum number of bytes received and not yet read on a connection.
-const WINDOW_BYTES: u32 = 16 << 20;
+/// Interval at which a shutdown checks whether messages are still being written.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Settings of the service.
 #[derive(Clone, Debug)]
@@ -46,7 +46,7 @@
     pub host: String,
     /// Availability zone of this host.
     pub zone: String,
-    /// UDP address to listen on.
+    /// TCP address to listen on.
     pub listen: SocketAddr,
     /// Addresses of other hosts to connect to at start.
     pub seeds: Vec<SocketAddr>,
@@ -54,6 +54,12 @@
     pub keys: HostKeys,
 }
 
+/// Configurations of TLS for both directions.
+struct TlsConfigs {
+    acceptor: TlsAcceptor,
+    connector: TlsConnector,
+}
+
 /// Service that publishes [`Peers`].
 pub struct PeersService {
     hub: Arc<Hub>,
@@ -85,15 +91,20 @@
         let settings = &self.hub.settings;
         let credentials = settings.keys.load(&settings.host, &settings.zone)?;
         check_certificate(settings, &credentials.identity(Kind::Host)?)?;
-        let endpoint = bind(settings.listen, &credentials)?;
-        if self.hub.endpoint.set(endpoint.clone()).is_err() {
+        let tls = TlsConfigs {
+            acceptor: Arc::new(credentials.server(ALPN_HOST)?).into(),
+            connector: Arc::new(credentials.client(ALPN_HOST)?).into(),
+        };
+        let listener = http::bind(settings.listen).await?;
+        let bound = listener.local_addr().context("could not read the listener's address")?;
+        if self.hub.bound.set(bound).is_err() || self.hub.tls.set(tls).is_err() {
             bail!("the service was already started; create a new one");
         }
-        self.hub.spawn(accept::run(self.hub.clone(), endpoint));
+        self.hub.spawn(accept::run(self.hub.clone(), listener));
         let hub = self.hub.clone();
         self.hub.spawn(async move { hub.traffic.report().await });
         for &seed in &settings.seeds {
-            self.hub.start_dialer(None, seed);
+            self.hub.start_dialers(None, seed);
         }
         let peers: Arc<dyn Peers> = self.hub.clone();
         ctx.publish(<dyn Peers>::NAME, peers);
@@ -112,13 +123,14 @@
 
     fn stop(&self, stop_timeout: Span) -> BoxFuture<'_, ()> {
         Box::pin(async move {
+            let written = async {
+                while self.hub.is_writing() {
+                    sleep(CLOSE_POLL_INTERVAL).await;
+                }
+            };
+            // Hosts that read nothing miss the last messages.
+            let _ = timeout(stop_timeout.min(CLOSE_TIMEOUT).to_std(), written).await;
             self.hub.stop();
-            if let Some(endpoint) = self.hub.endpoint.get() {
-                endpoint.close(0u32.into(), b"stopping");
-                // Hosts that miss the close notice it by the idle timeout.
-                let _ =
-                    timeout(stop_timeout.min(CLOSE_TIMEOUT).to_std(), endpoint.wait_idle()).await;
-            }
         })
     }
 }
@@ -141,35 +153,3 @@
         _ => Ok(()),
     }
 }
-
-fn bind(listen: SocketAddr, credentials: &Credentials) -> Result<Endpoint> {
-    let transport_config = Arc::new(transport_config());
-    let server = QuicServerConfig::try_from(credentials.server(ALPN_HOST)?)?;
-    let mut server = ServerConfig::with_crypto(Arc::new(server));
-    server.transport_config(transport_config.clone());
-    let client = QuicClientConfig::try_from(credentials.client(ALPN_HOST)?)?;
-    let mut client = ClientConfig::new(Arc::new(client));
-    client.transport_config(transport_config);
-    let mut endpoint = Endpoint::server(server, listen)
-        .with_context(|| format!("could not listen on {listen}; choose a free UDP address"))?;
-    endpoint.set_default_client_config(client);
-    Ok(endpoint)
-}
-
-fn transport_config() -> TransportConfig {
-    let mut config = TransportConfig::default();
-    config
-        // MTU discovery sends several packets per connection, more than most connections carry.
-        .mtu_discovery_config(None)
-        .max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MILLIS).into()))
-        .max_concurrent_uni_streams(STREAMS_MAX.into())
-        .max_concurrent_bidi_streams(STREAMS_MAX.into())
-        .receive_window(WINDOW_BYTES.into());
-    config
-}
-
-/// Identity of the host at the other end of a connection, from its certificate.
-fn peer_identity(link: &Connection) -> Result<Identity> {
-    let chain = link.peer_identity().and_then(|any| any.downcast::<Vec<CertificateDer>>().ok());
-    Identity::expect(chain.as_deref().map(Vec::as_slice), Kind::Host)
-}
--- a/src/wisteriahead/services/peers/traffic.rs
+++ b/src/wisteriahead/services/peers/traffic.rs
@@ -1,12 +1,12 @@
-//! Metrics of the traffic between hosts: bytes of messages by topic, and datagrams that QUIC sends
-//! and receives.
+//! Metrics of the traffic between hosts: bytes of messages by topic, and bytes and system calls of the
+//! connections.
 
 use crate::core::message::Topic;
 use crate::prelude::*;
 use crate::util::metrics::Metrics;
 use parking_lot::Mutex;
-use quinn::Connection;
 use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Time between two reports of the metrics.
@@ -19,31 +19,15 @@
     received: i64,
 }
 
-/// Datagrams of a connection in total, or of several connections since the last report.
-#[derive(Clone, Copy, Default)]
-struct Datagrams {
-    sent: u64,
-    sent_bytes: u64,
-    received: u64,
-    received_bytes: u64,
-    /// System calls that sent datagrams.
-    writes: u64,
-    /// System calls that received datagrams.
-    reads: u64,
-}
-
-/// An open connection and its totals at the last report.
-struct TrackedConnection {
-    connection: Connection,
-    reported: Datagrams,
-}
-
 /// Traffic since the last report; nothing is counted unless metrics are set.
 #[derive(Default)]
 pub struct Traffic {
     metrics: OnceLock<Metrics>,
     topics: Mutex<IndexMap<Topic, TopicBytes>>,
-    links: Mutex<Vec<TrackedConnection>>,
+    sent_bytes: AtomicU64,
+    received_bytes: AtomicU64,
+    writes: AtomicU64,
+    reads: AtomicU64,
 }
 
 impl Traffic {
@@ -53,15 +37,16 @@
         let _ = self.metrics.set(metrics);
     }
 
-    /// Counts the datagrams of a connection from its start until it closes.
-    pub fn track(&self, connection: &Connection) {
-        if self.metrics.get().is_some() {
-            let link = TrackedConnection {
-                connection: connection.clone(),
-                reported: Datagrams::default(),
-            };
-            self.links.lock().push(link);
-        }
+    /// Counts a system call that wrote to a connection.
+    pub fn count_write(&self, bytes: usize) {
+        self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.writes.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a system call that read from a connection.
+    pub fn count_read(&self, bytes: usize) {
+        self.received_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.reads.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Counts a message that is to be sent.
@@ -90,48 +75,16 @@
             for (topic, bytes) in std::mem::take(&mut *self.topics.lock()) {
                 report_topic(metrics, topic, bytes);
             }
-            self.report_datagrams(metrics);
-        }
-    }
-
-    fn report_datagrams(&self, metrics: &Metrics) {
-        let mut sum = Datagrams::default();
-        self.links.lock().retain_mut(|link| {
-            let open = link.connection.close_reason().is_none();
-            let now = Datagrams::of(&link.connection);
-            sum.add_increase(&link.reported, &now);
-            link.reported = now;
-            open
-        });
-        metrics.count("peers.sent_bytes", sum.sent_bytes as i64);
-        metrics.count("peers.received_bytes", sum.received_bytes as i64);
-        metrics.count("peers.sent_datagrams", sum.sent as i64);
-        metrics.count("peers.received_datagrams", sum.received as i64);
-        metrics.count("peers.writes", sum.writes as i64);
-        metrics.count("peers.reads", sum.reads as i64);
-    }
-}
-
-impl Datagrams {
-    fn of(connection: &Connection) -> Self {
-        let stats = connection.stats();
-        Self {
-            sent: stats.udp_tx.datagrams,
-            sent_bytes: stats.udp_tx.bytes,
-            received: stats.udp_rx.datagrams,
-            received_bytes: stats.udp_rx.bytes,
-            writes: stats.udp_tx.ios,
-            reads: stats.udp_rx.ios,
+            self.report_connections(metrics);
         }
     }
 
-    fn add_increase(&mut self, from: &Self, to: &Self) {
-        self.sent += to.sent.saturating_sub(from.sent);
-        self.sent_bytes += to.sent_bytes.saturating_sub(from.sent_bytes);
-        self.received += to.received.saturating_sub(from.received);
-        self.received_bytes += to.received_bytes.saturating_sub(from.received_bytes);
-        self.writes += to.writes.saturating_sub(from.writes);
-        self.reads += to.reads.saturating_sub(from.reads);
+    fn report_connections(&self, metrics: &Metrics) {
+        let taken = |count: &AtomicU64| count.swap(0, Ordering::Relaxed) as i64;
+        metrics.count("peers.sent_bytes", taken(&self.sent_bytes));
+        metrics.count("peers.received_bytes", taken(&self.received_bytes));
+        metrics.count("peers.writes", taken(&self.writes));
+        metrics.count("peers.reads", taken(&self.reads));
     }
 }
 
--- a/src/wisteriahead/services/peers/wire.rs
+++ b/src/wisteriahead/services/peers/wire.rs
@@ -1,18 +1,25 @@
-//! Wire format of a connection besides envelopes: the hello and the answer to a call.
+//! Wire format of a connection: frames, the hello and the answer to a call.
 //!
-//! The first bidirectional stream of a connection carries a [`Hello`] each way. Every later one
-//! carries an envelope with a call and its [`Answer`]. Each unidirectional stream carries one
-//! envelope with a one-way message.
+//! A frame is its length (4 bytes, big endian), a byte for its kind, and its content. The connecting
+//! host sends a [`Hello`], the accepting one answers with its own or with a refusal. Then the
+//! connecting host sends messages, calls and probes, the accepting one answers to calls and probes.
 
-use crate::core::message::{self, DecodeError};
+use crate::core::message::{self, DecodeError, ENVELOPE_MAX_BYTES};
+use bytes::{Buf as _, BufMut as _, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
+use std::io;
 use std::net::SocketAddr;
+use tokio_util::codec::{Decoder, LengthDelimitedCodec};
 
 /// Maximum size of an encoded hello.
 pub const HELLO_MAX_BYTES: usize = 256 << 10;
 /// Maximum number of contacts sent or read in one hello, and number of known hosts from which on
 /// contacts are ignored. A few are enough to join the membership, which then reports all hosts.
 pub const CONTACTS_MAX: usize = 16;
+/// Size of the length before a frame.
+const LENGTH_BYTES: usize = 4;
+/// Size of a frame's kind, a call's number and an answer's outcome.
+const PREFIX_MAX_BYTES: usize = 10;
 
 /// Name and address of another host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,6 +64,124 @@
     }
 }
 
+/// One frame.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Frame {
+    /// An encoded [`Hello`].
+    Hello(Bytes),
+    /// The connection is refused or ended, for this cause.
+    Refused(String),
+    /// An envelope with a one-way message.
+    Message(Bytes),
+    /// An envelope with a call, and the call's number.
+    Call(u64, Bytes),
+    /// The answer to the call of this number.
+    Answer(u64, Answer),
+    /// Asks for [`Frame::Alive`].
+    Probe,
+    /// Answers [`Frame::Probe`].
+    Alive,
+}
+
+const HELLO: u8 = 1;
+const REFUSED: u8 = 2;
+const MESSAGE: u8 = 3;
+const CALL: u8 = 4;
+const ANSWER: u8 = 5;
+const PROBE: u8 = 6;
+const ALIVE: u8 = 7;
+
+impl Frame {
+    /// Appends the frame to `out`.
+    pub fn write(&self, out: &mut BytesMut) {
+        match self {
+            Self::Hello(bytes) => write_parts(out, &[&[HELLO], bytes]),
+            Self::Refused(cause) => write_parts(out, &[&[REFUSED], cause.as_bytes()]),
+            Self::Message(envelope) => write_message(out, envelope),
+            Self::Call(number, envelope) => write_call(out, *number, envelope),
+            Self::Answer(number, answer) => {
+                let (tag, body) = answer.parts();
+                write_parts(out, &[&[ANSWER], &number.to_be_bytes(), &[tag], body]);
+            }
+            Self::Probe => write_parts(out, &[&[PROBE]]),
+            Self::Alive => write_parts(out, &[&[ALIVE]]),
+        }
+    }
+
+    /// Decodes a frame without its length.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DecodeError::Malformed`] for an empty, short or unknown frame.
+    pub fn read(mut bytes: Bytes) -> Result<Self, DecodeError> {
+        let malformed = |what: &str| DecodeError::Malformed(what.to_owned());
+        let kind = bytes.try_get_u8().map_err(|_| malformed("a frame is empty"))?;
+        let mut number = || bytes.try_get_u64().map_err(|_| malformed("a call has no number"));
+        Ok(match kind {
+            HELLO => Self::Hello(bytes),
+            REFUSED => Self::Refused(String::from_utf8_lossy(&bytes).into_owned()),
+            MESSAGE => Self::Message(bytes),
+            CALL => Self::Call(number()?, bytes),
+            ANSWER => Self::Answer(number()?, Answer::read(&bytes)?),
+            PROBE => Self::Probe,
+            ALIVE => Self::Alive,
+            other => return Err(malformed(&format!("frames of kind {other} are unknown"))),
+        })
+    }
+}
+
+/// Appends a frame with a one-way message.
+pub fn write_message(out: &mut BytesMut, envelope: &[u8]) {
+    write_parts(out, &[&[MESSAGE], envelope]);
+}
+
+/// Appends a frame with a call.
+pub fn write_call(out: &mut BytesMut, number: u64, envelope: &[u8]) {
+    write_parts(out, &[&[CALL], &number.to_be_bytes(), envelope]);
+}
+
+fn write_parts(out: &mut BytesMut, parts: &[&[u8]]) {
+    let length: usize = parts.iter().map(|p| p.len()).sum();
+    out.reserve(LENGTH_BYTES + length);
+    // Envelopes are bounded far below 4 GiB.
+    out.put_u32(length as u32);
+    parts.iter().for_each(|p| out.put_slice(p));
+}
+
+/// Decoder of the frames of a connection. Until the hello has been read, frames are no longer than one.
+#[derive(Debug)]
+pub struct FrameDecoder(LengthDelimitedCodec);
+
+impl Default for FrameDecoder {
+    fn default() -> Self {
+        Self(length_codec(HELLO_MAX_BYTES + PREFIX_MAX_BYTES))
+    }
+}
+
+impl FrameDecoder {
+    /// Accepts frames with envelopes from now on.
+    pub fn accept_envelopes(&mut self) {
+        self.0.set_max_frame_length(ENVELOPE_MAX_BYTES + PREFIX_MAX_BYTES);
+    }
+}
+
+impl Decoder for FrameDecoder {
+    type Item = Frame;
+    type Error = io::Error;
+
+    fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<Frame>> {
+        let Some(bytes) = self.0.decode(src)? else { return Ok(None) };
+        Frame::read(bytes.freeze()).map(Some).map_err(io::Error::other)
+    }
+}
+
+fn length_codec(max_bytes: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .length_field_length(LENGTH_BYTES)
+        .max_frame_length(max_bytes)
+        .new_codec()
+}
+
 /// The answer to a call: one byte for its outcome, then the body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -70,16 +195,11 @@
     const DONE: u8 = 0;
     const REFUSED: u8 = 1;
 
-    /// Encodes the answer.
-    pub fn write(&self) -> Vec<u8> {
-        let (tag, body) = match self {
+    fn parts(&self) -> (u8, &[u8]) {
+        match self {
             Self::Done(body) => (Self::DONE, body.as_slice()),
             Self::Refused(cause) => (Self::REFUSED, cause.as_bytes()),
-        };
-        let mut bytes = Vec::with_capacity(body.len() + 1);
-        bytes.push(tag);
-        bytes.extend_from_slice(body);
-        bytes
+        }
     }
 
     /// Decodes an answer.
--- a/src/wisteriahead/util/logging.rs
+++ b/src/wisteriahead/util/logging.rs
@@ -34,11 +34,7 @@
 /// Fails if a logger is already installed.
 pub fn init(level: LevelFilter, format: Format, host: &str) -> Result<()> {
     let host = host.to_owned();
-    let dispatch = fern::Dispatch::new()
-        .level(level)
-        .level_for("quinn", LevelFilter::Warn)
-        .level_for("quinn_proto", LevelFilter::Warn)
-        .level_for("rustls", LevelFilter::Warn);
+    let dispatch = fern::Dispatch::new().level(level).level_for("rustls", LevelFilter::Warn);
     let dispatch = match format {
         Format::Text => {
             dispatch.format(|out, _, record| out.finish(format_args!("{}", text(record))))
--- a/src/wisteriahead/util/tls.rs
+++ b/src/wisteriahead/util/tls.rs
@@ -25,7 +25,7 @@
 /// Scheme of the URIs with the holder's kind, name and zone.
 pub const SCHEME: &str = "wisteriahead";
 /// ALPN protocol name of connections between hosts.
-pub const ALPN_HOST: &[u8] = b"wisteriahead/1";
+pub const ALPN_HOST: &[u8] = b"wisteriahead/2";
 /// ALPN protocol name of the operator API.
 pub const ALPN_HTTP: &[u8] = b"http/1.1";
 
--- a/tests/testsuite/bad_clients.rs
+++ b/tests/testsuite/bad_clients.rs
@@ -296,18 +296,16 @@
 
 #[tokio::test]
 async fn hosts_port_requires_a_certificate() {
-    use quinn::crypto::rustls::QuicClientConfig;
     let tier = tier().await;
     let mut config = without_client_cert(&tier.operator());
     config.alpn_protocols = vec![wisteriahead::util::tls::ALPN_HOST.to_vec()];
-    let config = quinn::ClientConfig::new(Arc::new(QuicClientConfig::try_from(config).unwrap()));
-    let mut endpoint = quinn::Endpoint::client(crate::support::ANY).unwrap();
-    endpoint.set_default_client_config(config);
-    let connection = endpoint.connect(tier.daemons[0].peers, SERVER_NAME).unwrap();
+    let connector = tokio_rustls::TlsConnector::from(Arc::new(config));
+    let stream = TcpStream::connect(tier.daemons[0].peers).await.unwrap();
+    let name = rustls_pki_types::ServerName::try_from(SERVER_NAME).unwrap();
     // The handshake completes at the client before the host sees that the certificate is missing.
-    if let Ok(connection) = timeout(CLOSE_MAX, connection).await.unwrap() {
-        let cause = timeout(CLOSE_MAX, connection.closed()).await.unwrap();
-        assert!(matches!(cause, quinn::ConnectionError::ConnectionClosed(_)), "{cause}");
+    if let Ok(mut stream) = timeout(CLOSE_MAX, connector.connect(name, stream)).await.unwrap() {
+        let cause = timeout(CLOSE_MAX, stream.read_u8()).await.unwrap().unwrap_err();
+        assert!(format!("{cause}").contains("CertificateRequired"), "{cause}");
     }
     check_serving(&tier).await;
 }
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -1,11 +1,13 @@
 //! All parsers of external input, with random bytes and with valid messages of which a few bytes
 //! or fields are changed. None may panic, and accepted input is within its limits.
 
+use bytes::BytesMut;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::Index;
 use serde_json::{Value, json};
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use tokio_util::codec::Decoder as _;
 use wisteria_testkit::prop::config;
 use wisteriahead::core::document::{DOCUMENT_MAX_BYTES, Document, HOSTS_MAX};
 use wisteriahead::core::endpoint::{
@@ -17,7 +19,7 @@
 };
 use wisteriahead::core::verdict::{Refusal, Verdict};
 use wisteriahead::services::operator::Edit;
-use wisteriahead::services::peers::wire::{Answer, Contact, Hello};
+use wisteriahead::services::peers::wire::{Answer, Contact, Frame, FrameDecoder, Hello};
 
 const CASES: u32 = 2_000;
 /// Nesting depth at which a parser without a recursion limit overflows the stack.
@@ -305,9 +307,25 @@
     }
 
     #[test]
-    fn accepted_answer_survives_encoding(bytes in vec(any::<u8>(), 0..300)) {
+    fn accepted_answer_survives_encoding(number: u64, bytes in vec(any::<u8>(), 0..300)) {
         if let Ok(answer) = Answer::read(&bytes) {
-            prop_assert_eq!(Answer::read(&answer.write()), Ok(answer));
+            let frame = Frame::Answer(number, answer);
+            prop_assert_eq!(read_frames(&written(&frame)).unwrap(), vec![frame]);
+        }
+    }
+
+    #[test]
+    fn frames_are_read_or_rejected(frames in vec(vec(any::<u8>(), 0..40), 0..5), cut: u8) {
+        let mut bytes = Vec::new();
+        for frame in &frames {
+            bytes.extend((frame.len() as u32).to_be_bytes());
+            bytes.extend(frame);
+        }
+        bytes.truncate(bytes.len().saturating_sub(usize::from(cut % 8)));
+        if let Ok(read) = read_frames(&bytes) {
+            prop_assert!(read.len() <= frames.len());
+            let again: Vec<u8> = read.iter().flat_map(written).collect();
+            prop_assert_eq!(read_frames(&again).unwrap(), read);
         }
     }
 
@@ -325,6 +343,27 @@
     }
 }
 
+/// A frame as it is written to a connection.
+fn written(frame: &Frame) -> Vec<u8> {
+    let mut out = BytesMut::new();
+    frame.write(&mut out);
+    out.to_vec()
+}
+
+/// All complete frames of a connection.
+fn read_frames(bytes: &[u8]) -> std::io::Result<Vec<Frame>> {
+    let (mut decoder, mut src) = (FrameDecoder::default(), BytesMut::from(bytes));
+    std::iter::from_fn(|| decoder.decode(&mut src).transpose()).collect()
+}
+
+#[test]
+fn oversized_frame_is_rejected_before_it_is_read() {
+    let mut decoder = FrameDecoder::default();
+    let mut src = BytesMut::from(&(1u32 << 31).to_be_bytes()[..]);
+    assert!(decoder.decode(&mut src).is_err());
+    assert!(src.capacity() < 1 << 20, "{} bytes were reserved", src.capacity());
+}
+
 /// Input nested so deep that a parser without a recursion limit crashes the process.
 fn nested(open: &str, close: &str) -> Vec<u8> {
     (open.repeat(DEPTH) + &close.repeat(DEPTH)).into_bytes()
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod operator;
 mod order_entry;
 mod peer_cost;
+mod peer_links;
 mod peers;
 mod plan;
 mod policy;
--- a/tests/testsuite/peers.rs
+++ b/tests/testsuite/peers.rs
@@ -1,19 +1,25 @@
 use crate::support::{ANY, Authority, HANG_TIMEOUT, Host, ZONE, until};
-use anyhow::Result;
+use anyhow::{Result, bail};
+use bytes::BytesMut;
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
-use quinn::crypto::rustls::QuicClientConfig;
-use quinn::{ClientConfig, Connection, ConnectionError, Endpoint};
+use rustls_pki_types::ServerName;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
+use tokio_rustls::TlsConnector;
+use tokio_rustls::client::TlsStream;
 use wisteriahead::core::control::changes::Change;
 use wisteriahead::core::message::{ENVELOPE_MAX_BYTES, Envelope, Topic, VERSION, encode};
+use wisteriahead::core::peers::outbox::{self, Kind as Sent, Outbox};
+use wisteriahead::core::time::{Span, Time};
 use wisteriahead::core::verdict::{Reason, Refusal, Verdict};
 use wisteriahead::kernel::Kernel;
 use wisteriahead::services::Handler;
-use wisteriahead::services::peers::queue::{QUEUE_MAX, QUEUE_MAX_BYTES, Queue};
-use wisteriahead::services::peers::wire::{Answer, CONTACTS_MAX, Contact, Hello};
+use wisteriahead::services::peers::wire::{Answer, CONTACTS_MAX, Contact, Frame, Hello};
 use wisteriahead::services::peers::{PeerSettings, PeersService};
 use wisteriahead::util::tls::{ALPN_HOST, Credentials, HostKeys, Kind, SERVER_NAME, TlsPaths};
 
@@ -40,21 +46,61 @@
     (host, echo)
 }
 
-/// Opens a QUIC connection to a host's peer port without a `PeersService`.
-async fn connect(tls: &TlsPaths, to: SocketAddr) -> Result<Connection> {
+/// A connection to a host's peer port without a `PeersService`.
+struct Link(TlsStream<TcpStream>);
+
+/// Opens a connection to a host's peer port without a `PeersService`.
+async fn connect(tls: &TlsPaths, to: SocketAddr) -> Result<Link> {
     let config = Credentials::load(tls)?.client(ALPN_HOST)?;
-    let mut endpoint = Endpoint::client(ANY)?;
-    endpoint.set_default_client_config(ClientConfig::new(Arc::new(QuicClientConfig::try_from(
-        config,
-    )?)));
-    Ok(timeout(HANG_TIMEOUT, endpoint.connect(to, SERVER_NAME)?).await??)
+    let connector = TlsConnector::from(Arc::new(config));
+    let stream = TcpStream::connect(to).await?;
+    let name = ServerName::try_from(SERVER_NAME)?;
+    Ok(Link(timeout(HANG_TIMEOUT, connector.connect(name, stream)).await??))
 }
 
-async fn exchange(link: &Connection, bytes: &[u8]) -> Result<Vec<u8>> {
-    let (mut tx, mut rx) = link.open_bi().await?;
-    tx.write_all(bytes).await?;
-    tx.finish()?;
-    Ok(timeout(HANG_TIMEOUT, rx.read_to_end(ENVELOPE_MAX_BYTES)).await??)
+impl Link {
+    async fn write(&mut self, frame: &Frame) -> Result<()> {
+        let mut out = BytesMut::new();
+        frame.write(&mut out);
+        self.0.write_all(&out).await?;
+        Ok(self.0.flush().await?)
+    }
+
+    /// Reads the next frame.
+    async fn read(&mut self) -> Result<Frame> {
+        let read = async {
+            let mut bytes = vec![0; self.0.read_u32().await? as usize];
+            self.0.read_exact(&mut bytes).await?;
+            Ok(Frame::read(bytes.into())?)
+        };
+        timeout(HANG_TIMEOUT, read).await?
+    }
+
+    /// Sends a hello and returns the host's.
+    async fn exchange_hello(&mut self, hello: Vec<u8>) -> Result<Hello> {
+        self.write(&Frame::Hello(hello.into())).await?;
+        match self.read().await? {
+            Frame::Hello(bytes) => Ok(Hello::read(&bytes)?),
+            other => bail!("{other:?}"),
+        }
+    }
+
+    /// Calls with an envelope and returns the answer.
+    async fn call(&mut self, number: u64, envelope: Vec<u8>) -> Result<Answer> {
+        self.write(&Frame::Call(number, envelope.into())).await?;
+        match self.read().await? {
+            Frame::Answer(n, answer) if n == number => Ok(answer),
+            other => bail!("{other:?}"),
+        }
+    }
+
+    /// Waits until the host closes the connection; returns the cause that it gives.
+    async fn closed(&mut self) -> String {
+        match self.read().await {
+            Ok(Frame::Refused(cause)) => cause,
+            other => panic!("{other:?}"),
+        }
+    }
 }
 
 fn hello(name: &str) -> Vec<u8> {
@@ -107,7 +153,7 @@
 async fn contacts_of_a_hello_are_dialled_only_to_send() {
     let ca = Authority::new();
     let (a, _) = start(&ca, "a", &[]).await;
-    let contact_socket = tokio::net::UdpSocket::bind(ANY).await.unwrap();
+    let contact_socket = tokio::net::TcpListener::bind(ANY).await.unwrap();
     let contact = |i| {
         let listen = if i == 0 {
             contact_socket.local_addr().unwrap()
@@ -120,15 +166,16 @@
     let listen = SocketAddr::new(ANY.ip(), 9);
     let (name, zone) = ("b".to_owned(), ZONE.to_owned());
     let hello = Hello { version: VERSION, name, zone, listen, others, unpacks: false };
-    let link = connect(&ca.issue(Kind::Host, "b"), a.address).await.unwrap();
-    exchange(&link, &encode(&hello)).await.unwrap();
+    let mut link = connect(&ca.issue(Kind::Host, "b"), a.address).await.unwrap();
+    link.exchange_hello(encode(&hello)).await.unwrap();
     until("a contact", || a.peers.others().contains(&"z0".to_owned())).await;
     assert!(a.peers.others().len() <= CONTACTS_MAX, "{} are known", a.peers.others().len());
-    let mut packet = [0; 2_000];
-    assert!(contact_socket.try_recv(&mut packet).is_err(), "dialled with nothing to send");
+    let mut dialled = pin!(contact_socket.accept());
+    let early = futures::poll!(&mut dialled);
+    assert!(early.is_pending(), "dialled with nothing to send: {early:?}");
     a.peers.send("z0", Topic::Member, Vec::new());
-    let dialled = timeout(HANG_TIMEOUT, contact_socket.recv(&mut packet)).await;
-    assert!(matches!(dialled, Ok(Ok(n)) if n > 0), "it was not dialled: {dialled:?}");
+    let dialled = timeout(HANG_TIMEOUT, dialled).await;
+    assert!(matches!(dialled, Ok(Ok(_))), "it was not dialled: {dialled:?}");
 }
 
 #[tokio::test]
@@ -165,10 +212,7 @@
     let mut tls = other.issue(Kind::Host, "b");
     // The client trusts the host's authority, so only the host's check can reject the connection.
     tls.ca = ca.paths("a").ca;
-    let done = async {
-        let link = connect(&tls, a.address).await?;
-        exchange(&link, &hello("b")).await
-    };
+    let done = async { connect(&tls, a.address).await?.exchange_hello(hello("b")).await };
     assert!(done.await.is_err());
     assert!(a.peers.others().is_empty());
     assert!(echo.received.lock().is_empty());
@@ -178,11 +222,10 @@
 async fn operator_certificate_is_rejected_on_peer_port() {
     let ca = Authority::new();
     let (a, _) = start(&ca, "a", &[]).await;
-    let link = connect(&ca.issue(Kind::Operator, "ann"), a.address).await.unwrap();
-    assert!(exchange(&link, &hello("ann")).await.is_err());
-    let cause = timeout(HANG_TIMEOUT, link.closed()).await.unwrap();
-    let ConnectionError::ApplicationClosed(close) = cause else { panic!("{cause}") };
-    assert!(String::from_utf8_lossy(&close.reason).contains("kind operator"), "{close}");
+    let mut link = connect(&ca.issue(Kind::Operator, "ann"), a.address).await.unwrap();
+    link.write(&Frame::Hello(hello("ann").into())).await.unwrap();
+    let cause = link.closed().await;
+    assert!(cause.contains("kind operator"), "{cause}");
     assert!(a.peers.others().is_empty());
 }
 
@@ -205,8 +248,8 @@
 async fn hello_name_must_match_the_certificate() {
     let ca = Authority::new();
     let (a, _) = start(&ca, "a", &[]).await;
-    let link = connect(&ca.issue(Kind::Host, "b"), a.address).await.unwrap();
-    assert!(exchange(&link, &hello("c")).await.is_err());
+    let mut link = connect(&ca.issue(Kind::Host, "b"), a.address).await.unwrap();
+    assert!(link.exchange_hello(hello("c")).await.is_err());
     assert!(a.peers.others().is_empty());
 }
 
@@ -214,8 +257,8 @@
 async fn forged_and_malformed_messages_are_refused() {
     let ca = Authority::new();
     let (a, echo) = start(&ca, "a", &[]).await;
-    let link = connect(&ca.issue(Kind::Host, "b"), a.address).await.unwrap();
-    exchange(&link, &hello("b")).await.unwrap();
+    let mut link = connect(&ca.issue(Kind::Host, "b"), a.address).await.unwrap();
+    link.exchange_hello(hello("b")).await.unwrap();
     let bad = [
         (envelope(VERSION, "c"), "signed by `c`"),
         (envelope(VERSION + 1, "b"), "version"),
@@ -223,15 +266,13 @@
         (Vec::new(), "malformed"),
     ];
     for (bytes, cause) in bad {
-        let answer = Answer::read(&exchange(&link, &bytes).await.unwrap()).unwrap();
+        let answer = link.call(7, bytes.clone()).await.unwrap();
         let Answer::Refused(said) = answer else { panic!("{answer:?}") };
         assert!(said.contains(cause), "{said}");
-        let mut tx = link.open_uni().await.unwrap();
-        tx.write_all(&bytes).await.unwrap();
-        tx.finish().unwrap();
+        link.write(&Frame::Message(bytes.into())).await.unwrap();
     }
-    let answer = exchange(&link, &envelope(VERSION, "b")).await.unwrap();
-    assert_eq!(Answer::read(&answer), Ok(Answer::Done(b"b:x".to_vec())));
+    let answer = link.call(8, envelope(VERSION, "b")).await.unwrap();
+    assert_eq!(answer, Answer::Done(b"b:x".to_vec()));
     assert!(echo.received.lock().is_empty());
 }
 
@@ -241,23 +282,40 @@
     let (a, _) = start(&ca, "a", &[]).await;
     let tls = ca.issue(Kind::Host, "b");
     for bytes in [Vec::new(), b"\xc1".to_vec(), vec![0; 1 << 20]] {
-        let link = connect(&tls, a.address).await.unwrap();
-        assert!(exchange(&link, &bytes).await.is_err());
+        let mut link = connect_until_admitted(&tls, a.address).await;
+        assert!(link.exchange_hello(bytes).await.is_err());
     }
-    let link = connect(&tls, a.address).await.unwrap();
-    exchange(&link, &hello("b")).await.unwrap();
+    let mut link = connect_until_admitted(&tls, a.address).await;
+    link.exchange_hello(hello("b")).await.unwrap();
 }
 
-#[tokio::test]
-async fn full_queue_drops_and_counts_the_oldest() {
-    let queue = Queue::default();
-    for i in 0..QUEUE_MAX + 3 {
-        queue.push(i.to_be_bytes().to_vec());
+/// Connects until the handshake succeeds: after a refusal an address is let in again after a pause.
+async fn connect_until_admitted(tls: &TlsPaths, to: SocketAddr) -> Link {
+    let admitted = async {
+        loop {
+            if let Ok(link) = connect(tls, to).await {
+                return link;
+            }
+        }
+    };
+    timeout(HANG_TIMEOUT, admitted).await.unwrap()
+}
+
+#[test]
+fn full_outbox_drops_and_counts_the_oldest() {
+    let mut outbox = Outbox::default();
+    let push = |outbox: &mut Outbox, bytes| {
+        outbox.push(Time(0), Span::secs(1), Sent::Message, bytes);
+    };
+    for i in 0..outbox::MESSAGES_MAX + 3 {
+        push(&mut outbox, i.to_be_bytes().to_vec());
     }
-    assert_eq!(queue.dropped(), 3);
-    assert_eq!(queue.pop().await, 3usize.to_be_bytes());
-    queue.push(vec![0; QUEUE_MAX_BYTES]);
-    assert_eq!(queue.pop().await.len(), QUEUE_MAX_BYTES);
+    assert_eq!(outbox.dropped(), 3);
+    assert_eq!(outbox.take(Time(0), 0)[0].envelope, 3usize.to_be_bytes());
+    push(&mut outbox, vec![0; outbox::BYTES_MAX]);
+    let taken = outbox.take(Time(0), 0);
+    assert_eq!((taken.len(), taken[0].envelope.len()), (1, outbox::BYTES_MAX));
+    assert_eq!(outbox.bytes(), 0);
 }
 
 /// Calls a host until it answers.
@@ -285,17 +343,18 @@
     for (from, to) in [(&a, "c"), (&b, "c"), (&c, "a"), (&c, "b")] {
         call_until_answered(from, to).await;
     }
-    let connection = connect(&ca.paths("c"), a.address).await.unwrap();
-    exchange(&connection, &hello("c")).await.unwrap();
+    let mut connection = connect(&ca.paths("c"), a.address).await.unwrap();
+    connection.exchange_hello(hello("c")).await.unwrap();
     assert_eq!(propose_hosts(&a, 0, &[("c", "retired")]).await.unwrap(), 1);
     for (host, left) in [(&a, "b"), (&b, "a")] {
         until("the retired host is gone", || host.peers.others() == [left]).await;
         assert!(host.peers.call("c", Topic::Member, Vec::new()).await.is_err());
     }
-    let closed = timeout(HANG_TIMEOUT, connection.closed()).await.unwrap();
-    assert!(matches!(closed, ConnectionError::ApplicationClosed(_)), "{closed}");
-    let again = connect(&ca.paths("c"), b.address).await.unwrap();
-    assert!(exchange(&again, &hello("c")).await.is_err());
+    let closed = connection.closed().await;
+    assert!(closed.contains("retired"), "{closed}");
+    let again =
+        async { connect(&ca.paths("c"), b.address).await?.exchange_hello(hello("c")).await };
+    assert!(again.await.is_err());
     assert!(c.peers.call("a", Topic::Member, Vec::new()).await.is_err());
     assert!(c.peers.call("b", Topic::Member, Vec::new()).await.is_err());
     let before = echo.received.lock().len();
