Draw the numbers of batches anew in each process

What callers could see: a gather answered with results of another request. A host that restarts numbered its batches from 0 again, so results of a batch of its earlier process, sent late, counted for the new batch of that number.

forward::results_of_a_batch_of_an_earlier_process_are_ignored failed with the numbers from 0 (answered 200 from late results) and passes now.

--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -233,7 +233,9 @@
 impl Forwarder {
     /// Creates a forwarder that knows no other host yet.
     pub fn new(peers: Arc<dyn Peers>) -> Self {
-        Self { peers, next_number: AtomicU64::new(0), state: Mutex::default() }
+        // Drawn at random: results may arrive late of a batch that an earlier process has sent.
+        let next_number = AtomicU64::new(rand::random::<u64>() / 2);
+        Self { peers, next_number, state: Mutex::default() }
     }
 
     /// Sets the hosts that are alive and relay requests, each with its zone; ignores this host.
--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::time::timeout;
 use wisteria_testkit::wait::wait_until;
+use wisteriahead::core::message::Topic;
 use wisteriahead::core::plan::{Destination, Route};
 use wisteriahead::core::relay::groups::Groups;
 use wisteriahead::prelude::*;
@@ -55,6 +56,28 @@
     wait_until("no endpoint works on it", async || hanging() == 0).await;
 }
 
+/// Guards against an answer with results of another request: a host restarts, and results of a batch that it
+/// sent before arrive late.
+#[tokio::test]
+async fn results_of_a_batch_of_an_earlier_process_are_ignored() {
+    let earlier = Tier::start().await;
+    earlier.gather().await;
+    let late = earlier.network.last.lock()["north"].clone();
+    let tier = Tier::start().await;
+    tier.leaf_state.hang.store(true, Ordering::Relaxed);
+    let hanging = || tier.leaf_state.hanging.load(Ordering::Relaxed);
+    let results_arrive = async {
+        wait_until("all shards are asked", async || hanging() >= SHARDS).await;
+        let handler = tier.network.handlers.lock()[&("north".to_owned(), Topic::Relay)].clone();
+        handler.receive("south", &late);
+        wait_until("shards are hedged", async || hanging() > SHARDS).await;
+    };
+    tokio::select! {
+        r = tier.get() => panic!("it was answered: {}", r.status()),
+        () = results_arrive => {}
+    }
+}
+
 /// Guards against 404 for a route that was added: a host that is behind, or cut off, cannot know
 /// that a route does not exist.
 #[tokio::test]
--- a/tests/testsuite/relay_tier.rs
+++ b/tests/testsuite/relay_tier.rs
@@ -259,6 +259,8 @@
     pub sent: AtomicUsize,
     /// Size of the largest message to each host, in bytes.
     pub largest: Mutex<IndexMap<String, usize>>,
+    /// Last message of a relay to each host.
+    pub last: Mutex<IndexMap<String, Vec<u8>>>,
 }
 
 /// Connection of one host to the network.
@@ -293,6 +295,9 @@
         let size = largest.entry(to.to_owned()).or_default();
         *size = body.len().max(*size);
         drop(largest);
+        if topic == Topic::Relay {
+            self.network.last.lock().insert(to.to_owned(), body.clone());
+        }
         let handler = self.network.handlers.lock().get(&(to.to_owned(), topic)).cloned();
         if let Some(handler) = handler.filter(|_| !self.network.cut.load(Ordering::Relaxed)) {
             let from = self.host;
