Dial a host at once when it connects, and keep connections without messages

Cause suspected: delays between attempts had grown while hosts were down, and a first TCP packet that was dropped is sent again a second later. A host that connects runs, so it is dialled at once.

peer_links::host_that_is_seen_again_is_dialled_with_small_delays; the driver's part has no test of its own.

--- a/src/wisteriahead/core/peers/reconnect.rs
+++ b/src/wisteriahead/core/peers/reconnect.rs
@@ -38,6 +38,11 @@
         delay
     }
 
+    /// Records that the host was seen to run: the delays start anew.
+    pub fn record_seen(&mut self) {
+        *self = Self::default();
+    }
+
     /// Whether operators are to be told of the failures now: once, until a connection lasts.
     pub const fn is_to_be_reported(&self) -> bool {
         self.failures == REPORT_FAILURES
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -85,6 +85,11 @@
     /// Sets the handler of a topic.
     fn set_handler(&self, topic: Topic, handler: Arc<dyn Handler>);
 
+    /// Opens a connection for one-way messages to a host unless there is one, and keeps it for a while.
+    fn keep_connected(&self, to: &str) {
+        let _ = to;
+    }
+
     /// Sends a one-way message without a guarantee of delivery.
     fn send(&self, to: &str, topic: Topic, body: Vec<u8>);
 
--- a/src/wisteriahead/services/peers/dial.rs
+++ b/src/wisteriahead/services/peers/dial.rs
@@ -53,7 +53,7 @@
                 return hub.remove_dialer(address, lane);
             }
         }
-        let delay = match connect(&hub, address).await {
+        let delay = match connect(&hub, address, peer.as_deref()).await {
             Ok(Some((found, link))) => {
                 let opened = hub.now();
                 let cause = serve(&hub, &found, lane, address, link).await;
@@ -74,7 +74,23 @@
                 delay
             }
         };
-        sleep(delay.to_std()).await;
+        wait_to_retry(&mut reconnect, delay, peer.as_deref()).await;
+    }
+}
+
+/// Waits before the next attempt, but not once the host has connected to this one.
+async fn wait_to_retry(reconnect: &mut Reconnect, delay: Span, peer: Option<&Peer>) {
+    tokio::select! {
+        () = sleep(delay.to_std()) => {}
+        () = host_connected(peer) => reconnect.record_seen(),
+    }
+}
+
+/// Completes when a known host connects to this one.
+async fn host_connected(peer: Option<&Peer>) {
+    match peer {
+        Some(peer) => peer.connected().await,
+        None => std::future::pending().await,
     }
 }
 
@@ -84,20 +100,39 @@
 }
 
 async fn wait_until_needed(hub: &Hub, lane: &OutboundLane) {
-    while !lane.has_waiting(hub.now()) {
+    while !lane.has_waiting(hub.now()) && !lane.take_wanted() {
         lane.changed().await;
     }
 }
 
 /// Connects and exchanges hellos; `None` if the address is this host's own.
-async fn connect(hub: &Arc<Hub>, address: SocketAddr) -> Result<Option<(Arc<Peer>, Link)>> {
-    let handshake = timeout(HANDSHAKE_TIMEOUT.to_std(), handshake(hub, address));
+async fn connect(
+    hub: &Arc<Hub>,
+    address: SocketAddr,
+    peer: Option<&Peer>,
+) -> Result<Option<(Arc<Peer>, Link)>> {
+    let handshake = timeout(HANDSHAKE_TIMEOUT.to_std(), handshake(hub, address, peer));
     handshake.await.context("the handshake timed out")?
 }
 
-async fn handshake(hub: &Arc<Hub>, address: SocketAddr) -> Result<Option<(Arc<Peer>, Link)>> {
+/// Opens a TCP connection; starts over when the host connects to this one, since it may have dropped the
+/// first packet while it was down, and the next one would follow a second later.
+async fn open_stream(address: SocketAddr, peer: Option<&Peer>) -> std::io::Result<TcpStream> {
+    loop {
+        tokio::select! {
+            stream = TcpStream::connect(address) => return stream,
+            () = host_connected(peer) => {}
+        }
+    }
+}
+
+async fn handshake(
+    hub: &Arc<Hub>,
+    address: SocketAddr,
+    peer: Option<&Peer>,
+) -> Result<Option<(Arc<Peer>, Link)>> {
     let tls = hub.tls.get().context("the service is not started")?;
-    let socket = prepare(TcpStream::connect(address).await?, hub.traffic.clone())?;
+    let socket = prepare(open_stream(address, peer).await?, hub.traffic.clone())?;
     let name = ServerName::try_from(SERVER_NAME)?;
     let stream = tls.connector.connect(name, socket).await?;
     let id = Identity::expect(stream.get_ref().1.peer_certificates(), Kind::Host)?;
@@ -210,7 +245,9 @@
             tokio::select! {
                 () = self.lane.changed() => {}
                 () = &mut timer => {
-                    if due.is_none() && Instant::now() >= idle_at {
+                    if self.lane.take_wanted() {
+                        used = Instant::now();
+                    } else if due.is_none() && Instant::now() >= idle_at {
                         bail!("it was not used");
                     }
                 }
--- a/src/wisteriahead/services/peers/hub.rs
+++ b/src/wisteriahead/services/peers/hub.rs
@@ -32,6 +32,8 @@
     address: Mutex<SocketAddr>,
     /// What is to be sent to it.
     lanes: [Arc<OutboundLane>; Lane::ALL.len()],
+    /// Notified when the host connects, so that it takes connections too.
+    connected: Notify,
     /// Whether it can read compressed envelopes.
     accepts_compressed: AtomicBool,
 }
@@ -41,6 +43,7 @@
         Self {
             address: Mutex::new(address),
             lanes: Default::default(),
+            connected: Notify::new(),
             accepts_compressed: AtomicBool::new(false),
         }
     }
@@ -50,6 +53,11 @@
         &self.lanes[lane as usize]
     }
 
+    /// Completes when the host opens a connection to this one.
+    pub async fn connected(&self) {
+        self.connected.notified().await;
+    }
+
     /// Whether the host is now known at another address.
     pub fn has_moved(&self, address: SocketAddr) -> bool {
         *self.address.lock() != address
@@ -191,6 +199,7 @@
         }
         let peer = self.add_peer(&id.name, listen)?;
         peer.accepts_compressed.store(hello.unpacks, Ordering::Relaxed);
+        peer.connected.notify_waiters();
         self.start_dialers(Some(&id.name), listen);
         for contact in hello.others.into_iter().take(CONTACTS_MAX) {
             if self.peers.read().len() < CONTACTS_MAX {
@@ -339,6 +348,12 @@
         self.handlers.write().insert(topic, handler);
     }
 
+    fn keep_connected(&self, to: &str) {
+        if let Some(peer) = self.peer(to) {
+            peer.lane(Lane::Small).want_connection();
+        }
+    }
+
     fn send(&self, to: &str, topic: Topic, body: Vec<u8>) {
         match (self.peer(to), self.encode_envelope(topic, &body)) {
             (Some(peer), Ok(bytes)) => {
--- a/src/wisteriahead/services/peers/lane.rs
+++ b/src/wisteriahead/services/peers/lane.rs
@@ -26,6 +26,8 @@
     calls: Mutex<IndexMap<u64, PendingCall>>,
     next_call: AtomicU64,
     changed: Notify,
+    /// Whether a connection is wanted though nothing waits.
+    wanted: AtomicBool,
     /// Whether a connection is open, and whether something is being written to it.
     open: AtomicBool,
     writing: AtomicBool,
@@ -58,6 +60,19 @@
         self.changed.notify_one();
     }
 
+    /// Has a connection opened unless there is one, and kept for the idle time.
+    pub fn want_connection(&self) {
+        self.wanted.store(true, Ordering::Relaxed);
+        if !self.open.load(Ordering::Relaxed) {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Whether a connection was wanted since the last call.
+    pub fn take_wanted(&self) -> bool {
+        self.wanted.swap(false, Ordering::Relaxed)
+    }
+
     /// Whether anything of use waits.
     pub fn has_waiting(&self, now: Time) -> bool {
         let mut outbox = self.outbox.lock();
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -46,8 +46,6 @@
 const AVOID_TIME: Span = Span::secs(2);
 /// Maximum of the time for which a host is avoided.
 const AVOID_TIME_MAX: Span = Span::secs(16);
-/// Number that no batch has.
-const NO_BATCH: u64 = u64::MAX;
 /// Maximum number of batches of other hosts in progress.
 const REMOTE_BATCHES_MAX: usize = 4_096;
 
@@ -290,7 +288,7 @@
 
     /// Keeps the connection to a host open.
     pub fn keep_alive(&self, host: &str) {
-        self.peers.send(host, Topic::Relay, encode(&Message::Stop(NO_BATCH)));
+        self.peers.keep_connected(host);
     }
 
     /// Sends a batch through a host.
--- a/tests/testsuite/peer_links.rs
+++ b/tests/testsuite/peer_links.rs
@@ -127,6 +127,17 @@
     assert!(reconnect.after_failure(1.0) < last, "a connection that lasted starts the delays anew");
 }
 
+/// Load pattern: a tier whose hosts all come back at the same moment, after delays have grown.
+#[test]
+fn host_that_is_seen_again_is_dialled_with_small_delays() {
+    let mut reconnect = Reconnect::default();
+    let first = reconnect.after_failure(1.0);
+    let last = (0..10).map(|_| reconnect.after_failure(1.0)).last();
+    assert!(last > Some(Span(first.0 * 10)), "{last:?}");
+    reconnect.record_seen();
+    assert_eq!(reconnect.after_failure(1.0), first);
+}
+
 /// An older release listens elsewhere: its address refuses connections for good.
 #[test]
 fn host_that_stays_unreachable_is_reported_once() {
