Look at the monitors of new endpoints only

registry::change_of_one_endpoint_looks_at_the_monitors_of_new_endpoints_alone: 125,250 visits for 500 endpoints before, 500 now.

--- a/src/wisteriahead/core/gossip.rs
+++ b/src/wisteriahead/core/gossip.rs
@@ -114,10 +114,8 @@
     /// Ranks the hosts for the endpoints that are new.
     fn assign_monitors(&mut self, now: Time) {
         let (host, others, rankings) = (&self.host, &self.others, &mut self.rankings);
-        self.registry.update_monitors(now, host, |endpoint, monitors| {
-            if monitors.is_empty() {
-                *monitors = rank_all(endpoint, host, others, rankings);
-            }
+        self.registry.update_new_monitors(now, host, |endpoint, monitors| {
+            *monitors = rank_all(endpoint, host, others, rankings);
         });
     }
 
--- a/src/wisteriahead/core/registry.rs
+++ b/src/wisteriahead/core/registry.rs
@@ -55,6 +55,20 @@
         (self.latest.incarnation, self.latest.sequence)
     }
 
+    fn update_monitors(
+        &mut self,
+        now: Time,
+        host: &str,
+        update: &mut impl FnMut(&str, &mut Monitors),
+    ) {
+        update(&self.latest.endpoint, &mut self.monitors);
+        let monitored = self.monitors.contains(host);
+        if monitored && !self.monitored {
+            self.seen = now;
+        }
+        self.monitored = monitored;
+    }
+
     /// Whether an announcement differs from the latest in nothing but its sequence.
     fn has_same_content(&self, a: &Announcement) -> bool {
         Announcement { sequence: a.sequence, ..self.latest.clone() } == *a
@@ -100,6 +114,10 @@
     cold_time: Option<Span>,
     /// Overrides [`EXPIRY`].
     expiry: Option<Span>,
+    /// Endpoints whose monitors were never determined.
+    unmonitored: Vec<EndpointKey>,
+    /// Number of times that the monitors of an endpoint were looked at to update them.
+    monitor_updates: u64,
 }
 
 impl Registry {
@@ -150,6 +168,7 @@
         self.tombstones.swap_remove(&name);
         let key = self.arena.insert(Endpoint::new(now, a));
         self.names.insert(name, key);
+        self.unmonitored.push(key);
         ApplyOutcome::Changed
     }
 
@@ -202,16 +221,31 @@
         host: &str,
         mut update: impl FnMut(&str, &mut Monitors),
     ) {
-        for e in self.arena.values_mut() {
-            update(&e.latest.endpoint, &mut e.monitors);
-            let monitored = e.monitors.contains(host);
-            if monitored && !e.monitored {
-                e.seen = now;
+        self.monitor_updates += self.arena.len() as u64;
+        self.arena.values_mut().for_each(|e| e.update_monitors(now, host, &mut update));
+        self.unmonitored.clear();
+    }
+
+    /// Like [`Self::update_monitors`] for the endpoints that were added since the last update.
+    pub fn update_new_monitors(
+        &mut self,
+        now: Time,
+        host: &str,
+        mut update: impl FnMut(&str, &mut Monitors),
+    ) {
+        for key in std::mem::take(&mut self.unmonitored) {
+            if let Some(e) = self.arena.get_mut(key) {
+                self.monitor_updates += 1;
+                e.update_monitors(now, host, &mut update);
             }
-            e.monitored = monitored;
         }
     }
 
+    /// Number of times that the monitors of an endpoint were looked at to update them.
+    pub fn monitor_updates(&self) -> u64 {
+        self.monitor_updates
+    }
+
     /// Monitors of an endpoint.
     pub fn monitors(&self, name: &str) -> Option<&Monitors> {
         self.arena.get(*self.names.get(name)?).map(|e| &e.monitors)
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -284,6 +284,23 @@
     assert!(ranked <= HOSTS as u64, "{ranked} rankings for one changed endpoint");
 }
 
+/// Guards against a tenth of a host's processor time in a tier whose endpoints change: each message with a
+/// change looked at the monitors of all endpoints.
+#[test]
+fn change_of_one_endpoint_looks_at_the_monitors_of_new_endpoints_alone() {
+    const ENDPOINTS: u64 = 500;
+    let mut host = Gossip::new(name(0));
+    host.set_others(Time(1), (1..76).map(name).collect());
+    for e in 0..ENDPOINTS {
+        let push = Message::Push(vec![announcement(&format!("leaf-{e}"), 1, 1)]);
+        host.receive(Time(1), &name(1), push);
+    }
+    assert_eq!(host.registry.monitor_updates(), ENDPOINTS);
+    let changed = Announcement { state: EndpointState::Starting, ..announcement("leaf-7", 1, 9) };
+    host.receive(Time(1), &name(1), Message::Push(vec![changed]));
+    assert_eq!(host.registry.monitor_updates(), ENDPOINTS);
+}
+
 proptest! {
     #![proptest_config(config(64))]
 
