--- a/src/wisteriahead/core/endpoint.rs
+++ b/src/wisteriahead/core/endpoint.rs
@@ -78,6 +78,33 @@
 }
 
 impl Announcement {
+    /// Whether another announcement differs in nothing but its sequence.
+    pub fn has_same_content(&self, other: &Self) -> bool {
+        let Self {
+            endpoint,
+            host,
+            address,
+            zone,
+            service,
+            incarnation,
+            sequence: _,
+            state,
+            slots,
+            connections,
+            bearable,
+            holdings,
+        } = self;
+        *incarnation == other.incarnation
+            && *state == other.state
+            && (*slots, *connections, *bearable) == (other.slots, other.connections, other.bearable)
+            && *address == other.address
+            && *endpoint == other.endpoint
+            && *host == other.host
+            && *zone == other.zone
+            && *service == other.service
+            && *holdings == other.holdings
+    }
+
     /// Concurrent requests that the announcement allows.
     pub fn allowed(&self) -> u32 {
         match self.state {
--- a/src/wisteriahead/core/registry.rs
+++ b/src/wisteriahead/core/registry.rs
@@ -32,6 +32,8 @@
 pub struct Endpoint {
     /// Latest announcement, apart from repeated ones that it made to this host.
     pub latest: Announcement,
+    /// Names in it, as targets share them.
+    names: TargetNames,
     /// When this or another host last heard from it.
     pub seen: Time,
     /// Newest announcement that it made to this host.
@@ -44,11 +46,31 @@
     monitored: bool,
 }
 
+/// Names of an endpoint, its service and its announced zone.
+#[derive(Clone, Debug)]
+struct TargetNames {
+    endpoint: Arc<str>,
+    service: Arc<str>,
+    zone: Arc<str>,
+}
+
+impl TargetNames {
+    fn new(a: &Announcement) -> Self {
+        let name = |s: &str| Arc::from(s);
+        Self { endpoint: name(&a.endpoint), service: name(&a.service), zone: name(&a.zone) }
+    }
+}
+
 impl Endpoint {
     fn new(now: Time, latest: Announcement) -> Self {
-        let zero = Version::default();
+        let (zero, names) = (Version::default(), TargetNames::new(&latest));
         let monitors = Monitors::default();
-        Self { latest, seen: now, direct: zero, heartbeat: zero, monitors, monitored: false }
+        Self { latest, names, seen: now, direct: zero, heartbeat: zero, monitors, monitored: false }
+    }
+
+    /// Replaces the latest announcement by one with other content.
+    fn replace(&mut self, now: Time, a: Announcement) {
+        (self.names, self.latest, self.seen) = (TargetNames::new(&a), a, now);
     }
 
     fn version(&self) -> Version {
@@ -71,7 +93,7 @@
 
     /// Whether an announcement differs from the latest in nothing but its sequence.
     fn has_same_content(&self, a: &Announcement) -> bool {
-        Announcement { sequence: a.sequence, ..self.latest.clone() } == *a
+        self.latest.has_same_content(a)
     }
 
     /// Raises the latest sequence to that of the newest announcement made to this host, so that
@@ -151,9 +173,12 @@
         if version <= e.version().max(e.direct) {
             return ApplyOutcome::Stale;
         }
-        let same = e.has_same_content(&a);
-        (e.latest, e.seen) = (a, now);
-        if same { ApplyOutcome::Refreshed } else { ApplyOutcome::Changed }
+        if e.has_same_content(&a) {
+            (e.latest.sequence, e.seen) = (a.sequence, now);
+            return ApplyOutcome::Refreshed;
+        }
+        e.replace(now, a);
+        ApplyOutcome::Changed
     }
 
     fn find(&mut self, name: &str) -> Option<&mut Endpoint> {
@@ -310,12 +335,16 @@
     }
 
     /// Zone of an endpoint and the limit on its concurrent requests; none if it isn't admitted.
-    pub fn zone_and_limit(&self, a: &Announcement) -> Option<(String, u32)> {
+    pub fn zone_and_limit<'a>(&'a self, a: &'a Announcement) -> Option<(&'a str, u32)> {
         let host = self.document.hosts.iter().find(|h| h.name == a.host);
         self.admit(host.map(|h| (h.zone.as_str(), h.state)), a)
     }
 
-    fn admit(&self, host: Option<(&str, HostState)>, a: &Announcement) -> Option<(String, u32)> {
+    fn admit<'a>(
+        &self,
+        host: Option<(&'a str, HostState)>,
+        a: &'a Announcement,
+    ) -> Option<(&'a str, u32)> {
         let (zone, state) = match host {
             Some(found) => found,
             None if self.document.rules.admit == Admit::Any => {
@@ -333,7 +362,7 @@
             HostState::Starting => limit.min(a.bearable),
             HostState::Leaving | HostState::Retired => 0,
         };
-        Some((zone.to_owned(), allowed))
+        Some((zone, allowed))
     }
 
     /// Newest incarnation by announced address.
@@ -363,8 +392,8 @@
             }
             let host = hosts.get(a.host.as_str()).map(|h| (h.zone.as_str(), h.state));
             let Some((zone, allowed)) = self.admit(host, a) else { continue };
-            let returned = self.returned.contains_key(&zone);
-            let target = target(key, a, &zone, allowed, returned);
+            let returned = self.returned.contains_key(zone);
+            let target = target(key, e, zone, allowed, returned);
             targets.insert(target.name.clone(), target.clone());
             if allowed > 0 {
                 services.entry(target.service.clone()).or_default().push(target.clone());
@@ -386,12 +415,13 @@
     }
 }
 
-fn target(key: EndpointKey, a: &Announcement, zone: &str, allowed: u32, returned: bool) -> Target {
+fn target(key: EndpointKey, e: &Endpoint, zone: &str, allowed: u32, returned: bool) -> Target {
+    let (a, names) = (&e.latest, &e.names);
     Target {
         key,
-        name: a.endpoint.as_str().into(),
-        service: a.service.as_str().into(),
-        zone: zone.into(),
+        name: names.endpoint.clone(),
+        service: names.service.clone(),
+        zone: if *names.zone == *zone { names.zone.clone() } else { zone.into() },
         address: a.address,
         incarnation: a.incarnation,
         allowed,
--- a/src/wisteriahead/services/registry.rs
+++ b/src/wisteriahead/services/registry.rs
@@ -152,7 +152,7 @@
             document.zones.iter().map(|z| (z.name.clone(), [0, 0])).collect();
         for (_, e) in r.iter() {
             if let Some((zone, _)) = r.zone_and_limit(&e.latest) {
-                zones.entry(zone).or_default()[0] += 1;
+                zones.entry(zone.to_owned()).or_default()[0] += 1;
             }
         }
         for h in &document.hosts {
