Push the changes of endpoints once a tick, and open early connections once

Cause of messages in a tier whose endpoints change together: each change was a message to all hosts, encoded for each, and again half a second later. Changes of a tick (50 ms) go in one message, encoded once. Departures go at once as before, since an endpoint doesn't say them again.

Early connections walked all endpoints of the largest gather five times a second though none was left to connect to.

registry::changes_of_many_endpoints_at_once_take_one_message_to_each_host: 19 messages for 100 endpoints at 20 hosts; each took 19 before.

--- a/src/wisteriahead/core/gossip.rs
+++ b/src/wisteriahead/core/gossip.rs
@@ -1,6 +1,7 @@
 //! Replication of the endpoint registry between the hosts.
 //!
-//! A host that receives an announcement with a change pushes it to all other hosts at once.
+//! A host that receives announcements with changes pushes them to all other hosts at its next tick, so
+//! that many endpoints which change together take one message to each host.
 //! Heartbeats without a change are summarized once per period and sent only to the endpoint's
 //! monitors: the few hosts that detect when the endpoint has been silent for too long and then
 //! notify all hosts. To repair lost messages, each host exchanges digests with one of its few
@@ -69,8 +70,10 @@
     partners: Vec<Arc<str>>,
     /// Heartbeats since the last summary.
     refreshed: IndexMap<Arc<str>, Version>,
+    /// Changes to push at the next tick.
+    changes: IndexMap<Arc<str>, Announcement>,
     /// Changes to push a second time, and when.
-    repushes: Vec<(Time, Announcement)>,
+    repushes: Vec<(Time, Vec<Announcement>)>,
     last_heartbeat: Time,
     last_digest: Time,
     partner_index: usize,
@@ -120,32 +123,31 @@
     }
 
     /// Handles an announcement that the endpoint sent to this host.
-    pub fn announce(&mut self, now: Time, a: Announcement) -> (ApplyOutcome, Vec<Outgoing>) {
+    pub fn announce(&mut self, now: Time, a: Announcement) -> ApplyOutcome {
         let name: Arc<str> = a.endpoint.as_str().into();
         let version = (a.incarnation, a.sequence);
         let applied = self.registry.announce(now, a.clone());
-        if applied == ApplyOutcome::Changed {
-            self.assign_monitors(now);
-        }
-        let out = match applied {
+        match applied {
             ApplyOutcome::Changed => {
-                self.repushes.push((now + REPUSH_DELAY, a.clone()));
-                self.broadcast(&Message::Push(vec![a]))
+                self.assign_monitors(now);
+                self.changes.insert(name, a);
             }
             ApplyOutcome::Refreshed => {
                 self.refreshed.insert(name, version);
-                Vec::new()
             }
-            ApplyOutcome::Stale | ApplyOutcome::Full => Vec::new(),
-        };
-        (applied, out)
+            ApplyOutcome::Stale | ApplyOutcome::Full => {}
+        }
+        applied
     }
 
     /// Handles the departure of an endpoint. All announcements of this incarnation are ignored from
-    /// now on, later ones included.
+    /// now on, later ones included. All hosts are told at once: the endpoint will not say so again.
     pub fn leave(&mut self, now: Time, endpoint: &Arc<str>, incarnation: u64) -> Vec<Outgoing> {
         let version = (incarnation, u64::MAX);
         self.registry.remove(now, endpoint, version);
+        if self.changes.get(endpoint).is_some_and(|a| a.incarnation <= incarnation) {
+            self.changes.swap_remove(endpoint);
+        }
         self.broadcast(&Message::Gone(vec![(endpoint.clone(), version)]))
     }
 
@@ -194,13 +196,7 @@
             self.last_heartbeat = now;
             self.send_heartbeats(&mut out);
         }
-        let (due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.repushes).into_iter().partition(|(at, _)| *at <= now);
-        self.repushes = later;
-        if !due.is_empty() {
-            let list = due.into_iter().map(|(_, a)| a).collect();
-            out.extend(self.broadcast(&Message::Push(list)));
-        }
+        self.push_changes(now, &mut out);
         let partners = &self.partners;
         if now.since(self.last_digest) >= DIGEST_PERIOD && !partners.is_empty() {
             self.last_digest = now;
@@ -215,6 +211,21 @@
         (warm || !gone.is_empty(), out)
     }
 
+    /// Pushes the changes since the last tick, and those that are due a second time, in one message.
+    fn push_changes(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        let new: Vec<_> = std::mem::take(&mut self.changes).into_values().collect();
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.repushes).into_iter().partition(|(at, _)| *at <= now);
+        self.repushes = later;
+        if !new.is_empty() {
+            self.repushes.push((now + REPUSH_DELAY, new.clone()));
+        }
+        let list: Vec<_> = due.into_iter().flat_map(|(_, list)| list).chain(new).collect();
+        if !list.is_empty() {
+            out.extend(self.broadcast(&Message::Push(list)));
+        }
+    }
+
     fn send_heartbeats(&mut self, out: &mut Vec<Outgoing>) {
         let mut by_monitor: IndexMap<Arc<str>, Vec<_>> = IndexMap::new();
         for (name, version) in std::mem::take(&mut self.refreshed) {
--- a/src/wisteriahead/services/registry.rs
+++ b/src/wisteriahead/services/registry.rs
@@ -47,8 +47,15 @@
 
 impl RegistryDriver {
     fn send(&self, out: Vec<Outgoing>) {
+        // A message to all hosts is encoded once.
+        let mut last: Option<(Message, Vec<u8>)> = None;
         for (to, message) in out {
-            self.peers.send(&to, Topic::Registry, encode(&message));
+            let bytes = match &last {
+                Some((same, bytes)) if *same == message => bytes.clone(),
+                _ => encode(&message),
+            };
+            self.peers.send(&to, Topic::Registry, bytes.clone());
+            last = Some((message, bytes));
         }
     }
 
@@ -179,9 +186,8 @@
 impl Announce for RegistryDriver {
     fn announce(&self, a: Announcement) -> Result<(), Refusal> {
         a.check().map_err(|e| Refusal::not_run(Reason::BadRequest, e))?;
-        let (applied, out) = self.gossip.lock().announce(self.ctx.now(), a);
+        let applied = self.gossip.lock().announce(self.ctx.now(), a);
         self.mark_stale(applied == ApplyOutcome::Changed);
-        self.send(out);
         if applied == ApplyOutcome::Full {
             return Err(Refusal::not_run(Reason::Busy, "the registry is full"));
         }
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -32,6 +32,7 @@
 use crate::core::plan::Plan;
 use crate::core::relay::cover::ZoneCover;
 use crate::core::relay::early::EarlyConnections;
+use crate::core::relay::groups::Groups;
 use crate::core::relay::plan_switch::PlanSwitch;
 use crate::core::routes::{Routes, Target};
 use crate::kernel::{Context, Service};
@@ -251,12 +252,19 @@
     }
 
     /// Opens connections to the next endpoints that this host sends calls of gathers to.
-    fn open_early(&self, early: &mut EarlyConnections) {
+    fn open_early(&self, early: &mut EarlyOpener) {
         let Some(table) = self.table.load_full() else { return };
         let (groups, host, zone) =
             (self.traffic.groups(), self.traffic.host(), self.traffic.zone());
+        if early.is_done(&table, &groups) {
+            return;
+        }
         let own = |t: &&Target| *t.zone == *zone && groups.owns(host, t);
-        for target in early.next_round(table.gather_targets().filter(own)) {
+        let round = early.connections.next_round(table.gather_targets().filter(own));
+        if round.is_empty() {
+            early.done = Some((table.clone(), groups.clone()));
+        }
+        for target in round {
             let connections = self.traffic.max_connections(target);
             if connections > 0 {
                 self.pools.open_early(target, connections);
@@ -440,6 +448,20 @@
     }
 }
 
+/// Endpoints that were connected to early, and the state in which none was left to connect to.
+#[derive(Default)]
+struct EarlyOpener {
+    connections: EarlyConnections,
+    done: Option<(Arc<RouteTable>, Arc<Groups>)>,
+}
+
+impl EarlyOpener {
+    fn is_done(&self, table: &Arc<RouteTable>, groups: &Arc<Groups>) -> bool {
+        let same = |(t, g): &(_, _)| Arc::ptr_eq(t, table) && Arc::ptr_eq(g, groups);
+        self.done.as_ref().is_some_and(same)
+    }
+}
+
 /// Applies changes of the plan in force, the endpoints and the members to the relay, and runs its
 /// periodic work.
 async fn follow_changes(
@@ -456,7 +478,7 @@
     let mut keep_alive = tokio::time::interval(KEEP_ALIVE_INTERVAL);
     keep_alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (mut stale, mut switch) = (true, PlanSwitch::default());
-    let mut early = EarlyConnections::default();
+    let mut early = EarlyOpener::default();
     loop {
         if stale {
             changes.mark_unchanged();
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -50,6 +50,7 @@
     bytes: usize,
     /// `Marks` messages, which hosts send when their digests differ.
     repairs: usize,
+    pushes: usize,
     /// Hosts to which each host sent its digests.
     compared: BTreeMap<usize, BTreeSet<Arc<str>>>,
     loss: f64,
@@ -82,6 +83,7 @@
             sent: 0,
             bytes: 0,
             repairs: 0,
+            pushes: 0,
             compared,
             loss: 0.0,
             delay,
@@ -94,6 +96,7 @@
             self.sent += 1;
             self.bytes += encode(&message).len();
             self.repairs += usize::from(matches!(message, Message::Marks { .. }));
+            self.pushes += usize::from(matches!(message, Message::Push(_)));
             if matches!(message, Message::Digests(_)) {
                 self.compared.entry(from).or_default().insert(to.clone());
             }
@@ -110,8 +113,7 @@
     }
 
     fn announce(&mut self, at: usize, a: Announcement) {
-        let (_, out) = self.hosts[at].announce(self.now, a);
-        self.send(at, out);
+        self.hosts[at].announce(self.now, a);
     }
 
     fn run(&mut self, span: Span) {
@@ -284,6 +286,19 @@
     assert!(ranked <= HOSTS as u64, "{ranked} rankings for one changed endpoint");
 }
 
+/// Load pattern: many endpoints are replaced together, in a tier of many hosts.
+#[test]
+fn changes_of_many_endpoints_at_once_take_one_message_to_each_host() {
+    const HOSTS: usize = 20;
+    let mut network = Network::new(3, HOSTS);
+    network.run(Span::secs(1));
+    (0..100).for_each(|e| network.announce(0, announcement(&format!("leaf-{e}"), 1, 1)));
+    network.run(TICK);
+    assert_eq!(network.pushes, HOSTS - 1);
+    network.run(Span::millis(20));
+    assert!((1..HOSTS).all(|at| network.latest(at, "leaf-99").is_some()));
+}
+
 /// Guards against a tenth of a host's processor time in a tier whose endpoints change: each message with a
 /// change looked at the monitors of all endpoints.
 #[test]
