--- a/src/wisteriahead/services/member.rs
+++ b/src/wisteriahead/services/member.rs
@@ -114,6 +114,19 @@
         }
     }
 
+    /// Tells the state machine of hosts that it doesn't know yet.
+    fn discover(&self) {
+        let mut unknown: Vec<Arc<str>> = Vec::new();
+        let machine = self.machine.lock();
+        self.peers.visit_others(&mut |host| {
+            if machine.record(host).is_none() {
+                unknown.push(host.into());
+            }
+        });
+        drop(machine);
+        unknown.into_iter().for_each(|host| self.step(Event::Discovered(host)));
+    }
+
     /// Reports the number of hosts in each state of health.
     fn report(&self) {
         let members = Arc::clone(&self.published.borrow());
@@ -150,9 +163,7 @@
         tokio::select! {
             () = &mut stopped => return,
             _ = tick.tick() => {
-                for host in driver.peers.others() {
-                    driver.step(Event::Discovered(host.into()));
-                }
+                driver.discover();
                 driver.step(Event::Tick);
                 ticks = ticks.wrapping_add(1);
                 if ticks.is_multiple_of(REPORT_TICKS) {
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -66,6 +66,11 @@
     /// Names of the other hosts known now, whether alive or not.
     fn others(&self) -> Vec<String>;
 
+    /// Passes the name of each other host to `visit`.
+    fn visit_others(&self, visit: &mut dyn FnMut(&str)) {
+        self.others().iter().for_each(|host| visit(host));
+    }
+
     /// Address at which this host listens for other hosts; `None` before the socket is bound.
     fn listen_address(&self) -> Option<SocketAddr> {
         None
--- a/src/wisteriahead/services/peers/hub.rs
+++ b/src/wisteriahead/services/peers/hub.rs
@@ -323,6 +323,12 @@
         self.peers.read().keys().filter(|name| !blocked.contains(*name)).cloned().collect()
     }
 
+    fn visit_others(&self, visit: &mut dyn FnMut(&str)) {
+        let blocked = self.blocked.read();
+        let peers = self.peers.read();
+        peers.keys().filter(|name| !blocked.contains(*name)).for_each(|name| visit(name));
+    }
+
     fn listen_address(&self) -> Option<SocketAddr> {
         self.address()
     }
