--- a/src/wisteriahead/core/gossip.rs
+++ b/src/wisteriahead/core/gossip.rs
@@ -76,6 +76,8 @@
     repushes: Vec<(Time, Vec<Announcement>)>,
     last_heartbeat: Time,
     last_digest: Time,
+    /// Digests of the buckets, and the change of the registry up to which they hold.
+    digests: (u64, Vec<u64>),
     partner_index: usize,
     /// Number of times that a host was ranked for an endpoint.
     rankings: u64,
@@ -201,7 +203,8 @@
         if now.since(self.last_digest) >= DIGEST_PERIOD && !partners.is_empty() {
             self.last_digest = now;
             self.partner_index = (self.partner_index + 1) % partners.len();
-            out.push((partners[self.partner_index].clone(), Message::Digests(self.digests())));
+            let partner = partners[self.partner_index].clone();
+            out.push((partner, Message::Digests(self.digests().to_vec())));
         }
         let gone = self.registry.expire(now);
         if !gone.is_empty() {
@@ -237,16 +240,21 @@
         out.extend(by_monitor.into_iter().map(|(to, list)| (to, Message::Beats(list))));
     }
 
-    fn digests(&self) -> Vec<u64> {
-        let mut all = vec![0; BUCKETS as usize];
-        for (name, (incarnation, sequence)) in self.registry.versions() {
-            let state = digest::mix(incarnation).wrapping_add(sequence);
-            all[bucket(&name) as usize] ^= digest::mix(digest::hash(&[&name]) ^ digest::mix(state));
+    fn digests(&mut self) -> &[u64] {
+        let changes = self.registry.version_changes();
+        if self.digests.0 != changes || self.digests.1.is_empty() {
+            let mut all = vec![0; BUCKETS as usize];
+            for (name, (incarnation, sequence)) in self.registry.versions() {
+                let state = digest::mix(incarnation).wrapping_add(sequence);
+                all[bucket(&name) as usize] ^=
+                    digest::mix(digest::hash(&[&name]) ^ digest::mix(state));
+            }
+            self.digests = (changes, all);
         }
-        all
+        &self.digests.1
     }
 
-    fn answer_digests(&self, from: &Arc<str>, theirs: &[u64]) -> Vec<Outgoing> {
+    fn answer_digests(&mut self, from: &Arc<str>, theirs: &[u64]) -> Vec<Outgoing> {
         let own = self.digests();
         let differs = |b: &usize| theirs.get(*b) != own.get(*b);
         let buckets = (0..BUCKETS as usize).filter(differs).fold(0, |set, b| set | 1 << b);
--- a/src/wisteriahead/core/registry.rs
+++ b/src/wisteriahead/core/registry.rs
@@ -17,6 +17,8 @@
 
 /// Time without a heartbeat after which an endpoint is removed.
 pub const EXPIRY: Span = Span::secs(5);
+/// Time between two looks for silent endpoints.
+pub const EXPIRY_PERIOD: Span = Span::millis(200);
 /// Longest time that an endpoint stays in cold start where no plan states it.
 pub const COLD_TIME: Span = Span::secs(5);
 /// Time for which the tombstone of a removed endpoint rejects its delayed announcements.
@@ -140,6 +142,10 @@
     unmonitored: Vec<EndpointKey>,
     /// Number of times that the monitors of an endpoint were looked at to update them.
     monitor_updates: u64,
+    /// Number of changes of what [`Self::versions`] lists.
+    version_changes: u64,
+    /// When silent endpoints were last looked for.
+    last_expiry: Option<Time>,
 }
 
 impl Registry {
@@ -173,12 +179,14 @@
         if version <= e.version().max(e.direct) {
             return ApplyOutcome::Stale;
         }
-        if e.has_same_content(&a) {
+        let same = e.has_same_content(&a);
+        if same {
             (e.latest.sequence, e.seen) = (a.sequence, now);
-            return ApplyOutcome::Refreshed;
+        } else {
+            e.replace(now, a);
         }
-        e.replace(now, a);
-        ApplyOutcome::Changed
+        self.version_changes += 1;
+        if same { ApplyOutcome::Refreshed } else { ApplyOutcome::Changed }
     }
 
     fn find(&mut self, name: &str) -> Option<&mut Endpoint> {
@@ -194,6 +202,7 @@
         let key = self.arena.insert(Endpoint::new(now, a));
         self.names.insert(name, key);
         self.unmonitored.push(key);
+        self.version_changes += 1;
         ApplyOutcome::Changed
     }
 
@@ -207,6 +216,7 @@
     /// Leaves a tombstone for an endpoint that was silent after `version`, and removes the endpoint
     /// unless this host has heard from it since; returns whether it was removed.
     pub fn remove(&mut self, now: Time, name: &Arc<str>, version: Version) -> bool {
+        self.version_changes += 1;
         if self.tombstones.get(name).is_none_or(|(removed, _)| *removed < version) {
             self.tombstones.insert(name.clone(), (version, now));
         }
@@ -233,6 +243,11 @@
         self.names.iter().filter_map(|(n, &k)| Some((n.clone(), self.arena.get(k)?.version())))
     }
 
+    /// Number that rises whenever [`Self::versions`] may list something else.
+    pub fn version_changes(&self) -> u64 {
+        self.version_changes
+    }
+
     /// Latest announcement of an endpoint.
     pub fn latest(&self, name: &str) -> Option<&Announcement> {
         self.arena.get(*self.names.get(name)?).map(|e| &e.latest)
@@ -315,8 +330,13 @@
         self.returned.len() < before
     }
 
-    /// Removes the monitored endpoints that have been silent too long, and returns them.
+    /// Removes the monitored endpoints that have been silent too long, and returns them; looks for them
+    /// once per [`EXPIRY_PERIOD`].
     pub fn expire(&mut self, now: Time) -> Vec<(Arc<str>, Version)> {
+        if self.last_expiry.is_some_and(|last| now.since(last) < EXPIRY_PERIOD) {
+            return Vec::new();
+        }
+        self.last_expiry = Some(now);
         self.tombstones.retain(|_, (_, at)| now.since(*at) < TOMBSTONE_TTL);
         let expiry = self.expiry.unwrap_or(EXPIRY);
         let silent = |e: &Endpoint| e.monitored && now.since(e.seen) > expiry;
--- a/src/wisteriahead/services/member.rs
+++ b/src/wisteriahead/services/member.rs
@@ -114,8 +114,14 @@
         }
     }
 
-    /// Tells the state machine of hosts that it doesn't know yet.
-    fn discover(&self) {
+    /// Tells the state machine of hosts that it doesn't know yet; `known` is the version of the other
+    /// hosts when it knew all.
+    fn discover(&self, known: &mut Option<u64>) {
+        // Read first, so that a host that is added meanwhile is found the next time.
+        let version = self.peers.others_version();
+        if version.is_some() && version == *known {
+            return;
+        }
         let mut unknown: Vec<Arc<str>> = Vec::new();
         let machine = self.machine.lock();
         self.peers.visit_others(&mut |host| {
@@ -124,6 +130,7 @@
             }
         });
         drop(machine);
+        *known = version.filter(|_| unknown.is_empty());
         unknown.into_iter().for_each(|host| self.step(Event::Discovered(host)));
     }
 
@@ -158,12 +165,12 @@
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stopped = std::pin::pin!(driver.ctx.stopped());
-    let mut ticks = 0u32;
+    let (mut ticks, mut known) = (0u32, None);
     loop {
         tokio::select! {
             () = &mut stopped => return,
             _ = tick.tick() => {
-                driver.discover();
+                driver.discover(&mut known);
                 driver.step(Event::Tick);
                 ticks = ticks.wrapping_add(1);
                 if ticks.is_multiple_of(REPORT_TICKS) {
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -66,6 +66,11 @@
     /// Names of the other hosts known now, whether alive or not.
     fn others(&self) -> Vec<String>;
 
+    /// Number that changes whenever [`Peers::others`] may list other hosts; `None` if it is not kept.
+    fn others_version(&self) -> Option<u64> {
+        None
+    }
+
     /// Passes the name of each other host to `visit`.
     fn visit_others(&self, visit: &mut dyn FnMut(&str)) {
         self.others().iter().for_each(|host| visit(host));
--- a/src/wisteriahead/services/peers/hub.rs
+++ b/src/wisteriahead/services/peers/hub.rs
@@ -95,6 +95,8 @@
     started: Instant,
     handlers: RwLock<IndexMap<Topic, Arc<dyn Handler>>>,
     peers: RwLock<IndexMap<String, Arc<Peer>>>,
+    /// Number of changes of the known or blocked hosts.
+    others_version: AtomicU64,
     /// Addresses that have a dialer task, or turned out to be this host's own.
     dialers: Mutex<IndexSet<(SocketAddr, Lane)>>,
     /// Blocked hosts.
@@ -119,6 +121,7 @@
             started: Instant::now(),
             handlers: RwLock::default(),
             peers: RwLock::default(),
+            others_version: AtomicU64::new(0),
             dialers: Mutex::default(),
             blocked: RwLock::default(),
             connections: Mutex::default(),
@@ -254,6 +257,7 @@
         }
         let peer = Arc::new(Peer::new(listen));
         peers.insert(name.to_owned(), peer.clone());
+        self.others_version.fetch_add(1, Ordering::Relaxed);
         Ok(peer)
     }
 
@@ -323,6 +327,10 @@
         self.peers.read().keys().filter(|name| !blocked.contains(*name)).cloned().collect()
     }
 
+    fn others_version(&self) -> Option<u64> {
+        Some(self.others_version.load(Ordering::Relaxed))
+    }
+
     fn visit_others(&self, visit: &mut dyn FnMut(&str)) {
         let blocked = self.blocked.read();
         let peers = self.peers.read();
@@ -347,6 +355,7 @@
     fn set_blocked(&self, hosts: IndexSet<String>) {
         let new = hosts.into_iter().filter(|name| *name != self.settings.host).collect();
         *self.blocked.write() = new;
+        self.others_version.fetch_add(1, Ordering::Relaxed);
         self.close_blocked();
     }
 
--- a/src/wisteriahead/services/relay/table.rs
+++ b/src/wisteriahead/services/relay/table.rs
@@ -29,6 +29,8 @@
     endpoints: Arc<Routes>,
     /// Availability zones of the endpoints.
     zones: OnceLock<IndexSet<Arc<str>>>,
+    /// Whether endpoints are known for enough services.
+    has_endpoints: OnceLock<bool>,
     /// Zones that gathers are sent to, by the zones that they leave out.
     covers: Mutex<IndexMap<Vec<Arc<str>>, Arc<ZoneCover>>>,
 }
@@ -40,8 +42,8 @@
         let entry =
             |r: &Route| Arc::new(RouteEntry { route: r.clone(), snapshots: OnceLock::new() });
         let entries = plan.routes.iter().map(entry).collect();
-        let (zones, covers) = (OnceLock::new(), Mutex::default());
-        Self { plan, index, entries, endpoints, zones, covers }
+        let (zones, has_endpoints) = (OnceLock::new(), OnceLock::new());
+        Self { plan, index, entries, endpoints, zones, has_endpoints, covers: Mutex::default() }
     }
 
     /// Availability zones of the endpoints that take new requests.
@@ -115,10 +117,12 @@
 
     /// Whether endpoints are known for enough of the services that the routes name.
     pub fn has_endpoints(&self) -> bool {
-        let named: IndexSet<_> =
-            self.plan.routes.iter().flat_map(|r| r.destination.services()).collect();
-        let known = named.iter().filter(|s| self.endpoints.services.contains_key(**s));
-        known.count() * SERVED_DIVISOR >= named.len().max(1)
+        *self.has_endpoints.get_or_init(|| {
+            let named: IndexSet<_> =
+                self.plan.routes.iter().flat_map(|r| r.destination.services()).collect();
+            let known = named.iter().filter(|s| self.endpoints.services.contains_key(**s));
+            known.count() * SERVED_DIVISOR >= named.len().max(1)
+        })
     }
 
     /// Snapshot that a part of the route's destination leads to.
