Measure the cost of a message between hosts

wisteria-experiment messages: processor time of both hosts, system calls and bytes on the connection of a one-way message. Allocations and wake-ups are not counted by it.

Tests of the order of small messages, and of a batch that is read together with its cancellation; with the cancellation taken out the latter fails (at its first wait, since then its first request is not cancelled either).

--- a/crates/wisteria-experiment/src/experiments/mod.rs
+++ b/crates/wisteria-experiment/src/experiments/mod.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod cost;
 mod hosts;
+mod messages;
 mod orders;
 mod overload;
 mod sites;
@@ -61,6 +62,7 @@
     ("cost", |plan| Box::pin(cost::run(plan))),
     ("frozen", |plan| Box::pin(hosts::run(plan, HostFault::Frozen))),
     ("killed", |plan| Box::pin(hosts::run(plan, HostFault::Killed))),
+    ("messages", |plan| Box::pin(messages::run(plan))),
     ("orders", |plan| Box::pin(orders::run(plan))),
     ("overload", |plan| Box::pin(overload::run(plan))),
     ("shirakaba", |plan| Box::pin(sites::run(plan, sites::SHIRAKABA))),
--- a/crates/wisteria-experiment/src/proc.rs
+++ b/crates/wisteria-experiment/src/proc.rs
@@ -17,7 +17,16 @@
 /// CPU time that the process has used, user and system.
 pub(crate) fn cpu_time(process: &Process) -> Result<Duration> {
     let id = process.id().context("the process has ended")?;
-    let stat = read_to_string(format!("/proc/{id}/stat"))?;
+    cpu_time_in(&format!("/proc/{id}/stat"))
+}
+
+/// CPU time that this process has used, user and system.
+pub(crate) fn own_cpu_time() -> Result<Duration> {
+    cpu_time_in("/proc/self/stat")
+}
+
+fn cpu_time_in(file: &str) -> Result<Duration> {
+    let stat = read_to_string(file)?;
     // The program name is in parentheses and may itself contain spaces and parentheses.
     let (_, fields) = stat.rsplit_once(')').context("/proc/PID/stat has no program name")?;
     let fields: Vec<&str> = fields.split_whitespace().collect();
--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -78,6 +78,35 @@
     }
 }
 
+/// Guards against work on a request that was answered long ago: a host that was frozen reads the batch and
+/// its cancellation one after the other.
+#[tokio::test]
+async fn batch_that_is_read_together_with_its_cancellation_reaches_no_endpoint() {
+    let tier = Tier::start().await;
+    tier.gather().await;
+    tier.leaf_state.hang.store(true, Ordering::Relaxed);
+    let hanging = || tier.leaf_state.hanging.load(Ordering::Relaxed);
+    let to_south = || tier.network.last.lock()["south"].clone();
+    let asked = async {
+        wait_until("all shards are asked", async || hanging() >= SHARDS).await;
+        to_south()
+    };
+    let ask = tokio::select! {
+        r = tier.get() => panic!("it was answered: {}", r.status()),
+        ask = asked => ask,
+    };
+    wait_until("it is cancelled", async || hanging() == 0 && to_south() != ask).await;
+    let stop = to_south();
+    tier.leaf_state.hang.store(false, Ordering::Relaxed);
+    let before = tier.leaf_state.requests.load(Ordering::Relaxed);
+    let handler = tier.network.handlers.lock()[&("south".to_owned(), Topic::Relay)].clone();
+    handler.receive("north", &ask);
+    handler.receive("north", &stop);
+    tier.gather().await;
+    let requests = tier.leaf_state.requests.load(Ordering::Relaxed) - before;
+    assert_eq!(requests, SHARDS, "only those of the gather that followed");
+}
+
 /// Guards against 404 for a route that was added: a host that is behind, or cut off, cannot know
 /// that a route does not exist.
 #[tokio::test]
--- a/tests/testsuite/peer_links.rs
+++ b/tests/testsuite/peer_links.rs
@@ -416,6 +416,22 @@
     until("all messages", || a.notes.0.lock().len() == 4).await;
 }
 
+/// What comes later was sent later: a cancellation never overtakes the batch that it ends.
+#[tokio::test]
+async fn small_messages_arrive_in_the_order_in_which_they_were_sent() {
+    let ca = Authority::new();
+    let a = start(&ca, "a", &[]).await;
+    let b = start(&ca, "b", &[a.service.address().unwrap()]).await;
+    until("a", || b.peers.others() == ["a"]).await;
+    let sizes: Vec<usize> = (0..1_000).map(|n| n * 37 % 4_001).collect();
+    for part in sizes.chunks(100) {
+        part.iter().for_each(|&bytes| b.peers.send("a", Topic::Member, vec![1; bytes]));
+        tokio::task::yield_now().await;
+    }
+    until("all messages", || a.notes.0.lock().len() == sizes.len()).await;
+    assert_eq!(*a.notes.0.lock(), sizes);
+}
+
 /// The last words of a host that stops, such as that it leaves, are written before its connections close.
 #[tokio::test]
 async fn messages_sent_right_before_a_stop_arrive() {
