Bound the number of calls in progress on a connection

What callers could see: a host whose memory fills. Found by reading the change again. A call counts as 4 KiB of the 16 MiB at least, by a semaphore in place of a counter of its own, as answers of endpoints do.

peers::calls_in_progress_are_bounded_in_number: no refusal before (it waited for one in vain), refused now.

--- a/src/wisteriahead/services/peers/accept.rs
+++ b/src/wisteriahead/services/peers/accept.rs
@@ -12,7 +12,6 @@
 use futures::StreamExt as _;
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt as _, ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -29,8 +28,10 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Maximum number of calls of a connection in progress, and answers waiting to be written to it.
 const CALLS_MAX: usize = 4_096;
-/// Maximum size of the calls of a connection in progress.
+/// Maximum size of the calls of a connection in progress. Each counts as [`CALL_MIN_BYTES`] at least.
 const CALLS_MAX_BYTES: usize = 16 << 20;
+/// Size that bounds the number of small calls to [`CALLS_MAX`].
+const CALL_MIN_BYTES: usize = CALLS_MAX_BYTES / CALLS_MAX;
 
 type Reader = FramedRead<ReadHalf<TlsStream<Socket>>, FrameDecoder>;
 type Writer = WriteHalf<TlsStream<Socket>>;
@@ -150,7 +151,8 @@
 async fn serve(hub: Arc<Hub>, inbound: Inbound) -> anyhow::Error {
     let Inbound { name, mut reader, mut writer, guard } = inbound;
     let (answers, waiting) = mpsc::channel(CALLS_MAX);
-    let calls = Calls { hub, name, answers, bytes: Arc::default() };
+    let memory = Arc::new(Semaphore::new(CALLS_MAX_BYTES));
+    let calls = Calls { hub, name, answers, memory };
     let cause = tokio::select! {
         Err(cause) = calls.read(&mut reader) => cause,
         Err(cause) = write_answers(waiting, &mut writer) => cause,
@@ -184,8 +186,8 @@
     hub: Arc<Hub>,
     name: Arc<str>,
     answers: mpsc::Sender<Frame>,
-    /// Size of the calls in progress.
-    bytes: Arc<AtomicUsize>,
+    /// Memory for calls in progress.
+    memory: Arc<Semaphore>,
 }
 
 impl Calls {
@@ -223,11 +225,11 @@
 
     /// Starts a call in a task of its own; refuses it if too many are in progress.
     fn start(&self, number: u64, bytes: Bytes) -> Result<()> {
-        let held = HeldBytes::new(&self.bytes, bytes.len());
-        if held.total() > CALLS_MAX_BYTES {
+        let size = u32::try_from(bytes.len().max(CALL_MIN_BYTES))?;
+        let Ok(share) = self.memory.clone().try_acquire_many_owned(size) else {
             let cause = "too many calls are in progress on the connection".to_owned();
             return self.answer(Frame::Answer(number, Answer::Refused(cause)));
-        }
+        };
         let calls = self.clone();
         self.hub.spawn(async move {
             let answer = match calls.handle(&bytes).await {
@@ -235,7 +237,7 @@
                 Ok(_) => Answer::Refused(format!("the answer exceeds {ENVELOPE_MAX_BYTES} bytes")),
                 Err(e) => Answer::Refused(format!("{e:#}")),
             };
-            drop(held);
+            drop(share);
             // The connection has ended if nobody takes the answer.
             let _ = calls.answers.send(Frame::Answer(number, answer)).await;
         });
@@ -267,26 +269,3 @@
         Ok(e)
     }
 }
-
-/// Adds to a sum of bytes until it is dropped.
-struct HeldBytes {
-    sum: Arc<AtomicUsize>,
-    bytes: usize,
-}
-
-impl HeldBytes {
-    fn new(sum: &Arc<AtomicUsize>, bytes: usize) -> Self {
-        sum.fetch_add(bytes, Ordering::Relaxed);
-        Self { sum: sum.clone(), bytes }
-    }
-
-    fn total(&self) -> usize {
-        self.sum.load(Ordering::Relaxed)
-    }
-}
-
-impl Drop for HeldBytes {
-    fn drop(&mut self) {
-        self.sum.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
--- a/tests/testsuite/peers.rs
+++ b/tests/testsuite/peers.rs
@@ -289,6 +289,35 @@
     link.exchange_hello(hello("b")).await.unwrap();
 }
 
+/// Never answers a call.
+struct Silent;
+
+impl Handler for Silent {
+    fn receive(&self, _: &str, _: &[u8]) {}
+
+    fn answer<'a>(&'a self, _: &'a str, _: &'a [u8]) -> BoxFuture<'a, Result<Vec<u8>>> {
+        Box::pin(std::future::pending())
+    }
+}
+
+/// Guards against memory that calls without end fill, however small they are.
+#[tokio::test]
+async fn calls_in_progress_are_bounded_in_number() {
+    const CALLS: u64 = 4_096;
+    let ca = Authority::new();
+    let (a, _) = start(&ca, "a", &[]).await;
+    a.peers.set_handler(Topic::Member, Arc::new(Silent));
+    let mut link = connect(&ca.issue(Kind::Host, "b"), a.address).await.unwrap();
+    link.exchange_hello(hello("b")).await.unwrap();
+    for number in 0..CALLS {
+        let call = Frame::Call(number, envelope(VERSION, "b").into());
+        link.write(&call).await.unwrap();
+    }
+    let answer = link.call(CALLS, envelope(VERSION, "b")).await.unwrap();
+    let Answer::Refused(cause) = answer else { panic!("{answer:?}") };
+    assert!(cause.contains("too many calls"), "{cause}");
+}
+
 /// Connects until the handshake succeeds: after a refusal an address is let in again after a pause.
 async fn connect_until_admitted(tls: &TlsPaths, to: SocketAddr) -> Link {
     let admitted = async {
