Write a frame, decode and look up hosts in one place each

No change of behaviour, found by reading the change again: one function writes a frame (hellos and refusals did, on both sides, and the tests); an envelope is decoded by the decoder of all messages; delays follow from the number of failures; a walk over known hosts that was added before a version made it rare, and a wrapper of one line, are gone. The tests keep their assertions.

--- a/src/wisteriahead/core/message.rs
+++ b/src/wisteriahead/core/message.rs
@@ -5,7 +5,7 @@
 //! An unknown version is refused. A long envelope may be compressed: a byte that starts no
 //! MessagePack value, then the uncompressed length and the LZ4 block.
 
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
 /// Version of the envelope that this program supports.
@@ -86,7 +86,7 @@
 /// # Errors
 ///
 /// Returns [`DecodeError::Malformed`] if the bytes do not decode to a `T`.
-pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, DecodeError> {
     rmp_serde::from_slice(bytes).map_err(|e| DecodeError::Malformed(e.to_string()))
 }
 
@@ -124,8 +124,7 @@
     ///
     /// Returns [`DecodeError`] if the bytes are not an envelope of [`VERSION`].
     pub fn read(bytes: &'a [u8]) -> Result<Self, DecodeError> {
-        let e: Self =
-            rmp_serde::from_slice(bytes).map_err(|e| DecodeError::Malformed(e.to_string()))?;
+        let e: Self = decode(bytes)?;
         if e.version == VERSION { Ok(e) } else { Err(DecodeError::Version(e.version)) }
     }
 }
--- a/src/wisteriahead/core/peers/reconnect.rs
+++ b/src/wisteriahead/core/peers/reconnect.rs
@@ -17,25 +17,19 @@
 pub const REPORT_FAILURES: u32 = 8;
 
 /// Delays of one host.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Reconnect {
-    next: Span,
+    /// Failures in a row.
     failures: u32,
 }
 
-impl Default for Reconnect {
-    fn default() -> Self {
-        Self { next: DELAY_MIN, failures: 0 }
-    }
-}
-
 impl Reconnect {
     /// Delay after a failed attempt; `random` is drawn from 0 to 1.
     pub fn after_failure(&mut self, random: f64) -> Span {
-        let delay = Span((self.next.0 as f64 * (0.5 + random / 2.0)) as u64);
-        self.next = Span(self.next.0 * 2).min(DELAY_MAX);
+        let doubled = DELAY_MIN.0.saturating_mul(2u64.saturating_pow(self.failures));
+        let longest = Span(doubled).min(DELAY_MAX);
         self.failures = self.failures.saturating_add(1);
-        delay
+        Span((longest.0 as f64 * (0.5 + random / 2.0)) as u64)
     }
 
     /// Records that the host was seen to run: the delays start anew.
@@ -51,7 +45,7 @@
     /// Delay after the end of a connection that was open from `opened` to `closed`.
     pub fn after_end(&mut self, opened: Time, closed: Time, random: f64) -> Span {
         if closed.since(opened) >= LASTED_MIN {
-            *self = Self::default();
+            self.record_seen();
             return Span::ZERO;
         }
         self.after_failure(random)
--- a/src/wisteriahead/core/registry.rs
+++ b/src/wisteriahead/core/registry.rs
@@ -93,11 +93,6 @@
         self.monitored = monitored;
     }
 
-    /// Whether an announcement differs from the latest in nothing but its sequence.
-    fn has_same_content(&self, a: &Announcement) -> bool {
-        self.latest.has_same_content(a)
-    }
-
     /// Raises the latest sequence to that of the newest announcement made to this host, so that
     /// the next comparison sends it to the other hosts.
     fn advance_sequence(&mut self) {
@@ -156,7 +151,7 @@
             if version <= e.version().max(e.direct) {
                 return ApplyOutcome::Stale;
             }
-            if e.has_same_content(&a) {
+            if e.latest.has_same_content(&a) {
                 (e.direct, e.seen) = (version, now);
                 return ApplyOutcome::Refreshed;
             }
@@ -179,7 +174,7 @@
         if version <= e.version().max(e.direct) {
             return ApplyOutcome::Stale;
         }
-        let same = e.has_same_content(&a);
+        let same = e.latest.has_same_content(&a);
         if same {
             (e.latest.sequence, e.seen) = (a.sequence, now);
         } else {
--- a/src/wisteriahead/services/member.rs
+++ b/src/wisteriahead/services/member.rs
@@ -122,16 +122,12 @@
         if version.is_some() && version == *known {
             return;
         }
-        let mut unknown: Vec<Arc<str>> = Vec::new();
+        let mut unknown = self.peers.others();
         let machine = self.machine.lock();
-        self.peers.visit_others(&mut |host| {
-            if machine.record(host).is_none() {
-                unknown.push(host.into());
-            }
-        });
+        unknown.retain(|host| machine.record(host).is_none());
         drop(machine);
         *known = version.filter(|_| unknown.is_empty());
-        unknown.into_iter().for_each(|host| self.step(Event::Discovered(host)));
+        unknown.into_iter().for_each(|host| self.step(Event::Discovered(host.into())));
     }
 
     /// Reports the number of hosts in each state of health.
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -71,11 +71,6 @@
         None
     }
 
-    /// Passes the name of each other host to `visit`.
-    fn visit_others(&self, visit: &mut dyn FnMut(&str)) {
-        self.others().iter().for_each(|host| visit(host));
-    }
-
     /// Address at which this host listens for other hosts; `None` before the socket is bound.
     fn listen_address(&self) -> Option<SocketAddr> {
         None
--- a/src/wisteriahead/services/peers/accept.rs
+++ b/src/wisteriahead/services/peers/accept.rs
@@ -2,7 +2,7 @@
 
 use super::hub::{Hub, OpenConnection};
 use super::socket::{Socket, prepare};
-use super::wire::{Answer, Frame, FrameDecoder, Hello};
+use super::wire::{Answer, Frame, FrameDecoder, Hello, send};
 use super::{CLOSE_TIMEOUT, HANDSHAKE_TIMEOUT, INBOUND_IDLE_TIMEOUT};
 use crate::core::message::{self, ENVELOPE_MAX_BYTES, EnvelopeView};
 use crate::prelude::*;
@@ -129,19 +129,14 @@
         _ => bail!("the first frame is no hello"),
     };
     hub.accept_hello(&id, hello, from)?;
-    let mut out = BytesMut::new();
-    Frame::Hello(message::encode(&hub.hello()).into()).write(&mut out);
-    writer.write_all(&out).await?;
-    writer.flush().await?;
+    send(writer, &Frame::Hello(message::encode(&hub.hello()).into())).await?;
     Ok(guard)
 }
 
 /// Tells the other host why its connection ends. It may be gone already.
 async fn refuse(writer: &mut Writer, cause: &str) {
-    let mut out = BytesMut::new();
-    Frame::Refused(cause.to_owned()).write(&mut out);
     let said = async {
-        writer.write_all(&out).await?;
+        send(writer, &Frame::Refused(cause.to_owned())).await?;
         writer.shutdown().await
     };
     let _ = timeout(CLOSE_TIMEOUT.to_std(), said).await;
--- a/src/wisteriahead/services/peers/dial.rs
+++ b/src/wisteriahead/services/peers/dial.rs
@@ -4,7 +4,7 @@
 use super::hub::{Hub, OpenConnection, Peer};
 use super::lane::OutboundLane;
 use super::socket::{Socket, prepare};
-use super::wire::{Frame, FrameDecoder, Hello};
+use super::wire::{Frame, FrameDecoder, Hello, send};
 use super::{CLOSE_TIMEOUT, HANDSHAKE_TIMEOUT, IDLE_TIMEOUT};
 use crate::core::message;
 use crate::core::peers::Lane;
@@ -142,10 +142,7 @@
     let guard = hub.track(&id.name);
     let (rx, mut writer) = tokio::io::split(stream);
     let mut reader = FramedRead::new(rx, FrameDecoder::default());
-    let mut out = BytesMut::new();
-    Frame::Hello(message::encode(&hub.hello()).into()).write(&mut out);
-    writer.write_all(&out).await?;
-    writer.flush().await?;
+    send(&mut writer, &Frame::Hello(message::encode(&hub.hello()).into())).await?;
     let hello = match reader.next().await.context("the host sent no hello")?? {
         Frame::Hello(bytes) => Hello::read(&bytes)?,
         Frame::Refused(cause) => bail!("host `{}` refused the connection: {cause}", id.name),
--- a/src/wisteriahead/services/peers/hub.rs
+++ b/src/wisteriahead/services/peers/hub.rs
@@ -331,12 +331,6 @@
         Some(self.others_version.load(Ordering::Relaxed))
     }
 
-    fn visit_others(&self, visit: &mut dyn FnMut(&str)) {
-        let blocked = self.blocked.read();
-        let peers = self.peers.read();
-        peers.keys().filter(|name| !blocked.contains(*name)).for_each(|name| visit(name));
-    }
-
     fn listen_address(&self) -> Option<SocketAddr> {
         self.address()
     }
--- a/src/wisteriahead/services/peers/wire.rs
+++ b/src/wisteriahead/services/peers/wire.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::net::SocketAddr;
+use tokio::io::{AsyncWrite, AsyncWriteExt as _};
 use tokio_util::codec::{Decoder, LengthDelimitedCodec};
 
 /// Maximum size of an encoded hello.
@@ -130,6 +131,18 @@
     }
 }
 
+/// Writes one frame to a connection.
+///
+/// # Errors
+///
+/// Fails if the connection does.
+pub async fn send(writer: &mut (impl AsyncWrite + Unpin), frame: &Frame) -> io::Result<()> {
+    let mut out = BytesMut::new();
+    frame.write(&mut out);
+    writer.write_all(&out).await?;
+    writer.flush().await
+}
+
 /// Appends a frame with a one-way message.
 pub fn write_message(out: &mut BytesMut, envelope: &[u8]) {
     write_parts(out, &[&[MESSAGE], envelope]);
--- a/tests/testsuite/peer_links.rs
+++ b/tests/testsuite/peer_links.rs
@@ -3,7 +3,6 @@
 
 use crate::support::{ANY, Authority, HANG_TIMEOUT, ZONE, until};
 use anyhow::Result;
-use bytes::BytesMut;
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
 use std::net::{IpAddr, SocketAddr};
@@ -22,7 +21,7 @@
 use wisteriahead::core::peers::{BULK_MIN_BYTES, Lane};
 use wisteriahead::core::time::{Span, Time};
 use wisteriahead::kernel::Kernel;
-use wisteriahead::services::peers::wire::{Frame, Hello};
+use wisteriahead::services::peers::wire::{Frame, Hello, send};
 use wisteriahead::services::peers::{PeerSettings, PeersService};
 use wisteriahead::services::{Handler, Peers};
 use wisteriahead::util::tls::{ALPN_HOST, Credentials, HostKeys, Kind as Holder, TlsPaths};
@@ -299,10 +298,7 @@
 }
 
 async fn write(stream: &mut TlsStream<TcpStream>, frame: &Frame) {
-    let mut out = BytesMut::new();
-    frame.write(&mut out);
-    stream.write_all(&out).await.unwrap();
-    stream.flush().await.unwrap();
+    send(stream, frame).await.unwrap();
 }
 
 /// Guards against a caller that waits its whole time for a host that has frozen.
@@ -486,10 +482,7 @@
         others: Vec::new(),
         unpacks: false,
     };
-    let mut out = BytesMut::new();
-    Frame::Hello(encode(&hello).into()).write(&mut out);
-    link.write_all(&out).await.unwrap();
-    link.flush().await.unwrap();
+    send(&mut link, &Frame::Hello(encode(&hello).into())).await.unwrap();
     let length = link.read_u32().await.unwrap() as usize;
     let mut answer = vec![0; length];
     link.read_exact(&mut answer).await.unwrap();
--- a/tests/testsuite/peers.rs
+++ b/tests/testsuite/peers.rs
@@ -1,13 +1,12 @@
 use crate::support::{ANY, Authority, HANG_TIMEOUT, Host, ZONE, until};
 use anyhow::{Result, bail};
-use bytes::BytesMut;
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
 use rustls_pki_types::ServerName;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_rustls::TlsConnector;
@@ -19,7 +18,7 @@
 use wisteriahead::core::verdict::{Reason, Refusal, Verdict};
 use wisteriahead::kernel::Kernel;
 use wisteriahead::services::Handler;
-use wisteriahead::services::peers::wire::{Answer, CONTACTS_MAX, Contact, Frame, Hello};
+use wisteriahead::services::peers::wire::{Answer, CONTACTS_MAX, Contact, Frame, Hello, send};
 use wisteriahead::services::peers::{PeerSettings, PeersService};
 use wisteriahead::util::tls::{ALPN_HOST, Credentials, HostKeys, Kind, SERVER_NAME, TlsPaths};
 
@@ -60,10 +59,7 @@
 
 impl Link {
     async fn write(&mut self, frame: &Frame) -> Result<()> {
-        let mut out = BytesMut::new();
-        frame.write(&mut out);
-        self.0.write_all(&out).await?;
-        Ok(self.0.flush().await?)
+        Ok(send(&mut self.0, frame).await?)
     }
 
     /// Reads the next frame.
