Reproduce calls for callers that left: batches that are read late

The reader of the second host's connection stands still for 0.9 s; a batch that waits there starts all its calls when it is read: after its deadline (400 ms), after its caller left though the cancellation is on its way, and after the cancellation, which takes the other connection and is forgotten. Two stalls in a row stand for lost packets: what comes in order does not come together.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod hedge;
 mod homes;
 mod keys;
+mod late_batches;
 mod late_orders;
 mod log;
 mod member;
--- a/tests/testsuite/relay_tier.rs
+++ b/tests/testsuite/relay_tier.rs
@@ -33,6 +33,7 @@
 use wisteriahead::core::routes::{Routes, Target};
 use wisteriahead::kernel::Kernel;
 use wisteriahead::prelude::*;
+use wisteriahead::services::peers::{PeerSettings, PeersService};
 use wisteriahead::services::quarantine::QuarantineService;
 use wisteriahead::services::relay::protocol::{Call, Outcome, Protocol, Reply, RequestMeta};
 use wisteriahead::services::relay::{RelayBounds, RelayService, RelaySettings};
@@ -41,6 +42,8 @@
 };
 use wisteriahead::util::http::{self, Answer};
 use wisteriahead::util::metrics::Metrics;
+use wisteriahead::util::secret::Secret;
+use wisteriahead::util::tls::HostKeys;
 
 pub const ID: &str = "id";
 /// Start of the paths of requests that crash each endpoint that runs them.
@@ -399,6 +402,25 @@
     ("h", "south"),
 ];
 
+/// What the hosts of a tier send each other messages over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Links {
+    /// [`PeerLink`], which delivers them at once.
+    InProcess,
+    /// The product's own transport.
+    Tcp,
+}
+
+fn peer_settings(host: &str, zone: &str) -> PeerSettings {
+    PeerSettings {
+        host: host.to_owned(),
+        zone: zone.to_owned(),
+        listen: ANY,
+        seeds: Vec::new(),
+        keys: HostKeys::Secret(Secret::new("secret of the tests").unwrap()),
+    }
+}
+
 /// Hosts and the endpoints of some shards, all of which are in the south. Callers use the first host.
 pub struct Tier {
     pub shards: usize,
@@ -430,6 +452,17 @@
         shards: usize,
         connections: u32,
         broken: Option<SocketAddr>,
+    ) -> Self {
+        Self::start_over(hosts, shards, connections, broken, Links::InProcess).await
+    }
+
+    /// Starts hosts that send each other messages over `links`.
+    pub async fn start_over(
+        hosts: &[(&'static str, &'static str)],
+        shards: usize,
+        connections: u32,
+        broken: Option<SocketAddr>,
+        links: Links,
     ) -> Self {
         let leaf_state = Arc::new(LeafState::default());
         let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
@@ -470,6 +503,7 @@
         let members = Arc::new(hosts.iter().map(member).collect::<Vec<_>>());
         let network = Arc::new(Network::default());
         let (mut kernels, mut addresses, mut all_services) = (Vec::new(), Vec::new(), Vec::new());
+        let mut peer_addresses = Vec::new();
         for &(host, zone) in hosts {
             let accepted = AcceptedDocument {
                 plan: Some(Arc::new(plan(shards, connections))),
@@ -484,9 +518,18 @@
             });
             all_services.push(services_of_host.clone());
             let mut kernel = Kernel::default();
+            match links {
+                Links::InProcess => {
+                    let peers = Arc::new(PeerLink { host, zone, network: network.clone() });
+                    kernel.context().publish::<dyn Peers>(<dyn Peers>::NAME, peers);
+                }
+                Links::Tcp => {
+                    let service = Arc::new(PeersService::new(peer_settings(host, zone)));
+                    kernel.start(service.clone()).await.unwrap();
+                    peer_addresses.push((host, service.address().unwrap()));
+                }
+            }
             let ctx = kernel.context();
-            let peers: Arc<dyn Peers> = Arc::new(PeerLink { host, zone, network: network.clone() });
-            ctx.publish(<dyn Peers>::NAME, peers);
             ctx.publish::<dyn Control>(<dyn Control>::NAME, services_of_host.clone());
             ctx.publish::<dyn Endpoints>(<dyn Endpoints>::NAME, services_of_host.clone());
             ctx.publish::<dyn Members>(<dyn Members>::NAME, services_of_host);
@@ -510,6 +553,10 @@
             addresses.push(relay.address().unwrap());
             kernels.push(kernel);
         }
+        for kernel in &kernels {
+            let peers = kernel.context().find::<dyn Peers>(<dyn Peers>::NAME).unwrap();
+            peer_addresses.iter().for_each(|(host, address)| peers.learn(host, *address));
+        }
         Self {
             shards,
             network,
