Tell the age of messages between hosts, and start no batch late

Callers saw endpoints work for requests whose caller had left 0.6 s before, and calls that began 230 ms after the request's deadline. Cause: a batch told how much time was left when it was encoded, and the receiver counted that time from when it read the message; nothing knew how long the message had been on its way. Cancellations relied on the order of one connection: one that overtook its batch was forgotten, one that was lost with its connection never came again.

Now a timed message bears its sender's clock and the time for which it is of use. The receiver bounds the offset of the clocks from both sides (arrivals from above, answers to its questions from below), so an age is never taken for less than it is. A batch gets the time that is left of its own, and starts its calls within 400 ms of its sending or not at all; cancellations are remembered for that long, are sent again after a broken connection, and take back a batch that still waits here.

Ruled out: waiting calls at the receiver (they would spread over time, and a test of the timer of connections exists); overtaking alone (the calls would come within ms).

--- a/src/wisteriahead/core/relay/mod.rs
+++ b/src/wisteriahead/core/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod notices;
 pub mod plan_switch;
 pub mod rate;
+pub mod remote;
 pub mod retry_budget;
 pub mod stale_address;
 pub mod stop;
--- a/src/wisteriahead/core/relay/timing.rs
+++ b/src/wisteriahead/core/relay/timing.rs
@@ -71,4 +71,10 @@
         let useful = Span(answer_by.since(now).0.saturating_sub(2 * MESSAGE_TIME.0));
         Self { first, useful }
     }
+
+    /// The same times at the receiver of a message that was late by `span`.
+    pub fn after(self, span: Span) -> Self {
+        let rest = |of: Span| Span(of.0.saturating_sub(span.0));
+        Self { first: rest(self.first), useful: rest(self.useful) }
+    }
 }
--- a/src/wisteriahead/services/mod.rs
+++ b/src/wisteriahead/services/mod.rs
@@ -14,6 +14,8 @@
 use crate::core::log::Replica;
 pub use crate::core::member::{Health, Member};
 use crate::core::message::Topic;
+use crate::core::peers::TimedMessage;
+use crate::core::peers::clock::Age;
 use crate::core::plan::Plan;
 use crate::core::routes::{Routes, Target};
 use crate::prelude::*;
@@ -44,6 +46,12 @@
     /// Handles a one-way message.
     fn receive(&self, from: &str, body: &[u8]);
 
+    /// Handles a one-way message of a known age; by default like any other.
+    fn receive_timed(&self, from: &str, age: Age, body: &[u8]) {
+        let _ = age;
+        self.receive(from, body);
+    }
+
     /// Answers a call; by default all calls are refused.
     ///
     /// # Errors
@@ -98,6 +106,12 @@
     /// Sends a one-way message without a guarantee of delivery.
     fn send(&self, to: &str, topic: Topic, body: Vec<u8>);
 
+    /// Sends a one-way message whose receiver learns its age, without a guarantee of delivery; by default like any
+    /// other.
+    fn send_timed(&self, to: &str, topic: Topic, message: TimedMessage) {
+        self.send(to, topic, message.body);
+    }
+
     /// Calls a host and waits for its answer.
     ///
     /// # Errors
--- a/src/wisteriahead/services/peers/accept.rs
+++ b/src/wisteriahead/services/peers/accept.rs
@@ -2,9 +2,11 @@
 
 use super::hub::{Hub, OpenConnection};
 use super::socket::{Socket, prepare};
+use super::traffic::DELAYED_FROM;
 use super::wire::{Answer, Frame, FrameDecoder, Hello, send};
 use super::{CLOSE_TIMEOUT, HANDSHAKE_TIMEOUT, INBOUND_IDLE_TIMEOUT};
 use crate::core::message::{self, ENVELOPE_MAX_BYTES, EnvelopeView};
+use crate::core::peers::clock::{Age, ClockOffset, Reading};
 use crate::prelude::*;
 use crate::util::tls::{Identity, Kind};
 use anyhow::{anyhow, bail};
@@ -42,6 +44,7 @@
     reader: Reader,
     writer: Writer,
     guard: OpenConnection,
+    clock: ClockOffset,
 }
 
 /// Accepts connections until the service stops.
@@ -99,9 +102,9 @@
     let mut reader = FramedRead::new(rx, FrameDecoder::default());
     let hellos = exchange_hellos(hub, id, &mut reader, &mut writer, from);
     match timeout(HANDSHAKE_TIMEOUT.to_std(), hellos).await.context("no hello in time") {
-        Ok(Ok(guard)) => {
+        Ok(Ok((guard, clock))) => {
             reader.decoder_mut().accept_envelopes();
-            Ok(Inbound { name: guard.host().clone(), reader, writer, guard })
+            Ok(Inbound { name: guard.host().clone(), reader, writer, guard, clock })
         }
         Ok(Err(e)) | Err(e) => {
             refuse(&mut writer, &format!("{e:#}")).await;
@@ -116,7 +119,7 @@
     reader: &mut Reader,
     writer: &mut Writer,
     from: SocketAddr,
-) -> Result<OpenConnection> {
+) -> Result<(OpenConnection, ClockOffset)> {
     let id = id?;
     if id.name == hub.settings.host {
         bail!("`{}` is the name of this host; each host needs its own", id.name);
@@ -128,9 +131,13 @@
         Frame::Hello(bytes) => Hello::read(&bytes)?,
         _ => bail!("the first frame is no hello"),
     };
+    let mut clock = ClockOffset::default();
+    if let Some(reading) = hello.clock {
+        clock.record_arrival(hub.now(), reading);
+    }
     hub.accept_hello(&id, hello, from)?;
     send(writer, &Frame::Hello(message::encode(&hub.hello()).into())).await?;
-    Ok(guard)
+    Ok((guard, clock))
 }
 
 /// Tells the other host why its connection ends. It may be gone already.
@@ -144,12 +151,12 @@
 
 /// Handles the frames of a connection until it ends; returns why it did.
 async fn serve(hub: Arc<Hub>, inbound: Inbound) -> anyhow::Error {
-    let Inbound { name, mut reader, mut writer, guard } = inbound;
+    let Inbound { name, mut reader, mut writer, guard, clock } = inbound;
     let (answers, waiting) = mpsc::channel(CALLS_MAX);
     let memory = Arc::new(Semaphore::new(CALLS_MAX_BYTES));
     let calls = Calls { hub, name, answers, memory };
     let cause = tokio::select! {
-        Err(cause) = calls.read(&mut reader) => cause,
+        Err(cause) = calls.read(&mut reader, clock) => cause,
         Err(cause) = write_answers(waiting, &mut writer) => cause,
         () = guard.closed() => anyhow!("the host is retired"),
         else => anyhow!("it ended"),
@@ -186,11 +193,17 @@
 }
 
 impl Calls {
-    async fn read(&self, reader: &mut Reader) -> Result<Infallible> {
+    async fn read(&self, reader: &mut Reader, mut clock: ClockOffset) -> Result<Infallible> {
         loop {
             let next = timeout(INBOUND_IDLE_TIMEOUT.to_std(), reader.next()).await;
             match next.context("it was not used")?.context("the host closed it")?? {
-                Frame::Message(bytes) => self.receive(&bytes),
+                Frame::Message(bytes) => self.receive(&bytes, None),
+                Frame::Timed(sent, useful, bytes) => {
+                    self.receive_timed(&mut clock, (sent, useful), &bytes)?;
+                }
+                Frame::ClockAnswer(Reading(asked), reading) => {
+                    clock.record_answer(self.hub.now(), Time(asked), reading);
+                }
                 Frame::Call(number, bytes) => self.start(number, bytes)?,
                 Frame::Probe => self.answer(Frame::Alive)?,
                 _ => bail!("the host sent a frame that is neither message nor call"),
@@ -198,17 +211,48 @@
         }
     }
 
-    fn receive(&self, bytes: &[u8]) {
-        if let Err(e) = self.pass_on(bytes) {
+    /// Handles a message that was `sent` at a reading of the other host's clock, unless it is too old.
+    fn receive_timed(
+        &self,
+        clock: &mut ClockOffset,
+        (sent, useful): (Reading, Span),
+        bytes: &[u8],
+    ) -> Result<()> {
+        let now = self.hub.now();
+        clock.record_arrival(now, sent);
+        let age = clock.age(now, sent).context("the host has not told its clock")?;
+        let expired = age.most >= useful;
+        self.hub.traffic.count_age(age, expired);
+        if age.least >= DELAYED_FROM {
+            log::debug!(
+                event = "message-delayed", from = *self.name, least_us = age.least.0,
+                most_us = age.most.0, useful_us = useful.0, expired;
+                "a message from host `{}` came {} late", self.name, age.least
+            );
+        }
+        if clock.take_question(now) {
+            self.answer(Frame::ClockQuestion(now.into()))?;
+        }
+        if !expired {
+            self.receive(bytes, Some(age));
+        }
+        Ok(())
+    }
+
+    fn receive(&self, bytes: &[u8], age: Option<Age>) {
+        if let Err(e) = self.pass_on(bytes, age) {
             log::warn!("dropped a message from host `{}`: {e:#}", self.name);
         }
     }
 
-    fn pass_on(&self, bytes: &[u8]) -> Result<()> {
+    fn pass_on(&self, bytes: &[u8], age: Option<Age>) -> Result<()> {
         let unpacked = message::unpack(bytes)?;
         let e = self.read_envelope(&unpacked, bytes.len())?;
         match self.hub.handler(e.topic) {
-            Some(handler) => handler.receive(&self.name, e.body),
+            Some(handler) => match age {
+                Some(age) => handler.receive_timed(&self.name, age, e.body),
+                None => handler.receive(&self.name, e.body),
+            },
             None => log::debug!(
                 "dropped a message from host `{}`: no handler of topic {:?}",
                 self.name,
--- a/src/wisteriahead/services/peers/dial.rs
+++ b/src/wisteriahead/services/peers/dial.rs
@@ -8,6 +8,7 @@
 use super::{CLOSE_TIMEOUT, HANDSHAKE_TIMEOUT, IDLE_TIMEOUT};
 use crate::core::message;
 use crate::core::peers::Lane;
+use crate::core::peers::clock::Reading;
 use crate::core::peers::reconnect::Reconnect;
 use crate::core::peers::silence::{Check, Silence};
 use crate::prelude::*;
@@ -37,6 +38,8 @@
     reader: Reader,
     writer: Writer,
     guard: OpenConnection,
+    /// First question of the host for this one's clock; older releases ask none.
+    question: Option<Reading>,
 }
 
 /// Connects to an address whenever something waits for its host, until the host moves to another
@@ -148,9 +151,10 @@
         Frame::Refused(cause) => bail!("host `{}` refused the connection: {cause}", id.name),
         _ => bail!("host `{}` sent no hello", id.name),
     };
+    let question = hello.clock;
     let peer = hub.accept_hello(&id, hello, address)?;
     reader.decoder_mut().accept_envelopes();
-    Ok(Some((peer, Link { reader, writer, guard })))
+    Ok(Some((peer, Link { reader, writer, guard, question })))
 }
 
 /// Writes what waits for a host and reads its answers until the connection ends; returns why it did.
@@ -161,19 +165,20 @@
     address: SocketAddr,
     link: Link,
 ) -> anyhow::Error {
-    let Link { mut reader, mut writer, guard } = link;
+    let Link { mut reader, mut writer, guard, question } = link;
     let lane = peer.lane(lane);
     let silence = Mutex::new(Silence::default());
     let mut lost = 0;
-    lane.set_open(true);
-    let write = WriteLoop { hub, peer, lane, address, id: guard.id(), silence: &silence };
+    lane.open(question);
+    let (id, timed) = (guard.id(), question.is_some());
+    let write = WriteLoop { hub, peer, lane, address, id, timed, silence: &silence };
     let cause = tokio::select! {
         Err(cause) = read_answers(hub, lane, &mut reader, &silence) => cause,
         Err(cause) = write.run(&mut writer, &mut lost) => cause,
         () = guard.closed() => anyhow!("the host is retired"),
         else => anyhow!("it ended"),
     };
-    lane.set_open(false);
+    lane.close(hub.now());
     lane.fail_calls(guard.id(), &cause, lost);
     // The host may be gone; the socket is closed either way.
     let _ = timeout(CLOSE_TIMEOUT.to_std(), writer.shutdown()).await;
@@ -191,6 +196,7 @@
         match frame? {
             Frame::Answer(number, answer) => lane.answer(number, answer),
             Frame::Alive => {}
+            Frame::ClockQuestion(question) => lane.ask_clock(question),
             Frame::Refused(cause) => bail!("refused: {cause}"),
             _ => bail!("the host sent a frame that is no answer"),
         }
@@ -205,6 +211,8 @@
     lane: &'a OutboundLane,
     address: SocketAddr,
     id: u64,
+    /// Whether the host reads timed messages.
+    timed: bool,
     silence: &'a Mutex<Silence>,
 }
 
@@ -222,7 +230,11 @@
             }
             let now = self.hub.now();
             let due = self.check_silence(now, &mut out)?;
-            *lost = self.lane.write_next(now, self.id, &mut out);
+            // The clock is read after the question came.
+            if let Some(question) = self.lane.take_question() {
+                Frame::ClockAnswer(question, self.hub.now().into()).write(&mut out);
+            }
+            *lost = self.lane.write_next(now, self.id, self.timed, &mut out);
             if !out.is_empty() {
                 writer.write_all(&out).await?;
                 writer.flush().await?;
--- a/src/wisteriahead/services/peers/hub.rs
+++ b/src/wisteriahead/services/peers/hub.rs
@@ -7,10 +7,11 @@
 use super::wire::{Answer, CONTACTS_MAX, Contact, Hello};
 use super::{PeerSettings, TlsConfigs};
 use crate::core::message::{self, ENVELOPE_MAX_BYTES, EnvelopeView, Topic};
-use crate::core::peers::Lane;
 use crate::core::peers::admission::Admission;
+use crate::core::peers::{Lane, Role, TimedMessage};
 use crate::prelude::*;
 use crate::services::{Handler, Peers};
+use crate::util::clock;
 use crate::util::tls::Identity;
 use anyhow::bail;
 use futures::future::BoxFuture;
@@ -18,7 +19,6 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{OnceLock, Weak};
-use std::time::Instant;
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
@@ -92,7 +92,7 @@
     pub traffic: Arc<Traffic>,
     /// Inbound connections before their hello.
     pub admission: Mutex<Admission>,
-    started: Instant,
+    started: Span,
     handlers: RwLock<IndexMap<Topic, Arc<dyn Handler>>>,
     peers: RwLock<IndexMap<String, Arc<Peer>>>,
     /// Number of changes of the known or blocked hosts.
@@ -118,7 +118,7 @@
             tls: OnceLock::new(),
             traffic: Arc::default(),
             admission: Mutex::default(),
-            started: Instant::now(),
+            started: clock::since_boot(),
             handlers: RwLock::default(),
             peers: RwLock::default(),
             others_version: AtomicU64::new(0),
@@ -148,7 +148,7 @@
 
     /// Time since the service was created.
     pub fn now(&self) -> Time {
-        Time(Span::from(self.started.elapsed()).0)
+        Time(clock::since_boot().0 - self.started.0)
     }
 
     /// Address that the listener is bound to.
@@ -175,6 +175,7 @@
             listen: self.address().unwrap_or(self.settings.listen),
             others: self.peers.read().iter().take(CONTACTS_MAX).map(contact).collect(),
             unpacks: true,
+            clock: Some(self.now().into()),
         }
     }
 
@@ -375,6 +376,26 @@
         }
     }
 
+    fn send_timed(&self, to: &str, topic: Topic, message: TimedMessage) {
+        let Some(peer) = self.peer(to) else {
+            return log::debug!("dropped a message to unknown host `{to}`");
+        };
+        if let Role::Cancel(number) = message.role
+            && Lane::ALL.iter().any(|lane| peer.lane(*lane).withdraw(number))
+        {
+            return self.traffic.count_withdrawn();
+        }
+        match self.encode_envelope(topic, &message.body) {
+            Ok(bytes) => {
+                let body = peer.compress_for_host(bytes);
+                self.traffic.count_sent(topic, body.len());
+                let lane = peer.lane(Lane::of_size(body.len()));
+                lane.send_timed(self.now(), TimedMessage { body, ..message });
+            }
+            Err(e) => log::warn!("dropped a message to host `{to}`: {e}"),
+        }
+    }
+
     fn call<'a>(
         &'a self,
         to: &'a str,
--- a/src/wisteriahead/services/peers/lane.rs
+++ b/src/wisteriahead/services/peers/lane.rs
@@ -1,6 +1,8 @@
 //! One of the two connections to a host: what waits for it, and the calls that wait for answers.
 
-use super::wire::{Answer, write_call, write_message};
+use super::wire::{Answer, write_call, write_message, write_timed};
+use crate::core::peers::TimedMessage;
+use crate::core::peers::clock::Reading;
 use crate::core::peers::outbox::{Kind, MESSAGE_MAX_AGE, Outbox, Waiting};
 use crate::prelude::*;
 use anyhow::anyhow;
@@ -31,6 +33,8 @@
     /// Whether a connection is open, and whether something is being written to it.
     open: AtomicBool,
     writing: AtomicBool,
+    /// Question for this host's clock that waits for an answer.
+    question: Mutex<Option<Reading>>,
 }
 
 impl OutboundLane {
@@ -40,6 +44,29 @@
         self.changed.notify_one();
     }
 
+    /// Adds a timed message, already as an envelope.
+    pub fn send_timed(&self, now: Time, message: TimedMessage) {
+        let TimedMessage { body, useful, role } = message;
+        self.outbox.lock().push(now, useful, Kind::Timed(role), body);
+        self.changed.notify_one();
+    }
+
+    /// Removes a request that still waits; returns whether it did.
+    pub fn withdraw(&self, number: u64) -> bool {
+        self.outbox.lock().withdraw(number)
+    }
+
+    /// Takes the question for this host's clock that waits for an answer.
+    pub fn take_question(&self) -> Option<Reading> {
+        self.question.lock().take()
+    }
+
+    /// Has a question for this host's clock answered.
+    pub fn ask_clock(&self, question: Reading) {
+        *self.question.lock() = Some(question);
+        self.changed.notify_one();
+    }
+
     /// Adds a call; dropping the result cancels it.
     pub fn call(self: Arc<Self>, now: Time, max_age: Span, envelope: Vec<u8>) -> Call {
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
@@ -86,18 +113,28 @@
             || self.open.load(Ordering::Relaxed) && self.has_waiting(now)
     }
 
-    /// Records whether a connection is open.
-    pub fn set_open(&self, open: bool) {
-        self.open.store(open, Ordering::Relaxed);
+    /// Records that a connection is open; the host that accepted it may ask for this host's clock.
+    pub fn open(&self, question: Option<Reading>) {
+        *self.question.lock() = question;
+        self.open.store(true, Ordering::Relaxed);
+        self.writing.store(false, Ordering::Relaxed);
+    }
+
+    /// Records that the connection has ended.
+    pub fn close(&self, now: Time) {
+        self.open.store(false, Ordering::Relaxed);
         self.writing.store(false, Ordering::Relaxed);
+        self.outbox.lock().record_connection_end(now);
     }
 
-    /// Moves the next messages into `out` as frames; returns their number, zero if none waits.
-    pub fn write_next(&self, now: Time, connection: u64, out: &mut BytesMut) -> usize {
+    /// Moves the next messages into `out` as frames; returns their number, zero if none waits. `timed` tells
+    /// whether the host reads timed messages.
+    pub fn write_next(&self, now: Time, connection: u64, timed: bool, out: &mut BytesMut) -> usize {
         let taken = self.outbox.lock().take(now, WRITE_BYTES);
-        for Waiting { kind, envelope, .. } in &taken {
+        for Waiting { kind, envelope, sent, useful } in &taken {
             match *kind {
-                Kind::Message => write_message(out, envelope),
+                Kind::Timed(_) if timed => write_timed(out, (*sent).into(), *useful, envelope),
+                Kind::Message | Kind::Timed(_) => write_message(out, envelope),
                 Kind::Call(number) => {
                     if let Some(call) = self.calls.lock().get_mut(&number) {
                         call.connection = Some(connection);
--- a/src/wisteriahead/services/peers/traffic.rs
+++ b/src/wisteriahead/services/peers/traffic.rs
@@ -2,6 +2,7 @@
 //! connections.
 
 use crate::core::message::Topic;
+use crate::core::peers::clock::Age;
 use crate::prelude::*;
 use crate::util::metrics::Metrics;
 use parking_lot::Mutex;
@@ -12,6 +13,9 @@
 /// Time between two reports of the metrics.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
+/// Lateness from which a message counts as delayed.
+pub const DELAYED_FROM: Span = Span::millis(20);
+
 /// Bytes of the messages of one topic since the last report.
 #[derive(Clone, Copy, Default)]
 struct TopicBytes {
@@ -28,6 +32,9 @@
     received_bytes: AtomicU64,
     writes: AtomicU64,
     reads: AtomicU64,
+    delayed: AtomicU64,
+    expired: AtomicU64,
+    withdrawn: AtomicU64,
 }
 
 impl Traffic {
@@ -49,6 +56,17 @@
         self.reads.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts the age of a timed message, and whether it came too late to be of use.
+    pub fn count_age(&self, age: Age, expired: bool) {
+        self.delayed.fetch_add(u64::from(age.least >= DELAYED_FROM), Ordering::Relaxed);
+        self.expired.fetch_add(u64::from(expired), Ordering::Relaxed);
+    }
+
+    /// Counts a request that was taken back before it was sent.
+    pub fn count_withdrawn(&self) {
+        self.withdrawn.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Counts a message that is to be sent.
     pub fn count_sent(&self, topic: Topic, bytes: usize) {
         self.count(topic, |b| b.sent += bytes as i64);
@@ -85,6 +103,9 @@
         metrics.count("peers.received_bytes", taken(&self.received_bytes));
         metrics.count("peers.writes", taken(&self.writes));
         metrics.count("peers.reads", taken(&self.reads));
+        metrics.count("peers.messages_delayed", taken(&self.delayed));
+        metrics.count("peers.messages_expired", taken(&self.expired));
+        metrics.count("peers.requests_withdrawn", taken(&self.withdrawn));
     }
 }
 
--- a/src/wisteriahead/services/peers/wire.rs
+++ b/src/wisteriahead/services/peers/wire.rs
@@ -2,9 +2,12 @@
 //!
 //! A frame is its length (4 bytes, big endian), a byte for its kind, and its content. The connecting
 //! host sends a [`Hello`], the accepting one answers with its own or with a refusal. Then the
-//! connecting host sends messages, calls and probes, the accepting one answers to calls and probes.
+//! connecting host sends messages, calls and probes, the accepting one answers to calls and probes. It asks for the
+//! connecting host's clock now and then, to tell how old messages are.
 
 use crate::core::message::{self, DecodeError, ENVELOPE_MAX_BYTES};
+use crate::core::peers::clock::Reading;
+use crate::core::time::Span;
 use bytes::{Buf as _, BufMut as _, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use std::io;
@@ -19,8 +22,8 @@
 pub const CONTACTS_MAX: usize = 16;
 /// Size of the length before a frame.
 const LENGTH_BYTES: usize = 4;
-/// Size of a frame's kind, a call's number and an answer's outcome.
-const PREFIX_MAX_BYTES: usize = 10;
+/// Maximum size of what stands before an envelope: the frame's kind and two numbers.
+const PREFIX_MAX_BYTES: usize = 17;
 
 /// Name and address of another host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,6 +50,10 @@
     /// Whether it can read compressed envelopes; older releases cannot and omit the field.
     #[serde(default)]
     pub unpacks: bool,
+    /// The host's clock; that of the accepting host is its first question for the other one's. Older releases
+    /// omit the field, and neither send nor read timed messages.
+    #[serde(default)]
+    pub clock: Option<Reading>,
 }
 
 impl Hello {
@@ -78,6 +85,12 @@
     Call(u64, Bytes),
     /// The answer to the call of this number.
     Answer(u64, Answer),
+    /// An envelope with a one-way message, when it was sent, and the time for which it is of use.
+    Timed(Reading, Span, Bytes),
+    /// Asks for the connecting host's clock; holds that of the accepting one.
+    ClockQuestion(Reading),
+    /// Repeats the clock in the question, and holds that of the connecting host, read after the question came.
+    ClockAnswer(Reading, Reading),
     /// Asks for [`Frame::Alive`].
     Probe,
     /// Answers [`Frame::Probe`].
@@ -91,6 +104,9 @@
 const ANSWER: u8 = 5;
 const PROBE: u8 = 6;
 const ALIVE: u8 = 7;
+const TIMED: u8 = 8;
+const CLOCK_QUESTION: u8 = 9;
+const CLOCK_ANSWER: u8 = 10;
 
 impl Frame {
     /// Appends the frame to `out`.
@@ -104,6 +120,14 @@
                 let (tag, body) = answer.parts();
                 write_parts(out, &[&[ANSWER], &number.to_be_bytes(), &[tag], body]);
             }
+            Self::Timed(sent, useful, envelope) => write_timed(out, *sent, *useful, envelope),
+            Self::ClockQuestion(asked) => {
+                write_parts(out, &[&[CLOCK_QUESTION], &asked.0.to_be_bytes()]);
+            }
+            Self::ClockAnswer(asked, now) => {
+                let (asked, now) = (asked.0.to_be_bytes(), now.0.to_be_bytes());
+                write_parts(out, &[&[CLOCK_ANSWER], &asked, &now]);
+            }
             Self::Probe => write_parts(out, &[&[PROBE]]),
             Self::Alive => write_parts(out, &[&[ALIVE]]),
         }
@@ -117,13 +141,16 @@
     pub fn read(mut bytes: Bytes) -> Result<Self, DecodeError> {
         let malformed = |what: &str| DecodeError::Malformed(what.to_owned());
         let kind = bytes.try_get_u8().map_err(|_| malformed("a frame is empty"))?;
-        let mut number = || bytes.try_get_u64().map_err(|_| malformed("a call has no number"));
+        let mut number = || bytes.try_get_u64().map_err(|_| malformed("a frame ends too early"));
         Ok(match kind {
             HELLO => Self::Hello(bytes),
             REFUSED => Self::Refused(String::from_utf8_lossy(&bytes).into_owned()),
             MESSAGE => Self::Message(bytes),
             CALL => Self::Call(number()?, bytes),
             ANSWER => Self::Answer(number()?, Answer::read(&bytes)?),
+            TIMED => Self::Timed(Reading(number()?), Span(number()?), bytes),
+            CLOCK_QUESTION => Self::ClockQuestion(Reading(number()?)),
+            CLOCK_ANSWER => Self::ClockAnswer(Reading(number()?), Reading(number()?)),
             PROBE => Self::Probe,
             ALIVE => Self::Alive,
             other => return Err(malformed(&format!("frames of kind {other} are unknown"))),
@@ -153,6 +180,12 @@
     write_parts(out, &[&[CALL], &number.to_be_bytes(), envelope]);
 }
 
+/// Appends a frame with a timed message.
+pub fn write_timed(out: &mut BytesMut, sent: Reading, useful: Span, envelope: &[u8]) {
+    let (sent, useful) = (sent.0.to_be_bytes(), useful.0.to_be_bytes());
+    write_parts(out, &[&[TIMED], &sent, &useful, envelope]);
+}
+
 fn write_parts(out: &mut BytesMut, parts: &[&[u8]]) {
     let length: usize = parts.iter().map(|p| p.len()).sum();
     out.reserve(LENGTH_BYTES + length);
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -653,7 +653,7 @@
         let connect_timeout = Span(self.route.objective.0 / CONNECT_DIVISOR)
             .clamp(CONNECT_TIMEOUT_MIN, CONNECT_TIMEOUT_MAX);
         let max_bytes = if self.gathers() { PART_MAX_BYTES } else { RESPONSE_MAX_BYTES };
-        CallTimes { connect_timeout, deadline: self.deadline, max_bytes }
+        CallTimes { connect_timeout, start_by: self.deadline, deadline: self.deadline, max_bytes }
     }
 
     /// Sends an attempt directly to its endpoint.
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -14,9 +14,14 @@
 use crate::core::digest;
 use crate::core::endpoint::EndpointKey;
 use crate::core::message::{Topic, decode, encode};
+use crate::core::peers::clock::Age;
+use crate::core::peers::{Role, TimedMessage};
 use crate::core::records;
 use crate::core::relay::flush::Flush;
 use crate::core::relay::notices::Notice;
+use crate::core::relay::remote::{
+    BATCHES_MAX, BatchTimes, NotStarted, RemoteBatches, START_WITHIN,
+};
 use crate::core::relay::timing::FlushTimes;
 use crate::core::routes::Target;
 use crate::prelude::*;
@@ -46,8 +51,8 @@
 const AVOID_TIME: Span = Span::secs(2);
 /// Maximum of the time for which a host is avoided.
 const AVOID_TIME_MAX: Span = Span::secs(16);
-/// Maximum number of batches of other hosts in progress.
-const REMOTE_BATCHES_MAX: usize = 4_096;
+/// Time for which a cancellation is sent again if its connection ends, and no longer than the batch may run.
+const CANCEL_AGAIN: Span = Span::secs(5);
 
 /// Endpoint to call: name, service, address, connections that it accepts.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -177,8 +182,8 @@
     avoided: IndexMap<Arc<str>, (Time, Span)>,
     /// Channels for the results of this host's batches, by number.
     local_batches: IndexMap<u64, (Records, mpsc::UnboundedSender<Vec<BatchResult>>)>,
-    /// Batches of other hosts in progress, by host and number.
-    remote_batches: IndexMap<(Arc<str>, u64), AbortHandle>,
+    /// Batches of other hosts.
+    remote_batches: RemoteBatches<AbortHandle>,
 }
 
 impl State {
@@ -199,6 +204,7 @@
     forwarder: Arc<Forwarder>,
     host: Arc<str>,
     number: u64,
+    deadline: Instant,
     /// Number of results that have not arrived.
     pub remaining: usize,
     results: mpsc::UnboundedReceiver<Vec<BatchResult>>,
@@ -222,8 +228,10 @@
     fn drop(&mut self) {
         self.forwarder.state.lock().local_batches.swap_remove(&self.number);
         if self.remaining > 0 {
-            let stop = encode(&Message::Stop(self.number));
-            self.forwarder.peers.send(&self.host, Topic::Relay, stop);
+            let body = encode(&Message::Stop(self.number));
+            let useful = time_until(self.deadline).min(CANCEL_AGAIN);
+            let stop = TimedMessage { body, useful, role: Role::Cancel(self.number) };
+            self.forwarder.peers.send_timed(&self.host, Topic::Relay, stop);
         }
     }
 }
@@ -296,12 +304,16 @@
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let (tx, results) = mpsc::unbounded_channel();
         self.state.lock().local_batches.insert(number, (batch.records, tx));
-        let message = encode(&Message::Ask(Box::new(batch.request(number))));
-        self.peers.send(&host, Topic::Relay, message);
+        let deadline = batch.times.deadline;
+        let body = encode(&Message::Ask(Box::new(batch.request(number))));
+        let useful = time_until(deadline).min(START_WITHIN);
+        let message = TimedMessage { body, useful, role: Role::Work(number) };
+        self.peers.send_timed(&host, Topic::Relay, message);
         PendingBatch {
             forwarder: Arc::clone(self),
             host,
             number,
+            deadline,
             remaining: batch.to.len(),
             results,
         }
@@ -352,11 +364,15 @@
     }
 }
 
+fn time_until(at: Instant) -> Span {
+    at.saturating_duration_since(Instant::now()).into()
+}
+
 impl Batch<'_> {
     fn request(&self, number: u64) -> BatchRequest {
         let Call { method, uri, headers, body, meta } = self.call;
         let headers = headers.iter();
-        let left = Span::from(self.times.deadline.saturating_duration_since(Instant::now()));
+        let left = time_until(self.times.deadline);
         BatchRequest {
             number,
             method: method.to_string(),
@@ -396,8 +412,12 @@
 
 impl Handler for Relay {
     fn receive(&self, from: &str, body: &[u8]) {
+        self.receive_timed(from, Age::default(), body);
+    }
+
+    fn receive_timed(&self, from: &str, age: Age, body: &[u8]) {
         match decode(body) {
-            Ok(Message::Ask(request)) => self.start_remote_batch(from.into(), *request),
+            Ok(Message::Ask(request)) => self.start_remote_batch(from.into(), *request, age),
             Ok(Message::Parts { number, answered, records, notices, separate, died }) => {
                 self.forwarder.state.lock().avoided.swap_remove(from);
                 let records = records.into();
@@ -406,9 +426,8 @@
                 self.forwarder.deliver(number, parts);
             }
             Ok(Message::Stop(number)) => {
-                let task =
-                    self.forwarder.state.lock().remote_batches.swap_remove(&(from.into(), number));
-                if let Some(task) = task {
+                let (now, key) = (self.ctx.now(), (from.into(), number));
+                if let Some(task) = self.forwarder.state.lock().remote_batches.cancel(now, key) {
                     task.abort();
                 }
             }
@@ -418,41 +437,61 @@
 }
 
 impl Relay {
-    /// Starts a task for a batch that another host has sent.
-    fn start_remote_batch(&self, from: Arc<str>, request: BatchRequest) {
+    /// Starts a task for a batch of this age that another host has sent.
+    fn start_remote_batch(&self, from: Arc<str>, request: BatchRequest, age: Age) {
         let Some(relay) = self.weak.upgrade() else { return };
         let key = (from.clone(), request.number);
         let mut state = self.forwarder.state.lock();
-        if state.remote_batches.len() >= REMOTE_BATCHES_MAX || request.to.len() > BATCH_MAX_CALLS {
-            return log::warn!(
-                "dropped a batch of {} calls from host `{from}`, which may hedge them: more than \
-                 {BATCH_MAX_CALLS} calls, or {REMOTE_BATCHES_MAX} batches in progress",
-                request.to.len()
-            );
-        }
+        let left = Span(request.times.0);
+        let times = match state.remote_batches.admit(self.ctx.now(), &key, left, age) {
+            Ok(times) if request.to.len() <= BATCH_MAX_CALLS => times,
+            Ok(_) | Err(NotStarted::TooMany) => {
+                return log::warn!(
+                    "dropped a batch of {} calls from host `{from}`, which may hedge them: more than \
+                     {BATCH_MAX_CALLS} calls, or {BATCHES_MAX} batches in progress",
+                    request.to.len()
+                );
+            }
+            Err(cause) => {
+                return log::debug!(
+                    event = "batch-not-started", from = *from, calls = request.to.len(),
+                    least_us = age.least.0, most_us = age.most.0;
+                    "did not start a batch of host `{from}`: {cause:?}"
+                );
+            }
+        };
         let done = key.clone();
         let task = tokio::spawn(async move {
-            if let Err(e) = relay.run_remote_batch(&from, request).await {
+            if let Err(e) = relay.run_remote_batch(&from, request, times, age).await {
                 log::warn!(
                     "dropped a batch of calls from host `{from}`, which may hedge them: \
                      could not decode the caller's request: {e:#}"
                 );
             }
-            relay.forwarder.state.lock().remote_batches.swap_remove(&done);
+            relay.forwarder.state.lock().remote_batches.record_end(&done);
         });
         // The task cannot remove the entry before it is inserted, since the lock is held here.
-        state.remote_batches.insert(key, task.abort_handle());
+        state.remote_batches.record_start(key, task.abort_handle());
     }
 
-    async fn run_remote_batch(&self, from: &Arc<str>, request: BatchRequest) -> Result<()> {
+    async fn run_remote_batch(
+        &self,
+        from: &Arc<str>,
+        request: BatchRequest,
+        batch: BatchTimes,
+        age: Age,
+    ) -> Result<()> {
         let started = self.ctx.now();
         let mut timeline = self.timelines.batch(started, from, request.to.len());
         let call = &request.call()?;
-        let (left, connect, first) = request.times;
-        let flush = FlushTimes { first: Span(first), useful: Span(request.useful) };
+        let (_, connect, first) = request.times;
+        let arrived = Instant::now();
+        let flush =
+            FlushTimes { first: Span(first), useful: Span(request.useful) }.after(age.least);
         let times = CallTimes {
             connect_timeout: Span(connect),
-            deadline: Instant::now() + Span(left).to_std(),
+            start_by: arrived + batch.start_within.to_std(),
+            deadline: arrived + batch.left.to_std(),
             max_bytes: PART_MAX_BYTES,
         };
         let targets = request.targets(self.traffic.zone());
@@ -495,7 +534,7 @@
                 timeline.record_message(now, results.len());
             }
             flush.record_message(now);
-            self.send_results(from, &request, &targets, &mut results);
+            self.send_results(from, &request, &targets, times.deadline, &mut results);
             if flush.is_finished() {
                 return Ok(());
             }
@@ -508,6 +547,7 @@
         to: &str,
         request: &BatchRequest,
         targets: &[Target],
+        deadline: Instant,
         results: &mut Vec<EndedCall>,
     ) {
         if results.is_empty() {
@@ -549,7 +589,9 @@
         }
         let number = request.number;
         let message = Message::Parts { number, answered, records, notices, separate, died };
-        self.forwarder.peers.send(to, Topic::Relay, encode(&message));
+        let (body, useful) = (encode(&message), time_until(deadline));
+        let message = TimedMessage { body, useful, role: Role::Reply };
+        self.forwarder.peers.send_timed(to, Topic::Relay, message);
     }
 }
 
--- a/src/wisteriahead/services/relay/pools.rs
+++ b/src/wisteriahead/services/relay/pools.rs
@@ -46,6 +46,8 @@
 pub struct CallTimes {
     /// Time limit for getting a connection.
     pub connect_timeout: Span,
+    /// Time after which the call is no longer sent.
+    pub start_by: Instant,
     /// Time after which the answer is no longer needed.
     pub deadline: Instant,
     /// Maximum size of the response body.
@@ -96,14 +98,17 @@
     ) -> Result<EndpointResponse, Refusal> {
         let pool = self.pool(to.address, connections);
         let timed_out = || Refusal::not_run(Reason::Connection, "no connection was set up in time");
-        let leased = timeout(times.connect_timeout.to_std(), Pool::lease(pool.clone())).await;
+        let to_start = times.start_by.saturating_duration_since(Instant::now());
+        let wait = times.connect_timeout.to_std().min(to_start);
+        let leased = timeout(wait, Pool::lease(pool.clone())).await;
         let leased = leased.unwrap_or_else(|_| Err(timed_out()));
         if leased.is_err() && pool.is_refused() {
             relay.traffic.record_endpoint_end(relay.ctx.now(), to);
         }
         let mut lease = leased?;
-        let left = Span::from(times.deadline.saturating_duration_since(Instant::now()));
-        if left < REMAINING_MIN {
+        let now = Instant::now();
+        let left = Span::from(times.deadline.saturating_duration_since(now));
+        if left < REMAINING_MIN || now >= times.start_by {
             lease.give_back().await;
             return Err(Refusal::not_run(Reason::Deadline, "no time was left to send the request"));
         }
--- a/src/wisteriahead/util/mod.rs
+++ b/src/wisteriahead/util/mod.rs
@@ -1,6 +1,7 @@
 //! Utilities for storage, TLS, HTTP, logging and metrics; they know nothing of queries.
 
 pub mod certificate;
+pub mod clock;
 pub mod disk;
 pub mod http;
 pub mod logging;
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -164,7 +164,15 @@
     let listen = "127.0.0.1:7103".parse().unwrap();
     let others = vec![Contact { name: "b".to_owned(), listen }];
     let name = "a".to_owned();
-    Hello { version: VERSION, name, zone: "north".to_owned(), listen, others, unpacks: false }
+    Hello {
+        version: VERSION,
+        name,
+        zone: "north".to_owned(),
+        listen,
+        others,
+        unpacks: false,
+        clock: None,
+    }
 }
 
 fn envelope() -> Envelope {
--- a/tests/testsuite/peer_links.rs
+++ b/tests/testsuite/peer_links.rs
@@ -8,17 +8,18 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::server::TlsStream;
-use wisteriahead::core::message::{Topic, VERSION, encode};
+use wisteriahead::core::message::{Envelope, Topic, VERSION, encode};
 use wisteriahead::core::peers::admission::{Admission, HANDSHAKES_MAX, LOG_PAUSE, REFUSED_PAUSE};
+use wisteriahead::core::peers::clock::Reading;
 use wisteriahead::core::peers::outbox::{BYTES_MAX, Kind, MESSAGE_MAX_AGE, MESSAGES_MAX, Outbox};
 use wisteriahead::core::peers::reconnect::Reconnect;
 use wisteriahead::core::peers::silence::{Check, Silence};
-use wisteriahead::core::peers::{BULK_MIN_BYTES, Lane};
+use wisteriahead::core::peers::{BULK_MIN_BYTES, Lane, Role, TimedMessage};
 use wisteriahead::core::time::{Span, Time};
 use wisteriahead::kernel::Kernel;
 use wisteriahead::services::peers::wire::{Frame, Hello, send};
@@ -249,13 +250,14 @@
     listener: TcpListener,
     tls: TlsAcceptor,
     name: &'static str,
+    clock: Option<Reading>,
 }
 
 impl Stub {
     async fn start(ca: &Authority, name: &'static str) -> Self {
         let credentials = Credentials::load(&ca.issue(Holder::Host, name)).unwrap();
         let tls = TlsAcceptor::from(Arc::new(credentials.server(ALPN_HOST).unwrap()));
-        Self { listener: TcpListener::bind(ANY).await.unwrap(), tls, name }
+        Self { listener: TcpListener::bind(ANY).await.unwrap(), tls, name, clock: None }
     }
 
     fn address(&self) -> SocketAddr {
@@ -282,6 +284,7 @@
             listen: self.address(),
             others: Vec::new(),
             unpacks: false,
+            clock: self.clock,
         };
         write(&mut stream, &Frame::Hello(encode(&hello).into())).await;
         stream
@@ -289,6 +292,10 @@
 }
 
 async fn read(stream: &mut TlsStream<TcpStream>) -> Result<Frame> {
+    read_from(stream).await
+}
+
+async fn read_from(stream: &mut (impl AsyncRead + Unpin)) -> Result<Frame> {
     let read = async {
         let mut bytes = vec![0; stream.read_u32().await? as usize];
         stream.read_exact(&mut bytes).await?;
@@ -381,6 +388,80 @@
     drop((link, accepted.await.unwrap()));
 }
 
+fn timed(role: Role) -> TimedMessage {
+    TimedMessage { body: vec![1], useful: Span::secs(60), role }
+}
+
+/// Guards against a cancellation that is lost with the connection that it was written to: the request was
+/// read, and its work goes on.
+#[tokio::test]
+async fn cancellation_lost_with_its_connection_is_sent_again() {
+    let ca = Authority::new();
+    let stub = Stub { clock: Some(Reading(0)), ..Stub::start(&ca, "b").await };
+    let a = start(&ca, "a", &[stub.address()]).await;
+    let mut link = stub.accept_first(&a).await;
+    assert!(matches!(read(&mut link).await.unwrap(), Frame::ClockAnswer(Reading(0), _)));
+    a.peers.send_timed("b", Topic::Member, timed(Role::Work(1)));
+    let Frame::Timed(_, _, request) = read(&mut link).await.unwrap() else { panic!() };
+    a.peers.send_timed("b", Topic::Member, timed(Role::Cancel(1)));
+    let Frame::Timed(sent, _, cancellation) = read(&mut link).await.unwrap() else { panic!() };
+    assert_eq!(request, cancellation, "the bodies are the same");
+    drop(link);
+    let mut link = stub.accept().await;
+    assert!(matches!(read(&mut link).await.unwrap(), Frame::ClockAnswer(Reading(0), _)));
+    let Frame::Timed(again, ..) = read(&mut link).await.unwrap() else { panic!() };
+    assert_eq!(again, sent, "it is as old as it was");
+}
+
+/// An older release tells no clock, and does not know timed messages.
+#[tokio::test]
+async fn host_that_tells_no_clock_gets_plain_messages() {
+    let ca = Authority::new();
+    let stub = Stub::start(&ca, "b").await;
+    let a = start(&ca, "a", &[stub.address()]).await;
+    let mut link = stub.accept_first(&a).await;
+    a.peers.send_timed("b", Topic::Member, timed(Role::Reply));
+    assert!(matches!(read(&mut link).await.unwrap(), Frame::Message(_)));
+}
+
+/// Guards against messages that wait in the network or a socket for longer than they are of use.
+#[tokio::test]
+async fn message_that_comes_too_late_is_dropped() {
+    let ca = Authority::new();
+    let a = start(&ca, "a", &[]).await;
+    let tls = ca.issue(Holder::Host, "c");
+    let (mut link, question) = connect(&tls, a.service.address().unwrap()).await;
+    let now = Reading(Span::secs(1_000).0);
+    let message = |age: Span, useful: Span, bytes: usize| {
+        let body = vec![0; bytes];
+        let envelope = Envelope { version: VERSION, from: "c".into(), topic: Topic::Member, body };
+        Frame::Timed(Reading(now.0 - age.0), useful, encode(&envelope).into())
+    };
+    let frames = [
+        Frame::ClockAnswer(question.unwrap(), now),
+        message(Span::millis(500), Span::millis(400), 1),
+        message(Span::millis(500), Span::secs(60), 2),
+        message(Span::ZERO, Span::secs(60), 3),
+    ];
+    for frame in frames {
+        send(&mut link, &frame).await.unwrap();
+    }
+    until("the last message", || a.notes.0.lock().last() == Some(&3)).await;
+    assert_eq!(*a.notes.0.lock(), [2, 3]);
+}
+
+/// Guards against messages whose age nobody can tell.
+#[tokio::test]
+async fn timed_message_before_the_clock_of_its_sender_ends_the_connection() {
+    let ca = Authority::new();
+    let a = start(&ca, "a", &[]).await;
+    let tls = ca.issue(Holder::Host, "c");
+    let (mut link, _) = connect(&tls, a.service.address().unwrap()).await;
+    send(&mut link, &Frame::Timed(Reading(0), Span::secs(60), vec![1].into())).await.unwrap();
+    let Frame::Refused(cause) = read_from(&mut link).await.unwrap() else { panic!() };
+    assert!(cause.contains("clock"), "{cause}");
+}
+
 /// Guards against head-of-line blocking: a document on its way holds up no vote.
 #[tokio::test]
 async fn large_messages_on_their_way_do_not_hold_up_small_ones() {
@@ -412,7 +493,7 @@
     until("all messages", || a.notes.0.lock().len() == 4).await;
 }
 
-/// What comes later was sent later: a cancellation never overtakes the batch that it ends.
+/// What comes later was sent later, in one connection.
 #[tokio::test]
 async fn small_messages_arrive_in_the_order_in_which_they_were_sent() {
     let ca = Authority::new();
@@ -456,7 +537,7 @@
     let tls = ca.issue(Holder::Host, "c");
     // An unknown kind, a frame longer than any, one that is empty, a call without its number.
     for bytes in [&[0, 0, 0, 1, 99][..], &[0xff; 8], &[0; 4], &[0, 0, 0, 3, 4, 1, 2]] {
-        let mut link = connect(&tls, to).await;
+        let (mut link, _) = connect(&tls, to).await;
         link.write_all(bytes).await.unwrap();
         link.flush().await.unwrap();
         let mut rest = Vec::new();
@@ -466,8 +547,11 @@
     b.peers.call("a", Topic::Member, Vec::new()).await.unwrap();
 }
 
-/// Connects as host `c` and exchanges hellos.
-async fn connect(tls: &TlsPaths, to: SocketAddr) -> tokio_rustls::client::TlsStream<TcpStream> {
+/// Connects as host `c` and exchanges hellos; also returns the other host's question for the clock.
+async fn connect(
+    tls: &TlsPaths,
+    to: SocketAddr,
+) -> (tokio_rustls::client::TlsStream<TcpStream>, Option<Reading>) {
     let config = Credentials::load(tls).unwrap().client(ALPN_HOST).unwrap();
     let connector = tokio_rustls::TlsConnector::from(Arc::new(config));
     let name =
@@ -481,11 +565,9 @@
         listen: SocketAddr::new(ANY.ip(), 9),
         others: Vec::new(),
         unpacks: false,
+        clock: Some(Reading(0)),
     };
     send(&mut link, &Frame::Hello(encode(&hello).into())).await.unwrap();
-    let length = link.read_u32().await.unwrap() as usize;
-    let mut answer = vec![0; length];
-    link.read_exact(&mut answer).await.unwrap();
-    assert!(matches!(Frame::read(answer.into()).unwrap(), Frame::Hello(_)));
-    link
+    let Frame::Hello(bytes) = read_from(&mut link).await.unwrap() else { panic!() };
+    (link, Hello::read(&bytes).unwrap().clock)
 }
--- a/tests/testsuite/peers.rs
+++ b/tests/testsuite/peers.rs
@@ -107,6 +107,7 @@
         listen: SocketAddr::new(ANY.ip(), 9),
         others: Vec::new(),
         unpacks: false,
+        clock: None,
     })
 }
 
@@ -161,7 +162,7 @@
     let others = (0..5 * CONTACTS_MAX).map(contact).collect();
     let listen = SocketAddr::new(ANY.ip(), 9);
     let (name, zone) = ("b".to_owned(), ZONE.to_owned());
-    let hello = Hello { version: VERSION, name, zone, listen, others, unpacks: false };
+    let hello = Hello { version: VERSION, name, zone, listen, others, unpacks: false, clock: None };
     let mut link = connect(&ca.issue(Kind::Host, "b"), a.address).await.unwrap();
     link.exchange_hello(encode(&hello)).await.unwrap();
     until("a contact", || a.peers.others().contains(&"z0".to_owned())).await;
--- a/tests/testsuite/relay_tier.rs
+++ b/tests/testsuite/relay_tier.rs
@@ -241,6 +241,8 @@
         r.headers_mut().insert(SIGNATURE, HeaderValue::from_str(&self.name).unwrap());
         let delay = std::time::Duration::from_millis(self.leaf_state.next_delay(&self.name));
         Box::pin(async move {
+            // A server that leaves a body unread does not notice that its connection closes.
+            let _ = request.into_body().collect().await;
             tokio::time::sleep(delay).await;
             if let Some(_open) = hangs {
                 std::future::pending::<()>().await;
