Take no response without a final status for an answer

Cause: what the HTTP library could parse was trusted; it refuses 000 and statuses that are not three digits, and passes on the rest. Now the connection of an endpoint, which the relay and the search path share, refuses what is not 200 to 599, and more than 16 interim responses, as a request that may have run; the connection is closed, it counts as the endpoint's failure, and one log line a second says what came.

The route for requests that may run once is among the cases now, and the tests' protocol answers a refusal that may have run with 502, since 503 promises that nothing ran: the check accepted any 5xx before.

--- a/src/wisteriahead/services/transport/pool.rs
+++ b/src/wisteriahead/services/transport/pool.rs
@@ -1,6 +1,8 @@
 //! Connection pool of one endpoint.
 
+use crate::core::log_limiter::LogLimiter;
 use crate::prelude::*;
+use crate::util::clock;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -9,12 +11,19 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// Maximum number of bytes read ahead on a connection, and of the head of a response.
 const BUFFER_MAX_BYTES: usize = 64 << 10;
 
+/// Statuses of final responses to requests that ask for no other protocol.
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+/// Maximum number of interim responses before a final one.
+const INTERIM_MAX: u32 = 16;
+
 /// Sends requests on one connection.
 pub type Sender = SendRequest<Full<Bytes>>;
 
@@ -36,12 +45,18 @@
     address: SocketAddr,
     state: Mutex<State>,
     last_used: Mutex<Instant>,
+    invalid_log: Mutex<LogLimiter>,
 }
 
 impl Pool {
     /// Creates an empty pool; no connection may be open until the limits are set.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, state: Mutex::default(), last_used: Mutex::new(Instant::now()) }
+        Self {
+            address,
+            state: Mutex::default(),
+            last_used: Mutex::new(Instant::now()),
+            invalid_log: Mutex::default(),
+        }
     }
 
     /// Marks the pool as used now; see [`Self::is_idle_for`].
@@ -96,6 +111,18 @@
         slot.connect().await
     }
 
+    /// Refusal for a response that is no valid answer; logs what came, once a second.
+    fn invalid_response(&self, detail: String) -> Refusal {
+        if self.invalid_log.lock().admit(Time(clock::since_boot().0), 1).is_some() {
+            log::warn!(
+                event = "invalid-response", endpoint = self.address.to_string();
+                "the endpoint at {} sent no valid answer, which counts as its failure: {detail}",
+                self.address
+            );
+        }
+        Refusal::may_have_run(Reason::Mismatch, detail)
+    }
+
     /// Takes an idle connection or, if there is none, a slot for a new one.
     fn take(&self) -> Result<TakeResult, Refusal> {
         let mut s = self.state.lock();
@@ -158,16 +185,31 @@
     ///
     /// # Errors
     ///
-    /// Refuses with "not run" if nothing of the request was written, otherwise with "may have run".
+    /// Refuses with "not run" if nothing of the request was written, otherwise with "may have run"; also if
+    /// the response has no status of a final answer, which says nothing that can be relied on.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Refusal> {
         let Some(sender) = &mut self.sender else {
             return Err(Refusal::not_run(Reason::Connection, "the connection is closed"));
         };
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+        let interim = InterimResponses::default();
+        let counter = interim.clone();
+        hyper::ext::on_informational(&mut request, move |_| counter.record());
+        let sent = tokio::select! {
+            sent = sender.try_send_request(request) => sent,
+            () = interim.exceeded() => {
+                let detail = format!("more than {INTERIM_MAX} interim responses without a final one");
+                return Err(self.pool.invalid_response(detail));
+            }
+        };
+        match sent {
+            Ok(response) if FINAL_STATUSES.contains(&response.status().as_u16()) => Ok(response),
+            Ok(response) => {
+                let detail = format!("status {} is no final answer", response.status().as_u16());
+                Err(self.pool.invalid_response(detail))
+            }
             Err(mut e) => match e.take_message() {
                 // hyper returns the request only if nothing of it was written.
                 Some(_) => Err(Refusal::not_run(Reason::Connection, "the connection was closed")),
@@ -193,6 +235,29 @@
     }
 }
 
+/// Counts the interim responses to one request.
+#[derive(Clone, Default)]
+struct InterimResponses(Arc<InterimCount>);
+
+#[derive(Default)]
+struct InterimCount {
+    received: AtomicU32,
+    exceeded: Notify,
+}
+
+impl InterimResponses {
+    fn record(&self) {
+        if self.0.received.fetch_add(1, Ordering::Relaxed) == INTERIM_MAX {
+            self.0.exceeded.notify_one();
+        }
+    }
+
+    /// Completes when there were too many.
+    async fn exceeded(&self) {
+        self.0.exceeded.notified().await;
+    }
+}
+
 impl Drop for Lease {
     fn drop(&mut self) {
         if !self.returned {
--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -392,6 +392,19 @@
     endless_trailers = { b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", b"x-more: 0123456789abcdef\r\n" },
     endless_chunk_extension = { b"HTTP/1.1 200 OK\r\nsignature: s0-0\r\ntransfer-encoding: chunked\r\n\r\n4", b";more" },
     no_answer_at_all = { b"\x00\x01\x02", &[0xff; 4_096] },
+    endless_interim_answers = { b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 103 Early Hints\r\n\r\n" },
+    status_000 = { b"HTTP/1.1 000 Odd\r\nsignature: s0-0\r\ncontent-length: 4\r\n\r\nbody", b"" },
+    status_099 = { b"HTTP/1.1 099 Odd\r\nsignature: s0-0\r\ncontent-length: 4\r\n\r\nbody", b"" },
+    status_101 = { b"HTTP/1.1 101 Odd\r\nsignature: s0-0\r\ncontent-length: 4\r\n\r\nbody", b"" },
+    status_199 = { b"HTTP/1.1 199 Odd\r\nsignature: s0-0\r\ncontent-length: 4\r\n\r\nbody", b"" },
+    status_600 = { b"HTTP/1.1 600 Odd\r\nsignature: s0-0\r\ncontent-length: 4\r\n\r\nbody", b"" },
+    status_999 = { b"HTTP/1.1 999 Odd\r\nsignature: s0-0\r\ncontent-length: 4\r\n\r\nbody", b"" },
+    status_of_two_digits = { b"HTTP/1.1 20 OK\r\nsignature: s0-0\r\ncontent-length: 4\r\n\r\nbody", b"" },
+    status_of_four_digits = { b"HTTP/1.1 2000 OK\r\nsignature: s0-0\r\ncontent-length: 4\r\n\r\nbody", b"" },
+    status_with_a_sign = { b"HTTP/1.1 +20 OK\r\nsignature: s0-0\r\ncontent-length: 4\r\n\r\nbody", b"" },
+    status_with_blanks = { b"HTTP/1.1  200 OK\r\nsignature: s0-0\r\ncontent-length: 4\r\n\r\nbody", b"" },
+    no_status = { b"HTTP/1.1\r\nsignature: s0-0\r\ncontent-length: 4\r\n\r\nbody", b"" },
+    interim_answer_alone = { b"HTTP/1.1 100 Continue\r\nsignature: s0-0\r\n\r\n", b"" },
 )]
 #[test_macro(tokio::test)]
 async fn broken_answer_is_a_failure_and_is_not_read_without_end(
@@ -403,7 +416,7 @@
     let (broken, written) = start_broken(start, more).await;
     let hosts = [("north", "north"), ("south", "south")];
     let tier = Tier::start_scarce(&hosts, SHARDS, CONNECTIONS, Some(broken)).await;
-    for host in ["s0", "tier"] {
+    for host in ["s0", "once", "tier"] {
         let status = timeout(HANG_TIMEOUT, async {
             loop {
                 let status = tier.get_from(host).await.status();
@@ -416,6 +429,9 @@
         });
         let status = status.await.expect("the caller is answered");
         assert!(status.is_server_error(), "{host}: {status}");
+        assert!(status.as_u16() < 600, "{host}: {status}");
+        // It promises that nothing ran.
+        assert_ne!(status, StatusCode::SERVICE_UNAVAILABLE, "{host}");
     }
     let mut before = usize::MAX;
     wait_until("the connections are closed", async || {
--- a/tests/testsuite/relay_tier.rs
+++ b/tests/testsuite/relay_tier.rs
@@ -101,7 +101,11 @@
                 *r.body_mut() = Full::new(body);
             }
             Outcome::Refused { refusal, retry_after } => {
-                *r.status_mut() = http::status(refusal.reason);
+                *r.status_mut() = match refusal.verdict {
+                    Verdict::NotRun => http::status(refusal.reason),
+                    // 503 promises that the request has not run.
+                    _ => StatusCode::BAD_GATEWAY,
+                };
                 if let Some(span) = retry_after {
                     r.headers_mut().insert(RETRY, span.as_millis().into());
                 }
