--- a/tests/testsuite/transport.rs
+++ b/tests/testsuite/transport.rs
@@ -351,3 +351,28 @@
     }
     assert_eq!(fixture.transport.open(), 0, "a connection with shifted answers stayed in the pool");
 }
+
+/// Guards against a refusal that is believed though its status is none: it says that the attempt has not run, but
+/// nothing in it can be relied on.
+#[parameterized(
+    beyond_any_class = { 600 },
+    no_class_at_all = { 999 },
+    other_protocol = { 101 },
+)]
+#[test_macro(tokio::test)]
+async fn response_without_a_final_status_is_no_refusal(status: u16) {
+    let listener = TcpListener::bind(ANY).await.unwrap();
+    let f = Fixture::new(listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = vec![0; 4_096];
+        let read = stream.read(&mut request).await.unwrap();
+        let answer = echo(&String::from_utf8_lossy(&request[..read]));
+        let refusal = answer.replace("200 OK", &format!("{status} Odd"));
+        let response = refusal.replace("verdict: ran", "verdict: not-run");
+        stream.write_all(response.as_bytes()).await.unwrap();
+        std::future::pending::<()>().await;
+    });
+    let refusal = f.run(f.attempt(0, Span::secs(30))).await.unwrap_err();
+    assert_eq!((refusal.verdict, refusal.reason), (Verdict::MayHaveRun, Reason::Mismatch));
+}
