Drop only messages that are surely of no use any more

Results of batches that may have been in time were dropped on arrival: the transport compared the largest possible age, which rests on how fast the clock was told, with the time of use. The strict decision belongs to the handler of a batch, which starts no call by the largest age and stays as it was; results and cancellations do no harm late.

--- a/src/wisteriahead/services/peers/accept.rs
+++ b/src/wisteriahead/services/peers/accept.rs
@@ -221,7 +221,8 @@
         let now = self.hub.now();
         clock.record_arrival(now, sent);
         let age = clock.age(now, sent).context("the host has not told its clock")?;
-        let expired = age.most >= useful;
+        // What may still be of use is for the handler to decide, which knows what the error costs.
+        let expired = age.least >= useful;
         self.hub.traffic.count_age(age, expired);
         if age.least >= DELAYED_FROM {
             log::debug!(
