Take the owners of an endpoint from one place

The positions of the owners repeated how many hosts own an endpoint; now they are as many as `owners_of` returns. No behaviour changed; the properties of connection shares pass.

--- a/src/wisteriahead/core/relay/groups.rs
+++ b/src/wisteriahead/core/relay/groups.rs
@@ -120,7 +120,8 @@
     pub fn owners(&self, zone: &str, group: usize, connections: u32) -> &[Arc<str>] {
         let z = self.zones.get(zone).filter(|z| z.divided);
         let all = z.and_then(|z| z.groups.get(group)).map_or(&[][..], Vec::as_slice);
-        &all[..all.len().min(owners_max(connections))]
+        let most = (connections / OWNED_DIVISOR).saturating_sub(1).max(1) as usize;
+        &all[..all.len().min(most)]
     }
 
     /// Hosts of an undivided zone other than `host` that a part of its calls may be sent through, in
@@ -166,24 +167,14 @@
         let with_share = (to.connections - owned).saturating_sub(1).max(1) as usize;
         let others = hosts - owners.len();
         let own = position(&self.order, host);
-        let owners_before = self.owner_positions(to).iter().filter(|p| **p < own).count();
+        let zone = self.zones.get(&to.zone);
+        let group = zone.and_then(|z| z.positions.get(Self::part(&to.service, z.groups.len())));
+        let owner_positions = group.into_iter().flatten().take(owners.len());
+        let owners_before = owner_positions.filter(|p| **p < own).count();
         let first = fraction_of(others, digest::hash(&[&to.name]));
         let after_first = (own - owners_before + others - first) % others.max(1);
         u32::from(after_first < with_share)
     }
-
-    /// Positions of the hosts that own an endpoint.
-    fn owner_positions(&self, to: &Target) -> &[usize] {
-        let Some(z) = self.zones.get(&to.zone).filter(|z| z.divided) else { return &[] };
-        let group = z.positions.get(Self::part(&to.service, z.groups.len()));
-        let all = group.map_or(&[][..], Vec::as_slice);
-        &all[..all.len().min(owners_max(to.connections))]
-    }
-}
-
-/// Maximum number of owners of an endpoint that accepts so many connections.
-fn owners_max(connections: u32) -> usize {
-    (connections / OWNED_DIVISOR).saturating_sub(1).max(1) as usize
 }
 
 /// The part of `n` that a hash is of all hashes; it moves by one at most when `n` does.
