--- a/src/wisteriahead/services/transport/pool.rs
+++ b/src/wisteriahead/services/transport/pool.rs
@@ -194,12 +194,12 @@
         let Some(sender) = &mut self.sender else {
             return Err(Refusal::not_run(Reason::Connection, "the connection is closed"));
         };
-        let interim = InterimResponses::default();
-        let counter = interim.clone();
+        let interim = Arc::new(InterimResponses::default());
+        let counter = Arc::clone(&interim);
         hyper::ext::on_informational(&mut request, move |_| counter.record());
         let sent = tokio::select! {
             sent = sender.try_send_request(request) => sent,
-            () = interim.exceeded() => {
+            () = interim.exceeded.notified() => {
                 let detail = format!("more than {INTERIM_MAX} interim responses without a final one");
                 return Err(self.pool.invalid_response(detail));
             }
@@ -236,26 +236,19 @@
 }
 
 /// Counts the interim responses to one request.
-#[derive(Clone, Default)]
-struct InterimResponses(Arc<InterimCount>);
-
 #[derive(Default)]
-struct InterimCount {
+struct InterimResponses {
     received: AtomicU32,
+    /// Notified when there were too many.
     exceeded: Notify,
 }
 
 impl InterimResponses {
     fn record(&self) {
-        if self.0.received.fetch_add(1, Ordering::Relaxed) == INTERIM_MAX {
-            self.0.exceeded.notify_one();
+        if self.received.fetch_add(1, Ordering::Relaxed) == INTERIM_MAX {
+            self.exceeded.notify_one();
         }
     }
-
-    /// Completes when there were too many.
-    async fn exceeded(&self) {
-        self.0.exceeded.notified().await;
-    }
 }
 
 impl Drop for Lease {
