Send plain and timed messages between hosts the same way

`send_timed` repeated how `send` encodes, compresses, counts and queues a message, in the hub and in the lane. No behaviour changed.

--- a/src/wisteriahead/core/peers/clock.rs
+++ b/src/wisteriahead/core/peers/clock.rs
@@ -83,10 +83,11 @@
             _ => false,
         };
         let due = self.asked.is_none_or(|asked| now.since(asked) >= ASK_INTERVAL);
-        if due && !precise {
+        let asks = due && !precise;
+        if asks {
             self.asked = Some(now);
         }
-        due && !precise
+        asks
     }
 
     fn lowest(&self, now: Time) -> Option<i64> {
--- a/src/wisteriahead/services/peers/hub.rs
+++ b/src/wisteriahead/services/peers/hub.rs
@@ -8,6 +8,7 @@
 use super::{PeerSettings, TlsConfigs};
 use crate::core::message::{self, ENVELOPE_MAX_BYTES, EnvelopeView, Topic};
 use crate::core::peers::admission::Admission;
+use crate::core::peers::outbox::{Kind, MESSAGE_MAX_AGE};
 use crate::core::peers::{Lane, Role, TimedMessage};
 use crate::prelude::*;
 use crate::services::{Handler, Peers};
@@ -300,6 +301,19 @@
         self.peers.read().get(name).cloned()
     }
 
+    /// Adds a one-way message to what waits for a host.
+    fn send_one_way(&self, to: &str, topic: Topic, body: &[u8], useful: Span, kind: Kind) {
+        match (self.peer(to), self.encode_envelope(topic, body)) {
+            (Some(peer), Ok(bytes)) => {
+                let bytes = peer.compress_for_host(bytes);
+                self.traffic.count_sent(topic, bytes.len());
+                peer.lane(Lane::of_size(bytes.len())).send(self.now(), useful, kind, bytes);
+            }
+            (None, _) => log::debug!("dropped a message to unknown host `{to}`"),
+            (_, Err(e)) => log::warn!("dropped a message to host `{to}`: {e}"),
+        }
+    }
+
     /// Encodes an envelope with this host as the sender.
     fn encode_envelope(&self, topic: Topic, body: &[u8]) -> Result<Vec<u8>> {
         let (version, from) = (message::VERSION, self.settings.host.as_str());
@@ -365,35 +379,18 @@
     }
 
     fn send(&self, to: &str, topic: Topic, body: Vec<u8>) {
-        match (self.peer(to), self.encode_envelope(topic, &body)) {
-            (Some(peer), Ok(bytes)) => {
-                let bytes = peer.compress_for_host(bytes);
-                self.traffic.count_sent(topic, bytes.len());
-                peer.lane(Lane::of_size(bytes.len())).send(self.now(), bytes);
-            }
-            (None, _) => log::debug!("dropped a message to unknown host `{to}`"),
-            (_, Err(e)) => log::warn!("dropped a message to host `{to}`: {e}"),
-        }
+        self.send_one_way(to, topic, &body, MESSAGE_MAX_AGE, Kind::Message);
     }
 
     fn send_timed(&self, to: &str, topic: Topic, message: TimedMessage) {
-        let Some(peer) = self.peer(to) else {
-            return log::debug!("dropped a message to unknown host `{to}`");
-        };
-        if let Role::Cancel(number) = message.role
+        let TimedMessage { body, useful, role } = message;
+        if let Role::Cancel(number) = role
+            && let Some(peer) = self.peer(to)
             && Lane::ALL.iter().any(|lane| peer.lane(*lane).withdraw(number))
         {
             return self.traffic.count_withdrawn();
         }
-        match self.encode_envelope(topic, &message.body) {
-            Ok(bytes) => {
-                let body = peer.compress_for_host(bytes);
-                self.traffic.count_sent(topic, body.len());
-                let lane = peer.lane(Lane::of_size(body.len()));
-                lane.send_timed(self.now(), TimedMessage { body, ..message });
-            }
-            Err(e) => log::warn!("dropped a message to host `{to}`: {e}"),
-        }
+        self.send_one_way(to, topic, &body, useful, Kind::Timed(role));
     }
 
     fn call<'a>(
--- a/src/wisteriahead/services/peers/lane.rs
+++ b/src/wisteriahead/services/peers/lane.rs
@@ -1,9 +1,8 @@
 //! One of the two connections to a host: what waits for it, and the calls that wait for answers.
 
 use super::wire::{Answer, write_call, write_message, write_timed};
-use crate::core::peers::TimedMessage;
 use crate::core::peers::clock::Reading;
-use crate::core::peers::outbox::{Kind, MESSAGE_MAX_AGE, Outbox, Waiting};
+use crate::core::peers::outbox::{Kind, Outbox, Waiting};
 use crate::prelude::*;
 use anyhow::anyhow;
 use bytes::BytesMut;
@@ -38,16 +37,9 @@
 }
 
 impl OutboundLane {
-    /// Adds a one-way message.
-    pub fn send(&self, now: Time, envelope: Vec<u8>) {
-        self.outbox.lock().push(now, MESSAGE_MAX_AGE, Kind::Message, envelope);
-        self.changed.notify_one();
-    }
-
-    /// Adds a timed message, already as an envelope.
-    pub fn send_timed(&self, now: Time, message: TimedMessage) {
-        let TimedMessage { body, useful, role } = message;
-        self.outbox.lock().push(now, useful, Kind::Timed(role), body);
+    /// Adds a one-way message that is of use for `useful`.
+    pub fn send(&self, now: Time, useful: Span, kind: Kind, envelope: Vec<u8>) {
+        self.outbox.lock().push(now, useful, kind, envelope);
         self.changed.notify_one();
     }
 
