Tell processor time by kind of work, and set the log level of one module

Each kind of work now counts its processor time and its longest piece, reported once a second as metrics and at `debug`; nothing is measured unless someone reads it. `--log-level info,MODULE=LEVEL` sets the level of a module.

--- a/src/wisteriahead/ops/serve/mod.rs
+++ b/src/wisteriahead/ops/serve/mod.rs
@@ -20,6 +20,7 @@
 use crate::util::logging;
 use crate::util::metrics::Metrics;
 use crate::util::tls::{HostKeys, TlsPaths};
+use crate::util::work;
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::time::SystemTime;
@@ -31,7 +32,7 @@
 ///
 /// Fails when a service cannot start; the error names the service.
 pub fn run(settings: &Settings) -> Result<()> {
-    logging::init(settings.log_level, settings.log_format, &settings.host)?;
+    logging::init(&settings.log_level, settings.log_format, &settings.host)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -136,6 +137,7 @@
 
 async fn start(kernel: &mut Kernel, s: &Settings) -> Result<Addresses> {
     let metrics = Metrics::new(s.metrics)?;
+    tokio::spawn(work::report(kernel.context().clone(), metrics.clone()));
     tokio::spawn(expiry::watch(s.cert.clone(), metrics.clone()));
     let tls = TlsPaths { ca: s.ca.clone(), cert: s.cert.clone(), key: s.key.clone() };
     let peers = PeerSettings {
--- a/src/wisteriahead/ops/serve/settings.rs
+++ b/src/wisteriahead/ops/serve/settings.rs
@@ -3,8 +3,7 @@
 use crate::core::admission::QUEUE_MAX;
 use crate::core::endpoint::check_name;
 use crate::core::time::Span;
-use crate::util::logging::Format;
-use log::LevelFilter;
+use crate::util::logging::{Format, Levels};
 use std::fmt;
 use std::fs::File;
 use std::net::SocketAddr;
@@ -85,8 +84,8 @@
     pub voters: Vec<String>,
     /// UDP address that metrics are sent to.
     pub metrics: Option<SocketAddr>,
-    /// Least severe level that is logged.
-    pub log_level: LevelFilter,
+    /// Least severe levels that are logged.
+    pub log_level: Levels,
     /// Format of log lines.
     pub log_format: Format,
     /// Time for which a stopping host still serves after its health check reports that it leaves.
@@ -230,10 +229,9 @@
             data: self.data.as_ref().map(|d| c.folder("--data", d)),
             voters: self.voters.iter().map(|v| c.name("--voter", v)).collect(),
             metrics: self.metrics.as_ref().map(|m| c.address("--metrics", m)),
-            log_level: self.log_level.parse().unwrap_or_else(|_| {
-                let requirement = "must be off, error, warn, info, debug or trace";
-                c.reject("--log-level", &self.log_level, requirement);
-                LevelFilter::Info
+            log_level: self.log_level.parse().unwrap_or_else(|e: String| {
+                c.reject("--log-level", &self.log_level, e);
+                Levels::default()
             }),
             log_format: self.log_format.parse().unwrap_or_else(|e: String| {
                 c.reject("--log-format", &self.log_format, e);
--- a/src/wisteriahead/services/control/revision_store.rs
+++ b/src/wisteriahead/services/control/revision_store.rs
@@ -10,6 +10,7 @@
 use crate::prelude::*;
 use crate::services::AcceptedDocument;
 use crate::util::disk::{Disk, Journal};
+use crate::util::work::{self, Work};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -94,6 +95,10 @@
 
     /// Puts a revision in force if it is higher than the current one.
     pub fn adopt(&self, force: ActiveRevision) {
+        work::measure(Work::Plan, || self.adopt_newer(force));
+    }
+
+    fn adopt_newer(&self, force: ActiveRevision) {
         let mut journal = self.journal.lock();
         if force.revision <= self.revision() {
             return;
--- a/src/wisteriahead/services/registry.rs
+++ b/src/wisteriahead/services/registry.rs
@@ -14,6 +14,7 @@
 use crate::prelude::*;
 use crate::util::http::{self, Answer, Server};
 use crate::util::metrics::Metrics;
+use crate::util::work::{self, Work};
 use arc_swap::ArcSwap;
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
@@ -211,7 +212,7 @@
 
 impl Handler for RegistryDriver {
     fn receive(&self, from: &str, body: &[u8]) {
-        match decode::<Message>(body) {
+        work::measure(Work::Registry, || match decode::<Message>(body) {
             Ok(message) => {
                 let now = self.ctx.now();
                 let (changed, out) = self.gossip.lock().receive(now, &from.into(), message);
@@ -221,7 +222,7 @@
             Err(e) => log::warn!(
                 "could not decode a registry message from host `{from}`; it is ignored: {e}"
             ),
-        }
+        });
     }
 }
 
@@ -347,22 +348,24 @@
                     return;
                 }
                 let accepted = document.borrow_and_update().clone();
-                driver.set_document(&accepted);
-                driver.mark_stale(true);
-                driver.tick();
+                work::measure(Work::Registry, || {
+                    driver.set_document(&accepted);
+                    driver.mark_stale(true);
+                    driver.tick();
+                });
             }
             changed = members.changed() => {
                 if changed.is_err() {
                     return;
                 }
                 let current = members.borrow_and_update().clone();
-                driver.set_members(&current);
+                work::measure(Work::Registry, || driver.set_members(&current));
             }
             _ = tick.tick() => {
                 if let Some(late) = lag.fired(ctx.now(), TICK.into()) {
                     driver.report_lag(late, &mut rankings);
                 }
-                driver.tick();
+                work::measure(Work::Registry, || driver.tick());
                 ticks = ticks.wrapping_add(1);
                 if ticks.is_multiple_of(REPORT_TICKS) {
                     driver.report();
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -23,6 +23,7 @@
 use crate::core::relay::timing::{self, FlushTimes};
 use crate::core::routes::{Snapshot, Target};
 use crate::prelude::*;
+use crate::util::work::{self, Work};
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt as _};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -378,7 +379,7 @@
     }
     let ended = relay.ctx.now();
     attempt_log.record_unanswered(&gather);
-    let outcome = to_outcome(route, gather, shards, failure);
+    let outcome = work::measure(Work::Merge, || to_outcome(route, gather, shards, failure));
     let id = id.to_str().unwrap_or_default();
     if let Outcome::Merged { missing, .. } = outcome {
         let merged = relay.ctx.now();
@@ -511,9 +512,10 @@
                 identity,
                 services,
             };
-            let actions = gather.step(now, event, &mut environment);
+            let step = || gather.step(now, event, &mut environment);
+            let actions = work::measure(Work::Request, step);
             let stepped = self.timeline.is_some().then(|| relay.ctx.now());
-            let finished = self.execute(actions);
+            let finished = work::measure(Work::Request, || self.execute(actions));
             if let (Some(timeline), Some(stepped)) = (&mut self.timeline, stepped) {
                 if is_start {
                     (timeline.read, timeline.chosen) = (now, Some(stepped));
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -26,6 +26,7 @@
 use crate::core::routes::Target;
 use crate::prelude::*;
 use crate::services::{Handler, Peers};
+use crate::util::work::{self, Work};
 use bytes::Bytes;
 use futures::stream::{FuturesUnordered, StreamExt as _};
 use hyper::StatusCode;
@@ -416,6 +417,12 @@
     }
 
     fn receive_timed(&self, from: &str, age: Age, body: &[u8]) {
+        work::measure(Work::Relay, || self.handle_message(from, age, body));
+    }
+}
+
+impl Relay {
+    fn handle_message(&self, from: &str, age: Age, body: &[u8]) {
         match decode(body) {
             Ok(Message::Ask(request)) => self.start_remote_batch(from.into(), *request, age),
             Ok(Message::Parts { number, answered, records, notices, separate, died }) => {
@@ -434,9 +441,7 @@
             Err(e) => log::warn!("ignored a malformed relay message from host `{from}`: {e}"),
         }
     }
-}
 
-impl Relay {
     /// Starts a task for a batch of this age that another host has sent.
     fn start_remote_batch(&self, from: Arc<str>, request: BatchRequest, age: Age) {
         let Some(relay) = self.weak.upgrade() else { return };
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -39,6 +39,7 @@
 use crate::prelude::*;
 use crate::util::http::{self, Answer, Limits, Server};
 use crate::util::metrics::Metrics;
+use crate::util::work::{self, Work};
 use arc_swap::ArcSwapOption;
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
@@ -484,7 +485,8 @@
             changes.mark_unchanged();
             let plan = accepted.borrow_and_update().plan.clone();
             // While a plan waits for its endpoints, it is checked again at each probe.
-            stale = relay.update_table(&mut switch, plan, endpoints.routes());
+            let update = || relay.update_table(&mut switch, plan, endpoints.routes());
+            stale = work::measure(Work::Table, update);
         }
         let ended = tokio::select! {
             _ = probe.tick() => {
@@ -502,7 +504,8 @@
                 changed.is_err()
             }
             changed = members.changed() => {
-                relay.set_members(&members.borrow_and_update());
+                let current = members.borrow_and_update().clone();
+                work::measure(Work::Hosts, || relay.set_members(&current));
                 changed.is_err()
             }
             _ = keep_alive.tick() => {
--- a/src/wisteriahead/util/logging.rs
+++ b/src/wisteriahead/util/logging.rs
@@ -16,6 +16,50 @@
     Json,
 }
 
+/// Least severe levels that are logged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Levels {
+    /// Level of the modules that are not listed.
+    pub default: LevelFilter,
+    /// Levels of modules and those below them, by path.
+    pub modules: Vec<(String, LevelFilter)>,
+}
+
+impl Default for Levels {
+    fn default() -> Self {
+        Self { default: LevelFilter::Info, modules: Vec::new() }
+    }
+}
+
+impl std::str::FromStr for Levels {
+    type Err = String;
+    /// Parses a level, followed by `MODULE=LEVEL` for modules with another one, separated by commas.
+    fn from_str(s: &str) -> Result<Self, String> {
+        let allowed = "must be off, error, warn, info, debug or trace, then MODULE=LEVEL for modules \
+                       with another level, separated by commas";
+        let level = |s: &str| s.parse().map_err(|_| allowed.to_owned());
+        let mut levels = Self::default();
+        for (i, part) in s.split(',').enumerate() {
+            match part.split_once('=') {
+                Some((module, of)) if !module.is_empty() => {
+                    levels.modules.push((module.to_owned(), level(of)?));
+                }
+                None if i == 0 => levels.default = level(part)?,
+                _ => return Err(allowed.to_owned()),
+            }
+        }
+        Ok(levels)
+    }
+}
+
+impl std::fmt::Display for Levels {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.default.as_str().to_lowercase())?;
+        let mut modules = self.modules.iter();
+        modules.try_for_each(|(m, level)| write!(f, ",{m}={}", level.as_str().to_lowercase()))
+    }
+}
+
 impl std::str::FromStr for Format {
     type Err = String;
     fn from_str(s: &str) -> Result<Self, String> {
@@ -32,9 +76,12 @@
 /// # Errors
 ///
 /// Fails if a logger is already installed.
-pub fn init(level: LevelFilter, format: Format, host: &str) -> Result<()> {
+pub fn init(levels: &Levels, format: Format, host: &str) -> Result<()> {
     let host = host.to_owned();
-    let dispatch = fern::Dispatch::new().level(level).level_for("rustls", LevelFilter::Warn);
+    let dispatch =
+        fern::Dispatch::new().level(levels.default).level_for("rustls", LevelFilter::Warn);
+    let modules = levels.modules.iter().cloned();
+    let dispatch = modules.fold(dispatch, |d, (module, level)| d.level_for(module, level));
     let dispatch = match format {
         Format::Text => {
             dispatch.format(|out, _, record| out.finish(format_args!("{}", text(record))))
--- a/src/wisteriahead/util/metrics.rs
+++ b/src/wisteriahead/util/metrics.rs
@@ -17,6 +17,7 @@
 #[derive(Clone)]
 pub struct Metrics {
     client: std::sync::Arc<StatsdClient>,
+    enabled: bool,
 }
 
 impl Metrics {
@@ -30,7 +31,12 @@
             None => StatsdClient::from_sink(PREFIX, NopMetricSink),
             Some(to) => StatsdClient::from_sink(PREFIX, sink(to)?),
         };
-        Ok(Self { client: std::sync::Arc::new(client) })
+        Ok(Self { client: std::sync::Arc::new(client), enabled: address.is_some() })
+    }
+
+    /// Whether metrics are sent anywhere.
+    pub const fn is_enabled(&self) -> bool {
+        self.enabled
     }
 
     /// Adds `n` to a counter.
--- a/src/wisteriahead/util/mod.rs
+++ b/src/wisteriahead/util/mod.rs
@@ -9,4 +9,5 @@
 pub mod renewal;
 pub mod secret;
 pub mod tls;
+pub mod work;
 pub mod write_timeout;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -54,3 +54,4 @@
 mod support;
 mod transport;
 mod whole;
+mod work;
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -61,6 +61,9 @@
     voter_without_disk = {"--voter", "a", "set --data"},
     metrics = {"--metrics", "x", "IP address and a port"},
     level = {"--log-level", "loud", "off, error, warn, info, debug or trace"},
+    module_level = {"--log-level", "info,a::b=loud", "MODULE=LEVEL"},
+    module_without_level = {"--log-level", "info,a::b", "MODULE=LEVEL"},
+    level_without_module = {"--log-level", "info,=debug", "MODULE=LEVEL"},
     format = {"--log-format", "xml", "`text` or `json`"},
     drain = {"--drain-timeout", "soon", "a time up to 10m"},
     lame_duck = {"--lame-duck", "11m", "a time up to 10m"},
@@ -132,6 +135,24 @@
     assert_eq!(states, ["ready", "stopping", "stopped"]);
 }
 
+#[tokio::test]
+async fn log_level_of_one_module_leaves_the_others() {
+    let mut tier = Tier::new(&program_folder().unwrap()).unwrap();
+    let levels = "info,wisteriahead::util::work=debug";
+    let args = ["--log-format", "json", "--log-level", levels];
+    tier.start_daemon("entry-1", "north", &args).await.unwrap();
+    let work = |log: &str| log.lines().any(|l| l.contains("\"event\":\"work\""));
+    while !work(&tier.log(0).unwrap()) {
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    let log = tier.log(0).unwrap();
+    let lines: Vec<Value> = log.lines().map(|l| serde_json::from_str(l).unwrap()).collect();
+    let debug = lines.iter().filter(|l| l["level"] == "DEBUG");
+    let modules: Vec<_> = debug.map(|l| l["module"].as_str().unwrap()).collect();
+    assert!(!modules.is_empty() && modules.iter().all(|m| *m == "wisteriahead::util::work"));
+    assert!(lines.iter().any(|l| l["event"] == "work" && l["kind"] == "registry"), "{log}");
+}
+
 #[test]
 fn control_characters_do_not_break_a_log_line() {
     let args = format_args!("a\r\nb\u{1b}[2J");
