Tell changes of the membership with probes instead of flooding them

Callers of the large site saw cord-peek late while hosts restarted. It also built its view of all 300 hosts anew for each message. Now only the host that notices a change sends it at once; all others pass it on with probes and their answers, which cost no further message, and a change looks at one record. A host that gets SIGTERM says so while it still serves, so that no batch goes through it when it exits.

Ruled out: that fewer neighbours would do, since probes need them.

--- a/src/wisteriahead/core/budget/election.rs
+++ b/src/wisteriahead/core/budget/election.rs
@@ -37,7 +37,7 @@
     pub fn new(zone: &str, members: &[Member]) -> Self {
         let here = |m: &&Member| *m.zone == *zone && m.health != Health::Left;
         let hosts: Vec<_> = members.iter().filter(here).map(|m| m.host.clone()).collect();
-        let alive = |m: &&Member| here(m) && m.health == Health::Alive;
+        let alive = |m: &&Member| here(m) && m.health < Health::Suspect;
         let alive = members.iter().filter(alive).map(|m| m.host.clone()).collect();
         let away = |m: &&Member| *m.zone != *zone && m.health != Health::Left;
         let others = members.iter().filter(away).map(|m| &*m.host);
--- a/src/wisteriahead/core/member/detect.rs
+++ b/src/wisteriahead/core/member/detect.rs
@@ -19,7 +19,7 @@
 const LOST_PROBE_ROUNDS: u64 = 2;
 
 impl Membership {
-    /// Hosts that are probed in each round and sent all changes: those at the distances 1, 2, 4 and
+    /// Hosts that are probed in each round and sent changes: those at the distances 1, 2, 4 and
     /// so on along the ring of this zone.
     pub(super) fn ring_neighbours(&self) -> Vec<Arc<str>> {
         let own = (digest::hash(&[&self.own.host]), &self.own.host);
@@ -88,14 +88,17 @@
         out: &mut Vec<Action>,
     ) {
         self.seq += 1;
+        let (news, news_until) = self.news_for(&target);
         let ping = Message::Ping {
             seq: self.seq,
             digest: self.digest(),
             own: self.own.clone(),
             yours: self.record(&target).cloned(),
+            news,
         };
         out.push(Action::Send(Arc::clone(&target), ping));
-        self.probes.insert(self.seq, Probe { target, sent: now, relayed: false, origin });
+        let probe = Probe { target, sent: now, relayed: false, origin, news_until };
+        self.probes.insert(self.seq, probe);
     }
 
     /// Acts on probes that have not been answered in time.
@@ -138,7 +141,7 @@
             .table
             .values()
             .map(|e| &e.record)
-            .filter(|r| r.health == Health::Alive && *r.host != *target)
+            .filter(|r| r.health < Health::Suspect && *r.host != *target)
             .collect();
         let salt = seq.to_string();
         able.sort_by_cached_key(|r| (r.zone != *zone, digest::hash(&[&salt, &r.host])));
@@ -156,8 +159,8 @@
             }
         } else if self.newest_acked <= sent {
             return false;
-        } else if record.health == Health::Alive {
-            self.merge(now, Record { health: Health::Suspect, ..record });
+        } else if record.health < Health::Suspect {
+            self.merge_own(now, Record { health: Health::Suspect, ..record });
         }
         true
     }
@@ -179,7 +182,7 @@
             .map(|e| Record { health: Health::Lost, ..e.record.clone() })
             .collect();
         for record in lost {
-            self.merge(now, record);
+            self.merge_own(now, record);
         }
     }
 
@@ -190,8 +193,10 @@
             return;
         }
         if let Some((origin, theirs)) = probe.origin.clone() {
-            out.push(Action::Send(origin, Message::Ack { seq: theirs, own: from.clone() }));
+            let (seq, own, news) = (theirs, from.clone(), Vec::new());
+            out.push(Action::Send(origin, Message::Ack { seq, own, news, digest: None }));
         }
+        self.news.record_told(&probe.target, probe.news_until);
         self.newest_acked = self.newest_acked.max(probe.sent);
         self.probes.swap_remove(&seq);
         if self.is_isolated(now) {
--- a/src/wisteriahead/core/member/mod.rs
+++ b/src/wisteriahead/core/member/mod.rs
@@ -5,9 +5,13 @@
 //! in the order of their hashed names, and each probes the hosts at the distances 1, 2, 4 and so
 //! on; it also probes one partner in every other zone. A host that answers neither a direct probe
 //! nor the probes that others send on request becomes suspected. It becomes lost unless it
-//! refutes the suspicion in time with a higher incarnation. A change is sent at once to all
-//! probed hosts, and each host forwards it once; digests in the probes reveal updates that
-//! were lost on the way. Lost hosts are still probed, so that the end of a partition is noticed.
+//! refutes the suspicion in time with a higher incarnation. Lost hosts are still probed, so that
+//! the end of a partition is noticed.
+//!
+//! The host that notices a change sends it at once to all hosts that it probes. All others pass it
+//! on with their probes and answers, so that the number of messages does not grow with the number
+//! of changes. This answers the load of rolling restarts, in which several hosts a second leave and
+//! come back. Digests in the probes reveal updates that were lost on the way.
 //!
 //! A host reports suspicions only about hosts of its own zone. When all its partners in another
 //! zone stay silent, it regards that zone as lost but does not report so. Likewise, a host that
@@ -15,9 +19,13 @@
 //! itself be the one that is cut off.
 
 mod detect;
+mod host_set;
+mod news;
 mod record;
 mod spread;
 
+pub use self::host_set::{HostSet, LEFT_KEPT, MemberChanges};
+use self::news::ChangeLog;
 pub use self::record::{Health, Member, Record};
 use super::time::{Span, Time};
 use indexmap::IndexMap;
@@ -61,6 +69,9 @@
         own: Record,
         /// The sender's record of the receiver, if any; lets the receiver refute a suspicion.
         yours: Option<Record>,
+        /// Records that have changed; older releases omit the field.
+        #[serde(default)]
+        news: Vec<Record>,
     },
     /// Answer to a ping.
     Ack {
@@ -68,6 +79,12 @@
         seq: u64,
         /// The sender's record of itself.
         own: Record,
+        /// Records that have changed; older releases omit the field.
+        #[serde(default)]
+        news: Vec<Record>,
+        /// Digest of all records of the sender; older releases omit the field.
+        #[serde(default)]
+        digest: Option<u64>,
     },
     /// Request to probe another host and forward its answer.
     Relay {
@@ -100,6 +117,8 @@
     Discovered(Arc<str>),
     /// A message from the named host has arrived.
     Received(Arc<str>, Message),
+    /// This host will shut down soon, and still works.
+    Retire,
     /// This host is shutting down.
     Leave,
 }
@@ -109,8 +128,8 @@
 pub enum Action {
     /// Send a message to the named host; it may be lost.
     Send(Arc<str>, Message),
-    /// [`Membership::members`] has changed; publish it.
-    Changed,
+    /// [`Membership::members`] has changed; publish it. Lists the hosts whose records have changed.
+    Changed(Vec<Arc<str>>),
 }
 
 /// Table entry of another host.
@@ -132,6 +151,8 @@
     relayed: bool,
     /// Host that asked for this probe, and the number of its own probe.
     origin: Option<(Arc<str>, u64)>,
+    /// Number of the last change that the target knows once it has answered.
+    news_until: u64,
 }
 
 /// Contact to another zone.
@@ -150,8 +171,10 @@
     table: IndexMap<Arc<str>, Entry>,
     probes: IndexMap<u64, Probe>,
     zone_contacts: IndexMap<Arc<str>, ZoneContact>,
-    /// Changed records to send to the neighbours and partners.
+    /// Changes that this host has noticed itself and sends to the neighbours and partners at once.
     updates: Vec<Record>,
+    /// Changes that go along with probes and answers.
+    news: ChangeLog,
     seq: u64,
     round: u64,
     next_round: Time,
@@ -159,9 +182,12 @@
     last_ack: Time,
     /// When the newest of the answered probes was sent.
     newest_acked: Time,
-    digest: u64,
-    /// Whether `digest` and `members` must be recomputed.
-    stale: bool,
+    /// Digests of the records of each zone.
+    digests: IndexMap<Arc<str>, u64>,
+    /// Hosts whose records have changed since `members` was updated.
+    changed: Vec<Arc<str>>,
+    /// Number of records that were looked at to update `members`.
+    view_updates: u64,
     /// Health of the other zones at the last tick, and last that of all hosts together.
     zone_states: Vec<Health>,
     last_update: Time,
@@ -178,20 +204,23 @@
             probes: IndexMap::new(),
             zone_contacts: IndexMap::new(),
             updates: Vec::new(),
+            news: ChangeLog::default(),
             seq: 0,
             round: 0,
             next_round: now,
             last_step: now,
             last_ack: now,
             newest_acked: now,
-            digest: 0,
-            stale: true,
+            digests: IndexMap::new(),
+            changed: Vec::new(),
+            view_updates: 0,
             zone_states: Vec::new(),
             last_update: now,
             last_compared: IndexMap::new(),
             members: Vec::new(),
         };
-        new.members = new.view(now);
+        new.toggle_digest(&new.own.zone.clone(), new.own.digest());
+        new.rebuild_view(now);
         new
     }
 
@@ -215,6 +244,12 @@
         &self.members
     }
 
+    /// Number of records that were looked at to keep [`Self::members`] up to date, a measure of the work
+    /// done here.
+    pub fn view_updates(&self) -> u64 {
+        self.view_updates
+    }
+
     /// Handles an event and returns the actions to carry out.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
@@ -222,14 +257,15 @@
             self.reset_after_stall(now);
         }
         self.last_step = now;
-        self.stale |= matches!(event, Event::Tick) && self.zones_changed(now);
+        let zones_changed = matches!(event, Event::Tick) && self.zones_changed(now);
         match event {
             Event::Tick => self.tick(now, &mut out),
             Event::Discovered(host) => self.handle_discovered(&host, &mut out),
             Event::Received(from, message) => self.receive(now, &from, message, &mut out),
-            Event::Leave => self.leave(&mut out),
+            Event::Retire => self.announce_health(Health::Leaving, &mut out),
+            Event::Leave => self.announce_health(Health::Left, &mut out),
         }
-        self.refresh_view(now, &mut out);
+        self.refresh_view(now, zones_changed, &mut out);
         out
     }
 
@@ -259,10 +295,18 @@
     }
 
     fn forget_departed(&mut self, now: Time) {
-        self.table
-            .retain(|_, e| e.record.health < Health::Lost || now.since(e.since) < FORGET_AFTER);
-        let table = &self.table;
-        self.last_compared.retain(|host, _| table.contains_key(host));
+        let gone =
+            |e: &Entry| e.record.health >= Health::Lost && now.since(e.since) >= FORGET_AFTER;
+        let departed: Vec<_> =
+            self.table.iter().filter(|(_, e)| gone(e)).map(|(host, _)| host.clone()).collect();
+        for host in departed {
+            if let Some(e) = self.table.swap_remove(&host) {
+                self.toggle_digest(&e.record.zone, e.digest);
+                self.changed.push(host.clone());
+            }
+            self.last_compared.swap_remove(&host);
+            self.news.forget(&host);
+        }
     }
 
     fn handle_discovered(&mut self, host: &Arc<str>, out: &mut Vec<Action>) {
@@ -271,38 +315,88 @@
         }
     }
 
-    fn leave(&mut self, out: &mut Vec<Action>) {
-        self.own.health = Health::Left;
+    /// Tells the other hosts that this one is in a worse state of health than before.
+    fn announce_health(&mut self, health: Health, out: &mut Vec<Action>) {
+        if health > self.own.health {
+            self.set_own(Record { health, ..self.own.clone() });
+            self.flush_updates(out);
+        }
+    }
+
+    /// Replaces this host's own record, and has the other hosts told.
+    fn set_own(&mut self, own: Record) {
+        self.toggle_digest(&own.zone, self.own.digest() ^ own.digest());
+        self.own = own;
+        let host = self.own.host.clone();
         self.updates.push(self.own.clone());
-        self.flush_updates(out);
+        self.news.record(host.clone(), None);
+        self.changed.push(host);
     }
 
-    fn refresh_view(&mut self, now: Time, out: &mut Vec<Action>) {
-        if !std::mem::take(&mut self.stale) {
-            return;
+    /// Adds the digest of a record to that of its zone, or takes it out again.
+    fn toggle_digest(&mut self, zone: &Arc<str>, digest: u64) {
+        match self.digests.get_mut(zone) {
+            Some(all) => *all ^= digest,
+            None => drop(self.digests.insert(zone.clone(), digest)),
         }
-        self.digest = self.digests().values().fold(0, |all, d| all ^ d);
-        let view = self.view(now);
-        if view != self.members {
-            self.members = view;
-            out.push(Action::Changed);
+    }
+
+    /// Applies the records that have changed to the published view.
+    fn refresh_view(&mut self, now: Time, zones_changed: bool, out: &mut Vec<Action>) {
+        let hosts = std::mem::take(&mut self.changed);
+        let changed = if zones_changed {
+            self.rebuild_view(now)
+        } else {
+            hosts.iter().fold(false, |changed, host| self.refresh_member(now, host) || changed)
+        };
+        if changed {
+            out.push(Action::Changed(hosts));
+        }
+    }
+
+    /// Applies a host's record to the published view; returns whether the view has changed.
+    fn refresh_member(&mut self, now: Time, host: &Arc<str>) -> bool {
+        self.view_updates += 1;
+        let record = if *host == self.own.host { Some(&self.own) } else { self.record(host) };
+        let member = record.map(|r| self.member(now, r));
+        match (self.members.binary_search_by(|m| m.host.cmp(host)), member) {
+            (Ok(at), Some(member)) if self.members[at] == member => false,
+            (Ok(at), Some(member)) => {
+                self.members[at] = member;
+                true
+            }
+            (Ok(at), None) => {
+                self.members.remove(at);
+                true
+            }
+            (Err(at), Some(member)) => {
+                self.members.insert(at, member);
+                true
+            }
+            (Err(_), None) => false,
         }
     }
 
-    fn view(&self, now: Time) -> Vec<Member> {
-        let others = self.table.values().map(|e| (&e.record, self.observed_health(now, &e.record)));
-        let mut all: Vec<_> = others
-            .chain([(&self.own, self.own.health)])
-            .map(|(r, health)| Member {
-                host: Arc::clone(&r.host),
-                zone: Arc::clone(&r.zone),
-                health,
-                incarnation: r.incarnation,
-                durable: r.durable,
-            })
-            .collect();
+    /// Builds the published view anew; returns whether it has changed.
+    fn rebuild_view(&mut self, now: Time) -> bool {
+        self.view_updates += self.table.len() as u64 + 1;
+        let records = self.records().chain([&self.own]);
+        let mut all: Vec<_> = records.map(|r| self.member(now, r)).collect();
         all.sort_by(|a, b| a.host.cmp(&b.host));
-        all
+        let changed = all != self.members;
+        self.members = all;
+        changed
+    }
+
+    fn member(&self, now: Time, r: &Record) -> Member {
+        let health = if r.host == self.own.host { r.health } else { self.observed_health(now, r) };
+        Member {
+            host: Arc::clone(&r.host),
+            zone: Arc::clone(&r.zone),
+            health,
+            incarnation: r.incarnation,
+            durable: r.durable,
+        }
     }
 
     /// Health of a host as this host sees it: that of its record, or that of its zone if worse.
--- a/src/wisteriahead/core/member/record.rs
+++ b/src/wisteriahead/core/member/record.rs
@@ -11,6 +11,9 @@
 pub enum Health {
     /// Answers probes.
     Alive,
+    /// Has announced that it will leave, and still works. Older releases do not know it and drop the
+    /// message.
+    Leaving,
     /// Has not answered lately and may be lost.
     Suspect,
     /// Is regarded as lost.
@@ -59,7 +62,15 @@
 
     /// Hash of the name, incarnation and health, on which all hosts should agree.
     pub fn digest(&self) -> u64 {
-        let state = (self.incarnation << 2) | self.health as u64;
-        digest::mix(digest::hash(&[&self.host]) ^ digest::mix(state))
+        // Older releases number the health like this.
+        let (health, leaving) = match self.health {
+            Health::Alive => (0, false),
+            Health::Leaving => (0, true),
+            Health::Suspect => (1, false),
+            Health::Lost => (2, false),
+            Health::Left => (3, false),
+        };
+        let state = digest::mix((self.incarnation << 2) | health) ^ u64::from(leaving);
+        digest::mix(digest::hash(&[&self.host]) ^ state)
     }
 }
--- a/src/wisteriahead/core/member/spread.rs
+++ b/src/wisteriahead/core/member/spread.rs
@@ -24,14 +24,26 @@
         out: &mut Vec<Action>,
     ) {
         match message {
-            Message::Ping { seq, digest, own, yours } => {
-                self.merge(now, own);
-                yours.into_iter().for_each(|r| self.merge(now, r));
-                out.push(Action::Send(from.clone(), Message::Ack { seq, own: self.own.clone() }));
+            Message::Ping { seq, digest, own, yours, news } => {
+                self.merge_all(now, from, [own]);
+                self.merge_all(now, from, yours);
+                self.merge_all(now, from, news);
+                if digest == self.digest() {
+                    self.news.record_same(from);
+                }
+                let (news, until) = self.news_for(from);
+                self.news.record_told(from, until);
+                let (own, digest_here) = (self.own.clone(), Some(self.digest()));
+                let ack = Message::Ack { seq, own, news, digest: digest_here };
+                out.push(Action::Send(from.clone(), ack));
                 self.compare_digest(now, from, digest, out);
             }
-            Message::Ack { seq, own } => {
-                self.merge(now, own.clone());
+            Message::Ack { seq, own, news, digest } => {
+                self.merge_all(now, from, [own.clone()]);
+                self.merge_all(now, from, news);
+                if digest == Some(self.digest()) {
+                    self.news.record_same(from);
+                }
                 self.handle_ack(now, seq, own, out);
             }
             Message::Relay { seq, target } => {
@@ -39,41 +51,56 @@
                     self.probe(now, target, Some((from.clone(), seq)), out);
                 }
             }
-            Message::News(records) => self.merge_all(now, records),
+            Message::News(records) => self.merge_all(now, from, records),
             Message::Compare(theirs) => self.handle_compare(from, &theirs, out),
             Message::Sync { records, zones, reply } => {
                 if reply {
                     self.send_newer(from, &records, &zones, out);
                 }
-                self.merge_all(now, records);
+                self.merge_all(now, from, records);
             }
         }
     }
 
-    fn merge_all(&mut self, now: Time, records: Vec<Record>) {
+    /// Stores the records that supersede the known ones, and has them passed on.
+    fn merge_all(&mut self, now: Time, from: &Arc<str>, records: impl IntoIterator<Item = Record>) {
         for record in records.into_iter().take(RECORDS_MAX) {
-            self.merge(now, record);
+            self.merge(now, record, Some(from));
         }
     }
 
-    /// Stores a record if it supersedes the known one, and queues it for the other hosts.
-    pub(super) fn merge(&mut self, now: Time, record: Record) {
+    /// Stores a change that this host has noticed itself, and sends it to other hosts at once.
+    pub(super) fn merge_own(&mut self, now: Time, record: Record) {
+        if self.merge(now, record.clone(), None) {
+            self.updates.push(record);
+        }
+    }
+
+    /// Stores a record if it supersedes the known one; returns whether it did.
+    fn merge(&mut self, now: Time, record: Record, from: Option<&Arc<str>>) -> bool {
         if record.host == self.own.host {
-            return self.refute(&record);
+            self.refute(&record);
+            return false;
         }
         let known = self.table.get(&record.host);
         let full = known.is_none() && self.table.len() >= MEMBERS_MAX;
         if full || known.is_some_and(|e| !record.supersedes(&e.record)) {
-            return;
+            return false;
         }
         if record.zone != self.own.zone && !self.zone_contacts.contains_key(&record.zone) {
             self.zone_contacts.insert(record.zone.clone(), ZoneContact { heard: now, misses: 0 });
         }
         self.last_update = now;
-        self.stale = true;
-        self.updates.push(record.clone());
-        let (ring_position, digest) = (digest::hash(&[&record.host]), record.digest());
-        self.table.insert(record.host.clone(), Entry { record, since: now, ring_position, digest });
+        let (host, digest) = (record.host.clone(), record.digest());
+        let ring_position = digest::hash(&[&host]);
+        self.toggle_digest(&record.zone, digest);
+        self.news.record(host.clone(), from.cloned());
+        self.changed.push(host.clone());
+        let old = self.table.insert(host, Entry { record, since: now, ring_position, digest });
+        if let Some(old) = old {
+            self.toggle_digest(&old.record.zone, old.digest);
+        }
+        true
     }
 
     /// Refutes a record about this host that supersedes its own, by a higher incarnation.
@@ -81,12 +108,11 @@
         if self.own.health == Health::Left || !record.supersedes(&self.own) {
             return;
         }
-        self.stale = true;
-        self.own.incarnation = record.incarnation.saturating_add(1);
-        self.updates.push(self.own.clone());
+        let incarnation = record.incarnation.saturating_add(1);
+        self.set_own(Record { incarnation, ..self.own.clone() });
     }
 
-    /// Sends the queued changes to all ring neighbours and partners.
+    /// Sends the changes that this host has noticed itself to all ring neighbours and partners.
     pub(super) fn flush_updates(&mut self, out: &mut Vec<Action>) {
         if self.updates.is_empty() {
             return;
@@ -98,18 +124,18 @@
         }
     }
 
-    /// Digest of all records, including that of this host.
-    pub fn digest(&self) -> u64 {
-        self.digest
+    /// Records that go along with a message to a host, and the number of the last change among them.
+    pub(super) fn news_for(&self, host: &str) -> (Vec<Record>, u64) {
+        let (subjects, until) = self.news.unknown_to(host);
+        let record = |subject: &Arc<str>| {
+            if *subject == self.own.host { Some(&self.own) } else { self.record(subject) }
+        };
+        (subjects.into_iter().filter_map(record).cloned().collect(), until)
     }
 
-    pub(super) fn digests(&self) -> IndexMap<Arc<str>, u64> {
-        let mut zones = IndexMap::new();
-        for e in self.table.values() {
-            *zones.entry(e.record.zone.clone()).or_insert(0) ^= e.digest;
-        }
-        *zones.entry(self.own.zone.clone()).or_insert(0) ^= self.own.digest();
-        zones
+    /// Digest of all records, including that of this host.
+    pub fn digest(&self) -> u64 {
+        self.digests.values().fold(0, |all, d| all ^ d)
     }
 
     fn compare_digest(&mut self, now: Time, host: &Arc<str>, theirs: u64, out: &mut Vec<Action>) {
@@ -120,14 +146,14 @@
             return;
         }
         self.last_compared.insert(host.clone(), now);
-        let digests = self.digests().into_iter().collect();
+        let digests = self.digests.iter().map(|(zone, d)| (zone.clone(), *d)).collect();
         out.push(Action::Send(host.clone(), Message::Compare(digests)));
     }
 
     /// Sends the records of all zones whose digest differs at the other host.
     fn handle_compare(&self, host: &Arc<str>, theirs: &[(Arc<str>, u64)], out: &mut Vec<Action>) {
         let theirs: IndexMap<_, _> = theirs.iter().map(|(zone, d)| (zone, *d)).collect();
-        let own = self.digests();
+        let own = &self.digests;
         let all: IndexSet<_> = own.keys().chain(theirs.keys().copied()).collect();
         let differs = |zone: &&&Arc<str>| own.get(**zone) != theirs.get(**zone);
         let zones: Vec<Arc<str>> = all.iter().filter(differs).map(|z| Arc::clone(z)).collect();
--- a/src/wisteriahead/services/homes/mod.rs
+++ b/src/wisteriahead/services/homes/mod.rs
@@ -104,7 +104,7 @@
         let is_candidate =
             |m: &&Member| m.durable && &*m.zone == zone && &*m.host != self.peers.host();
         let mut found: Vec<&Member> = members.iter().filter(is_candidate).collect();
-        found.sort_by_key(|m| m.health != Health::Alive);
+        found.sort_by_key(|m| m.health >= Health::Suspect);
         found.into_iter().map(|m| m.host.to_string()).collect()
     }
 
--- a/src/wisteriahead/services/member.rs
+++ b/src/wisteriahead/services/member.rs
@@ -8,6 +8,7 @@
 use crate::prelude::*;
 use crate::services::Health;
 use crate::util::metrics::Metrics;
+use crate::util::work::{self, Work};
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
 use std::sync::OnceLock;
@@ -95,6 +96,10 @@
 
 impl Driver {
     fn step(&self, event: Event) {
+        work::measure(Work::Members, || self.run_step(event));
+    }
+
+    fn run_step(&self, event: Event) {
         let mut machine = self.machine.lock();
         for action in machine.step(self.ctx.now(), event) {
             match action {
@@ -106,8 +111,9 @@
                     self.metrics.incr("member.messages_sent");
                 }
                 // Published while the lock is held, so that watchers see the changes in order.
-                Action::Changed => {
-                    machine.records().for_each(|r| self.peers.learn(&r.host, r.address));
+                Action::Changed(hosts) => {
+                    let records = hosts.iter().filter_map(|host| machine.record(host));
+                    records.for_each(|r| self.peers.learn(&r.host, r.address));
                     self.published.send_replace(Arc::new(machine.members().to_vec()));
                 }
             }
@@ -124,6 +130,8 @@
         }
         let mut unknown = self.peers.others();
         let machine = self.machine.lock();
+        // A host that was blocked when its record changed may be allowed again.
+        machine.records().for_each(|r| self.peers.learn(&r.host, r.address));
         unknown.retain(|host| machine.record(host).is_none());
         drop(machine);
         *known = version.filter(|_| unknown.is_empty());
@@ -135,6 +143,7 @@
         let members = Arc::clone(&self.published.borrow());
         let count = |health| members.iter().filter(|m| m.health == health).count() as u64;
         self.metrics.gauge("hosts.alive", count(Health::Alive));
+        self.metrics.gauge("hosts.leaving", count(Health::Leaving));
         self.metrics.gauge("hosts.suspect", count(Health::Suspect));
         self.metrics.gauge("hosts.lost", count(Health::Lost));
     }
@@ -166,6 +175,9 @@
         tokio::select! {
             () = &mut stopped => return,
             _ = tick.tick() => {
+                if driver.ctx.is_lame_duck() {
+                    driver.step(Event::Retire);
+                }
                 driver.discover(&mut known);
                 driver.step(Event::Tick);
                 ticks = ticks.wrapping_add(1);
