--- a/src/wisteriahead/core/gossip.rs
+++ b/src/wisteriahead/core/gossip.rs
@@ -65,7 +65,12 @@
     /// The registry.
     pub registry: Registry,
     host: Arc<str>,
+    /// Other hosts that work.
     others: Vec<Arc<str>>,
+    /// Other hosts that monitor endpoints.
+    watchers: IndexSet<Arc<str>>,
+    /// The same, in the order in which this host prefers them as partners.
+    preferred: Vec<Arc<str>>,
     /// Hosts that this host sends digests to.
     partners: Vec<Arc<str>>,
     /// Heartbeats since the last summary.
@@ -89,21 +94,34 @@
         Self { host, ..Self::default() }
     }
 
-    /// Sets the other hosts that are alive.
+    /// Sets the other hosts that are alive; all of them monitor endpoints.
     pub fn set_others(&mut self, now: Time, others: Vec<Arc<str>>) {
-        let before: IndexSet<_> = std::mem::take(&mut self.others).into_iter().collect();
+        self.set_watchers(now, others.iter().cloned().collect());
+        self.set_receivers(others);
+    }
+
+    /// Sets the other hosts that work, which are sent all changes.
+    pub fn set_receivers(&mut self, others: Vec<Arc<str>>) {
+        let alive: IndexSet<&Arc<str>> = others.iter().collect();
+        let partners = self.preferred.iter().filter(|h| alive.contains(*h));
+        self.partners = partners.take(PARTNER_COUNT).cloned().collect();
         self.others = others;
-        let after: IndexSet<_> = self.others.iter().cloned().collect();
-        if before == after {
+    }
+
+    /// Sets the other hosts that monitor endpoints. A host that is away for a short time stays one of them,
+    /// since each change takes work for all endpoints.
+    pub fn set_watchers(&mut self, now: Time, watchers: IndexSet<Arc<str>>) {
+        if self.watchers == watchers {
             return;
         }
-        let ranked = digest::rank(&self.host, self.others.iter().map(|h| &**h));
-        self.partners = ranked.into_iter().take(PARTNER_COUNT).map(Arc::from).collect();
-        let (host, others, rankings) = (&self.host, &self.others, &mut self.rankings);
+        let before = std::mem::replace(&mut self.watchers, watchers);
+        let ranked = digest::rank(&self.host, self.watchers.iter().map(|h| &**h));
+        self.preferred = ranked.into_iter().map(Arc::from).collect();
+        let (host, after, rankings) = (&self.host, &self.watchers, &mut self.rankings);
         let added: Vec<_> = after.difference(&before).collect();
         self.registry.update_monitors(now, host, |endpoint, monitors| {
             if monitors.hosts().any(|h| !after.contains(h) && h != host) {
-                *monitors = rank_all(endpoint, host, others, rankings);
+                *monitors = rank_all(endpoint, host, after, rankings);
                 return;
             }
             *rankings += added.len() as u64;
@@ -118,9 +136,9 @@
 
     /// Ranks the hosts for the endpoints that are new.
     fn assign_monitors(&mut self, now: Time) {
-        let (host, others, rankings) = (&self.host, &self.others, &mut self.rankings);
+        let (host, watchers, rankings) = (&self.host, &self.watchers, &mut self.rankings);
         self.registry.update_new_monitors(now, host, |endpoint, monitors| {
-            *monitors = rank_all(endpoint, host, others, rankings);
+            *monitors = rank_all(endpoint, host, watchers, rankings);
         });
     }
 
@@ -303,7 +321,12 @@
 }
 
 /// Ranks all hosts for an endpoint, and counts them.
-fn rank_all(endpoint: &str, host: &Arc<str>, others: &[Arc<str>], rankings: &mut u64) -> Monitors {
+fn rank_all(
+    endpoint: &str,
+    host: &Arc<str>,
+    others: &IndexSet<Arc<str>>,
+    rankings: &mut u64,
+) -> Monitors {
     *rankings += others.len() as u64 + 1;
     Monitors::rank(endpoint, others.iter().chain([host]))
 }
--- a/src/wisteriahead/core/query/answer.rs
+++ b/src/wisteriahead/core/query/answer.rs
@@ -16,7 +16,7 @@
     /// Replicas of the shards that wait for a free slot.
     pub fn awaiting_slot(&self) -> impl Iterator<Item = &Target> {
         let shards = self.shards.iter().zip(&self.snapshot.shards);
-        shards.filter(|(s, _)| matches!(s.wait, Wait::Slot { .. })).flat_map(|(_, r)| r)
+        shards.filter(|(s, _)| matches!(s.wait, Wait::Slot { .. })).flat_map(|(_, r)| r.iter())
     }
 
     /// Coverage of the answers received so far.
--- a/src/wisteriahead/core/registry.rs
+++ b/src/wisteriahead/core/registry.rs
@@ -8,9 +8,9 @@
 use super::endpoint::{Announcement, EndpointKey, EndpointState};
 use super::gossip::Version;
 use super::monitors::Monitors;
-use super::routes::{Collection, Routes, Snapshot, Target};
+use super::routes::{Collection, Replicas, Routes, Snapshot, Target};
 use super::time::{Span, Time};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slotmap::SlotMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -141,6 +141,16 @@
     version_changes: u64,
     /// When silent endpoints were last looked for.
     last_expiry: Option<Time>,
+    /// Endpoints by announced address.
+    addresses: IndexMap<SocketAddr, Vec<Arc<str>>>,
+    /// Index of targets, without the changes that are listed below.
+    routes: Arc<Routes>,
+    /// Endpoints whose targets may have changed since.
+    changed: IndexSet<Arc<str>>,
+    /// Whether all targets may have changed since, as with a document.
+    all_changed: bool,
+    /// Number of endpoints that were looked at to keep the index up to date.
+    target_updates: u64,
 }
 
 impl Registry {
@@ -178,7 +188,12 @@
         if same {
             (e.latest.sequence, e.seen) = (a.sequence, now);
         } else {
+            let (old, new) = (e.latest.address, a.address);
+            let has_holdings = !e.latest.holdings.is_empty() || !a.holdings.is_empty();
             e.replace(now, a);
+            let name = e.names.endpoint.clone();
+            self.note_change(&name, has_holdings, old);
+            self.move_address(&name, old, new);
         }
         self.version_changes += 1;
         if same { ApplyOutcome::Refreshed } else { ApplyOutcome::Changed }
@@ -192,10 +207,14 @@
         if self.names.len() >= ENDPOINTS_MAX {
             return ApplyOutcome::Full;
         }
-        let name = a.endpoint.as_str().into();
+        let (address, has_holdings) = (a.address, !a.holdings.is_empty());
+        let endpoint = Endpoint::new(now, a);
+        let name = endpoint.names.endpoint.clone();
         self.tombstones.swap_remove(&name);
-        let key = self.arena.insert(Endpoint::new(now, a));
-        self.names.insert(name, key);
+        let key = self.arena.insert(endpoint);
+        self.names.insert(name.clone(), key);
+        self.addresses.entry(address).or_default().push(name.clone());
+        self.note_change(&name, has_holdings, address);
         self.unmonitored.push(key);
         self.version_changes += 1;
         ApplyOutcome::Changed
@@ -222,12 +241,45 @@
             e.advance_sequence();
         }
         if let Some(key) = self.names.get(name).filter(|_| silent) {
-            self.arena.remove(*key);
+            if let Some(e) = self.arena.remove(*key) {
+                let address = e.latest.address;
+                self.note_change(name, !e.latest.holdings.is_empty(), address);
+                self.drop_address(name, address);
+            }
             self.names.swap_remove(name);
         }
         silent
     }
 
+    /// Notes that the target of an endpoint may have changed, and with it those of the others that
+    /// announced the same address.
+    fn note_change(&mut self, name: &Arc<str>, has_holdings: bool, address: SocketAddr) {
+        self.all_changed |= has_holdings;
+        if self.all_changed {
+            return self.changed.clear();
+        }
+        self.changed.insert(name.clone());
+        self.changed.extend(self.addresses.get(&address).into_iter().flatten().cloned());
+    }
+
+    fn move_address(&mut self, name: &Arc<str>, old: SocketAddr, new: SocketAddr) {
+        if old != new {
+            self.drop_address(name, old);
+            let others = self.addresses.entry(new).or_default();
+            self.changed.extend(others.iter().cloned());
+            others.push(name.clone());
+        }
+    }
+
+    fn drop_address(&mut self, name: &str, address: SocketAddr) {
+        if let Some(names) = self.addresses.get_mut(&address) {
+            names.retain(|n| **n != *name);
+            if names.is_empty() {
+                self.addresses.swap_remove(&address);
+            }
+        }
+    }
+
     /// Version of an endpoint's tombstone, if it is not older than `version`.
     pub fn tombstone(&self, name: &str, version: Version) -> Option<Version> {
         self.tombstones.get(name).map(|(removed, _)| *removed).filter(|removed| *removed >= version)
@@ -297,6 +349,10 @@
     /// Answers this load pattern: all requests of a zone move back to it at once, before its endpoints
     /// have said that they are cold.
     pub fn set_document(&mut self, now: Time, document: Arc<Document>) {
+        if self.document == document {
+            return;
+        }
+        self.all_changed = true;
         let changed = |d: &Document, zone: &str| d.zone_changes.get(zone).copied().unwrap_or(0);
         for zone in &document.zones {
             let name = zone.name.as_str();
@@ -322,7 +378,9 @@
         let before = self.returned.len();
         let cold_time = self.cold_time.unwrap_or(COLD_TIME);
         self.returned.retain(|_, at| now.since(*at) < cold_time);
-        self.returned.len() < before
+        let expired = self.returned.len() < before;
+        self.all_changed |= expired;
+        expired
     }
 
     /// Removes the monitored endpoints that have been silent too long, and returns them; looks for them
@@ -380,48 +438,109 @@
         Some((zone, allowed))
     }
 
-    /// Newest incarnation by announced address.
+    /// Whether another endpoint with a newer incarnation has announced the same address. This one has then
+    /// ended without notice, and its requests must not go to the process that has taken over the address.
+    fn is_replaced(&self, a: &Announcement) -> bool {
+        let same = self.addresses.get(&a.address).into_iter().flatten();
+        let mut latest = same.filter_map(|name| self.latest(name));
+        latest.any(|other| other.incarnation > a.incarnation)
+    }
+
+    /// Number of endpoints that were looked at to keep the index of targets up to date, a measure of the work
+    /// done here.
+    pub fn target_updates(&self) -> u64 {
+        self.target_updates
+    }
+
+    /// Whether [`Self::routes`] may return another index than before.
+    pub fn routes_changed(&self) -> bool {
+        self.all_changed || !self.changed.is_empty()
+    }
+
+    /// Index of the endpoints that requests can be sent to. Takes work for the endpoints that have changed
+    /// since the last call, or for all after a change of the document.
     ///
-    /// Endpoints with an older incarnation at the same address have ended without notice. Their
-    /// requests must not go to the process that has taken over the address.
-    fn newest_incarnations(&self) -> IndexMap<SocketAddr, u64> {
-        let mut newest = IndexMap::new();
-        for (_, e) in self.iter() {
-            let last = newest.entry(e.latest.address).or_insert(e.latest.incarnation);
-            *last = e.latest.incarnation.max(*last);
+    /// Answers the load of many endpoints that are replaced one after the other: each change would take
+    /// every host milliseconds, if it built the index anew.
+    pub fn routes(&mut self) -> Arc<Routes> {
+        let changed = std::mem::take(&mut self.changed);
+        if std::mem::take(&mut self.all_changed) {
+            self.routes = Arc::new(self.build_routes());
+        } else if !changed.is_empty() {
+            self.target_updates += changed.len() as u64;
+            let mut routes = Routes::clone(&self.routes);
+            changed.iter().for_each(|name| self.update_target(&mut routes, name));
+            self.routes = Arc::new(routes);
+        }
+        self.routes.clone()
+    }
+
+    /// Replaces the target of an endpoint without holdings in an index.
+    fn update_target(&self, routes: &mut Routes, name: &Arc<str>) {
+        let new = self.target(name);
+        if routes.targets.get(name).map(|old| &**old) == new.as_ref() {
+            return;
+        }
+        let new = new.map(Arc::new);
+        let old = match &new {
+            Some(new) => routes.targets.insert(name.clone(), new.clone()),
+            None => routes.targets.swap_remove(name),
+        };
+        if let Some(old) = old
+            && let Some(replicas) = routes.services.get_mut(&old.service)
+            && replicas.iter().any(|t| t.name == old.name)
+        {
+            Arc::make_mut(replicas).retain(|t| t.name != old.name);
+            if replicas.is_empty() {
+                routes.services.swap_remove(&old.service);
+            }
+        }
+        if let Some(new) = new.filter(|t| t.allowed > 0) {
+            let replicas = routes.services.entry(new.service.clone()).or_default();
+            Arc::make_mut(replicas).push(Target::clone(&new));
+        }
+    }
+
+    /// Target of an endpoint; none if it isn't admitted or another one has taken over its address.
+    fn target(&self, name: &str) -> Option<Target> {
+        let key = *self.names.get(name)?;
+        let e = self.arena.get(key)?;
+        let (zone, allowed) = self.zone_and_limit(&e.latest)?;
+        if self.is_replaced(&e.latest) {
+            return None;
         }
-        newest
+        Some(target(key, e, zone, allowed, self.returned.contains_key(zone)))
     }
 
-    /// Builds the index of the endpoints that requests can be sent to.
-    pub fn routes(&self) -> Routes {
+    fn build_routes(&mut self) -> Routes {
+        self.target_updates += self.names.len() as u64;
         let hosts = self.document.hosts_by_name();
         let mut found: IndexMap<&str, IndexMap<(&str, u32), Snapshot>> = IndexMap::new();
         let mut targets = IndexMap::new();
-        let mut services: IndexMap<Arc<str>, Vec<Target>> = IndexMap::new();
-        let newest = self.newest_incarnations();
+        let mut services: IndexMap<Arc<str>, Replicas> = IndexMap::new();
         for (key, e) in self.iter() {
             let a = &e.latest;
-            if newest.get(&a.address).is_some_and(|last| *last > a.incarnation) {
+            if self.is_replaced(a) {
                 continue;
             }
             let host = hosts.get(a.host.as_str()).map(|h| (h.zone.as_str(), h.state));
             let Some((zone, allowed)) = self.admit(host, a) else { continue };
             let returned = self.returned.contains_key(zone);
             let target = target(key, e, zone, allowed, returned);
-            targets.insert(target.name.clone(), target.clone());
+            targets.insert(target.name.clone(), Arc::new(target.clone()));
             if allowed > 0 {
-                services.entry(target.service.clone()).or_default().push(target.clone());
+                let replicas = services.entry(target.service.clone()).or_default();
+                Arc::make_mut(replicas).push(target.clone());
             }
             for h in &a.holdings {
                 let snapshots = found.entry(&h.collection).or_default();
                 // Snapshots with the same name and different numbers of shards are kept apart.
                 let s = snapshots.entry((&h.snapshot, h.shards)).or_insert_with(|| Snapshot {
                     name: h.snapshot.as_str().into(),
-                    shards: vec![Vec::new(); h.shards as usize],
+                    shards: vec![Replicas::default(); h.shards as usize],
                 });
                 if allowed > 0 {
-                    s.shards[h.shard as usize].push(target.clone());
+                    Arc::make_mut(&mut s.shards[h.shard as usize]).push(target.clone());
                 }
             }
         }
--- a/src/wisteriahead/core/relay/cover.rs
+++ b/src/wisteriahead/core/relay/cover.rs
@@ -8,6 +8,9 @@
 use std::cmp::Reverse;
 use std::sync::Arc;
 
+/// Maximum number of zones that are told apart; replicas in further ones do not count.
+const ZONES_MAX: usize = 128;
+
 /// The own zone, and few others that together hold the remaining shards; after them those that hold a
 /// second replica of each shard, for hedges and retries.
 #[derive(Clone, Debug, Default)]
@@ -32,20 +35,27 @@
 impl ZoneCover {
     /// Chooses zones for `host`, which is in the zone `own`; `shards` lists the zones of each shard's
     /// replicas. Hosts of one zone differ in their choice where zones serve equally well.
-    pub fn new(host: &str, own: &str, mut shards: Vec<Vec<Arc<str>>>) -> Self {
+    pub fn new<'a, Z: Iterator<Item = &'a Arc<str>>>(
+        host: &str,
+        own: &str,
+        shards: impl Iterator<Item = Z>,
+    ) -> Self {
+        let mut shards = ShardZones::new(host, own, shards);
         let (mut first, mut second) = (IndexMap::new(), IndexSet::new());
-        let mut others = Vec::new();
-        while let Some((zone, held)) = widest(host, own, &shards) {
-            for list in shards.extract_if(.., |list| list.contains(&zone)) {
-                others.push(list.into_iter().filter(|z| *z != zone).collect::<Vec<_>>());
+        let (mut others, mut needed): (IndexMap<u128, usize>, u128) = (IndexMap::new(), 0);
+        while let Some((zone, held)) = shards.widest() {
+            for (set, count) in shards.take_with(zone) {
+                *others.entry(set).or_default() += count;
             }
-            first.insert(zone, held);
+            needed |= 1 << zone;
+            first.insert(shards.zones[zone].clone(), held);
         }
         // Zones that are needed anyway cost no further connections.
-        others.retain(|list| !list.iter().any(|zone| first.contains_key(zone)));
-        while let Some((zone, _)) = widest(host, own, &others) {
-            others.retain(|list| !list.contains(&zone));
-            second.insert(zone);
+        others.retain(|set, _| set & needed == 0);
+        shards.sets = others;
+        while let Some((zone, _)) = shards.widest() {
+            shards.take_with(zone);
+            second.insert(shards.zones[zone].clone());
         }
         Self { first, second }
     }
@@ -73,16 +83,48 @@
     }
 }
 
-/// Zone that holds the most of the shards, and how many; the own zone if it holds any.
-fn widest(host: &str, own: &str, shards: &[Vec<Arc<str>>]) -> Option<(Arc<str>, usize)> {
-    let mut held: IndexMap<&Arc<str>, usize> = IndexMap::new();
-    for zone in shards.iter().flatten() {
-        *held.entry(zone).or_default() += 1;
+/// Shards by the set of zones that hold a replica, each set as bits by the zones' positions.
+struct ShardZones<'a> {
+    zones: IndexSet<&'a Arc<str>>,
+    /// The lower, the better, whatever a zone holds.
+    ranks: Vec<(bool, u64)>,
+    sets: IndexMap<u128, usize>,
+}
+
+impl<'a> ShardZones<'a> {
+    fn new<Z: Iterator<Item = &'a Arc<str>>>(
+        host: &str,
+        own: &str,
+        shards: impl Iterator<Item = Z>,
+    ) -> Self {
+        let (mut zones, mut sets) = (IndexSet::new(), IndexMap::new());
+        for shard in shards {
+            let positions = shard.map(|zone| zones.insert_full(zone).0);
+            let set = positions.filter(|at| *at < ZONES_MAX).fold(0_u128, |set, at| set | 1 << at);
+            *sets.entry(set).or_default() += 1;
+        }
+        zones.truncate(ZONES_MAX);
+        let rank = |zone: &&Arc<str>| (***zone != *own, zone_rank(host, zone));
+        Self { ranks: zones.iter().map(rank).collect(), zones, sets }
+    }
+
+    /// Position of the zone that holds the most of the shards, and how many; the own zone if it holds any.
+    fn widest(&self) -> Option<(usize, usize)> {
+        let held = |zone: usize| -> usize {
+            self.sets.iter().filter(|(set, _)| *set >> zone & 1 == 1).map(|(_, count)| count).sum()
+        };
+        let held = (0..self.zones.len()).map(|zone| (zone, held(zone)));
+        held.filter(|(_, held)| *held > 0).min_by_key(|(zone, held)| {
+            let (remote, rank) = self.ranks[*zone];
+            (remote, Reverse(*held), rank)
+        })
+    }
+
+    /// Takes out the shards that a zone holds; returns their other zones.
+    fn take_with(&mut self, zone: usize) -> Vec<(u128, usize)> {
+        let taken = self.sets.extract_if(.., |set, _| *set >> zone & 1 == 1);
+        taken.map(|(set, count)| (set & !(1 << zone), count)).collect()
     }
-    let best = held
-        .into_iter()
-        .min_by_key(|(zone, held)| (***zone != *own, Reverse(*held), zone_rank(host, zone)));
-    best.map(|(zone, held)| (zone.clone(), held))
 }
 
 /// Rank of another zone among those that a host prefers; the lowest is preferred.
--- a/src/wisteriahead/core/routes.rs
+++ b/src/wisteriahead/core/routes.rs
@@ -40,13 +40,16 @@
     }
 }
 
+/// Endpoints that serve the same requests, shared between the indexes that hold them.
+pub type Replicas = Arc<Vec<Target>>;
+
 /// One snapshot of a collection and the replicas of its shards.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
     /// Name of the snapshot.
     pub name: Arc<str>,
     /// Replicas by shard index.
-    pub shards: Vec<Vec<Target>>,
+    pub shards: Vec<Replicas>,
 }
 
 impl Snapshot {
@@ -70,9 +73,14 @@
         self.name == other.name && self.shards.len() == other.shards.len()
     }
 
+    /// Replicas of all shards.
+    pub fn replicas(&self) -> impl Iterator<Item = &Target> {
+        self.shards.iter().flat_map(|replicas| replicas.iter())
+    }
+
     /// Number of replicas over all shards.
     pub fn replica_count(&self) -> usize {
-        self.shards.iter().map(Vec::len).sum()
+        self.shards.iter().map(|replicas| replicas.len()).sum()
     }
 }
 
@@ -106,7 +114,7 @@
     /// Collections by name.
     pub collections: IndexMap<String, Collection>,
     /// Every admitted endpoint by name, including those that take no new requests.
-    pub targets: IndexMap<Arc<str>, Target>,
+    pub targets: IndexMap<Arc<str>, Arc<Target>>,
     /// Endpoints that take new requests, by service.
-    pub services: IndexMap<Arc<str>, Vec<Target>>,
+    pub services: IndexMap<Arc<str>, Replicas>,
 }
--- a/src/wisteriahead/services/registry.rs
+++ b/src/wisteriahead/services/registry.rs
@@ -3,10 +3,11 @@
 //! or the document changes.
 
 use super::{
-    AcceptedDocument, Announce, Control, Endpoints, Handler, Health, Members, Peers, Views,
+    AcceptedDocument, Announce, Control, Endpoints, Handler, Health, Member, Members, Peers, Views,
 };
 use crate::core::gossip::{Gossip, Message, Outgoing};
 use crate::core::lag::LagMonitor;
+use crate::core::member::{HostSet, MemberChanges};
 use crate::core::message::{Topic, decode, encode};
 use crate::core::registry::ApplyOutcome;
 use crate::core::routes::Routes;
@@ -33,6 +34,18 @@
 /// Number of ticks between two reports of the metrics.
 const REPORT_TICKS: u32 = 20;
 
+/// Hosts that monitor endpoints, and the members that they follow from.
+struct Watchers {
+    members: Arc<Vec<Member>>,
+    hosts: HostSet,
+}
+
+impl Watchers {
+    fn others(&self, is_other: impl Fn(&Arc<str>) -> bool) -> IndexSet<Arc<str>> {
+        self.hosts.sorted().into_iter().map(|(host, _)| host).filter(is_other).collect()
+    }
+}
+
 /// Driver of the endpoint registry of this host.
 pub struct RegistryDriver {
     ctx: Context,
@@ -69,8 +82,9 @@
     fn tick(&self) {
         let mut gossip = self.gossip.lock();
         let (changed, out) = gossip.tick(self.ctx.now());
-        if self.stale.swap(false, Ordering::Relaxed) || changed {
-            self.routes.store(Arc::new(gossip.registry.routes()));
+        let changed = self.stale.swap(false, Ordering::Relaxed) || changed;
+        if changed && gossip.registry.routes_changed() {
+            self.routes.store(gossip.registry.routes());
             self.version.send_modify(|n| *n += 1);
         }
         drop(gossip);
@@ -95,11 +109,27 @@
         self.metrics.gauge("endpoints.rankings", gossip.rankings());
     }
 
-    fn set_members(&self, members: &[super::Member]) {
-        let live = |m: &&super::Member| m.health <= Health::Suspect;
-        let others = members.iter().filter(live).map(|m| m.host.clone());
-        let others = others.filter(|h| **h != *self.peers.host()).collect();
-        self.gossip.lock().set_others(self.ctx.now(), others);
+    fn set_members(&self, watchers: &mut Watchers, members: Arc<Vec<Member>>) {
+        let now = self.ctx.now();
+        let old = std::mem::replace(&mut watchers.members, members);
+        let changes = MemberChanges::between(&old, &watchers.members);
+        let is_other = |host: &Arc<str>| **host != *self.peers.host();
+        let live = watchers.members.iter().filter(|m| m.health <= Health::Suspect);
+        let others = live.map(|m| m.host.clone()).filter(is_other).collect();
+        let mut gossip = self.gossip.lock();
+        if watchers.hosts.update(now, &changes) {
+            gossip.set_watchers(now, watchers.others(is_other));
+        }
+        gossip.set_receivers(others);
+    }
+
+    /// Drops the hosts that left long ago from those that monitor endpoints.
+    fn expire_watchers(&self, watchers: &mut Watchers) {
+        let now = self.ctx.now();
+        if watchers.hosts.expire(now) {
+            let others = watchers.others(|host| **host != *self.peers.host());
+            self.gossip.lock().set_watchers(now, others);
+        }
     }
 
     fn set_document(&self, accepted: &AcceptedDocument) {
@@ -340,6 +370,7 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stopped = std::pin::pin!(ctx.stopped());
     let (mut ticks, mut lag, mut rankings) = (0u32, LagMonitor::default(), 0);
+    let mut watchers = Watchers { members: Arc::default(), hosts: HostSet::new(Health::Suspect) };
     loop {
         tokio::select! {
             () = &mut stopped => return,
@@ -359,7 +390,7 @@
                     return;
                 }
                 let current = members.borrow_and_update().clone();
-                work::measure(Work::Registry, || driver.set_members(&current));
+                work::measure(Work::Registry, || driver.set_members(&mut watchers, current));
             }
             _ = tick.tick() => {
                 if let Some(late) = lag.fired(ctx.now(), TICK.into()) {
@@ -369,6 +400,7 @@
                 ticks = ticks.wrapping_add(1);
                 if ticks.is_multiple_of(REPORT_TICKS) {
                     driver.report();
+                    driver.expire_watchers(&mut watchers);
                 }
             }
         }
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -291,7 +291,7 @@
     call: Call,
     started: Time,
 ) -> Outcome {
-    let route = &entry.route;
+    let route = entry.route();
     let part = match &route.destination {
         Destination::Split(list) => relay.traffic.next_part(&route.name, list),
         Destination::Gather { .. } => Some(0),
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -13,6 +13,7 @@
 use super::protocol::{Call, EndpointResponse, RequestMeta};
 use crate::core::digest;
 use crate::core::endpoint::EndpointKey;
+use crate::core::member::{Health, Member, MemberChanges};
 use crate::core::message::{Topic, decode, encode};
 use crate::core::peers::clock::Age;
 use crate::core::peers::{Role, TimedMessage};
@@ -177,8 +178,8 @@
 
 #[derive(Default)]
 struct State {
-    /// Hosts to send batches through, by zone, in the order of preference of this host.
-    hosts: IndexMap<Arc<str>, Vec<Arc<str>>>,
+    /// Hosts to send batches through, by zone, in the order of preference of this host, after their ranks.
+    hosts: IndexMap<Arc<str>, Vec<(u64, Arc<str>)>>,
     /// Hosts to send no batches through: until when, and for how long when they last did not respond.
     avoided: IndexMap<Arc<str>, (Time, Span)>,
     /// Channels for the results of this host's batches, by number.
@@ -245,33 +246,42 @@
         Self { peers, next_number, state: Mutex::default() }
     }
 
-    /// Sets the hosts that are alive and relay requests, each with its zone; ignores this host.
-    pub fn set_hosts(&self, hosts: impl Iterator<Item = (Arc<str>, Arc<str>)>) {
-        let mut zones: IndexMap<_, Vec<_>> = IndexMap::new();
-        for (host, zone) in hosts.filter(|(host, _)| **host != *self.peers.host()) {
-            zones.entry(zone).or_default().push(host);
-        }
-        for list in zones.values_mut() {
-            let ranked = digest::rank(self.peers.host(), list.iter().map(|h| &**h));
-            *list = ranked.into_iter().map(Arc::from).collect();
-        }
+    /// Applies the hosts that have changed; those that are alive relay requests. Ignores this host.
+    pub fn update_hosts(&self, changes: &MemberChanges) {
+        let own = self.peers.host();
         let mut s = self.state.lock();
-        s.avoided.retain(|host, _| zones.values().flatten().any(|h| h == host));
-        s.hosts = zones;
+        let s = &mut *s;
+        for Member { host, zone, health, .. } in changes.members.iter().chain(&changes.gone) {
+            let rank = (digest::hash(&[own, host]), host.clone());
+            for (of, list) in &mut s.hosts {
+                let stays = of == zone && *health == Health::Alive;
+                if let (false, Ok(at)) = (stays, list.binary_search_by(|known| rank.cmp(known))) {
+                    list.remove(at);
+                    s.avoided.swap_remove(host);
+                }
+            }
+            if *health != Health::Alive || **host == *own {
+                continue;
+            }
+            let list = s.hosts.entry(zone.clone()).or_default();
+            if let Err(at) = list.binary_search_by(|known| rank.cmp(known)) {
+                list.insert(at, rank);
+            }
+        }
     }
 
     /// Chooses one of the `owners` of endpoints in a divided zone to send a batch through: the first in
     /// this host's order of preference, so that the connections to few hosts stay in use.
     pub fn choose_owner(&self, now: Time, zone: &str, owners: &[Arc<str>]) -> Option<Arc<str>> {
         let s = self.state.lock();
-        let preferred = s.hosts.get(zone)?.iter().filter(|h| owners.contains(h));
+        let preferred = s.hosts.get(zone)?.iter().map(|(_, h)| h).filter(|h| owners.contains(h));
         preferred.take(RELAYS_PER_ZONE).find(|h| !s.is_avoided(now, h)).cloned()
     }
 
     /// Chooses a host to send a batch through that may be any of an undivided zone; two take turns.
     pub fn choose_any(&self, now: Time, zone: &str) -> Option<Arc<str>> {
         let s = self.state.lock();
-        let preferred = s.hosts.get(zone)?.iter().take(RELAYS_PER_ZONE);
+        let preferred = s.hosts.get(zone)?.iter().map(|(_, h)| h).take(RELAYS_PER_ZONE);
         let usable: Vec<_> = preferred.filter(|h| !s.is_avoided(now, h)).collect();
         let number = self.next_number.load(Ordering::Relaxed) as usize;
         usable.get(number % usable.len().max(1)).map(|h| Arc::clone(h))
@@ -281,7 +291,8 @@
     pub fn choose_first(&self, now: Time, zone: &str, ranked: &[Arc<str>]) -> Option<Arc<str>> {
         let s = self.state.lock();
         let alive = s.hosts.get(zone)?;
-        ranked.iter().find(|h| alive.contains(h) && !s.is_avoided(now, h)).cloned()
+        let is_alive = |h: &Arc<str>| alive.iter().any(|(_, host)| host == h);
+        ranked.iter().find(|h| is_alive(h) && !s.is_avoided(now, h)).cloned()
     }
 
     /// Sends no batches through a host for a while.
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -27,7 +27,7 @@
 use self::traffic::TrafficState;
 use super::quarantine::{RequestQuarantine, SharedQuarantine};
 use super::{AcceptedDocument, Control, Endpoints, Member, Members, Peers};
-use crate::core::member::Health;
+use crate::core::member::{Health, HostSet, MemberChanges};
 use crate::core::message::Topic;
 use crate::core::plan::Plan;
 use crate::core::relay::cover::ZoneCover;
@@ -285,20 +285,20 @@
             self.table.store(None);
             return false;
         };
-        let next = RouteTable::new(newest, routes.clone());
-        let current = self.table.load_full().map(|t| Arc::clone(&t.plan));
-        let Some(current) = current.filter(|current| current.number < next.plan.number) else {
+        let current = self.table.load_full();
+        let next = RouteTable::new(newest, routes.clone(), current.as_deref());
+        let Some(current) = current.filter(|t| t.plan.number < next.plan.number) else {
             self.set_table(next);
             return false;
         };
-        let old = RouteTable::new(current, routes);
-        let fits = next.covers_gather_routes(&[]) || !old.covers_gather_routes(&[]);
+        let old = || RouteTable::new(current.plan.clone(), routes.clone(), Some(&current));
+        let fits = next.covers_gather_routes(&[]) || !old().covers_gather_routes(&[]);
         let (numerator, denominator) = PLAN_WAIT_FRACTION;
         let max_wait = Span(self.traffic.bounds().plan_apply.0 / denominator * numerator);
         let now = self.ctx.now();
         let waited = switch.waiting_for(now);
         let switches = switch.should_switch(now, fits, max_wait);
-        let (plan, previous) = (next.plan.number, old.plan.number);
+        let (plan, previous) = (next.plan.number, current.plan.number);
         if switches {
             log::info!(
                 event = "plan-followed", plan, previous, waited_ms = waited.as_millis(), fits;
@@ -310,42 +310,41 @@
                 "plan {plan} waits for its endpoints; requests still follow plan {previous}"
             );
         }
-        self.set_table(if switches { next } else { old });
+        self.set_table(if switches { next } else { old() });
         !switches
     }
 
     /// Has requests use a table, for which all is prepared that they would otherwise wait for.
     fn set_table(&self, table: RouteTable) {
         if let Some(previous) = self.table.load_full() {
-            self.prepare(&table, &previous);
+            let new = table.prepare(&previous);
+            if table.used_replicas().next().is_some() {
+                self.cover(self.ctx.now(), &table);
+            }
+            self.traffic.cache_reach(new.iter().flat_map(|replicas| replicas.iter()));
         }
         self.table.store(Some(Arc::new(table)));
     }
 
-    /// Prepares a table for the gathers that `previous` served.
-    fn prepare(&self, table: &RouteTable, previous: &RouteTable) {
-        let snapshots = table.prepare(previous);
-        if !snapshots.is_empty() {
-            self.cover(self.ctx.now(), table);
-        }
-        for snapshot in snapshots {
-            self.traffic.cache_reach(snapshot.shards.iter().flatten());
+    fn set_members(&self, relays: &mut Relays, members: Arc<Vec<Member>>) {
+        let old = std::mem::replace(&mut relays.members, members);
+        let mut changes = MemberChanges::between(&old, &relays.members);
+        changes.members.retain(|m| !m.durable);
+        self.forwarder.update_hosts(&changes);
+        if relays.hosts.update(self.ctx.now(), &changes) {
+            self.share_among(relays);
         }
     }
 
-    fn set_members(&self, members: &[Member]) {
-        // Lost members count too: behind a network partition they may still send requests.
-        let relays = members.iter().filter(|m| !m.durable && m.health < Health::Left);
-        let relays: Vec<_> = relays.map(|m| (m.host.clone(), m.zone.clone())).collect();
-        let count = relays.len();
-        if self.traffic.set_hosts(relays) {
+    /// Shares endpoints and budgets with the hosts that relay requests.
+    fn share_among(&self, relays: &Relays) {
+        let count = relays.hosts.len();
+        if self.traffic.set_hosts(relays.hosts.sorted()) {
             log::info!(relays = count; "{count} hosts share the retry budgets and endpoint limits");
             if let Some(table) = self.table.load_full() {
-                self.prepare(&table, &table);
+                self.traffic.cache_reach(table.used_replicas());
             }
         }
-        let alive = members.iter().filter(|m| !m.durable && m.health == Health::Alive);
-        self.forwarder.set_hosts(alive.map(|m| (m.host.clone(), m.zone.clone())));
     }
 }
 
@@ -449,6 +448,19 @@
     }
 }
 
+/// Hosts that relay requests, and the members that they follow from.
+struct Relays {
+    members: Arc<Vec<Member>>,
+    /// Lost members count too: behind a network partition they may still send requests.
+    hosts: HostSet,
+}
+
+impl Default for Relays {
+    fn default() -> Self {
+        Self { members: Arc::default(), hosts: HostSet::new(Health::Lost) }
+    }
+}
+
 /// Endpoints that were connected to early, and the state in which none was left to connect to.
 #[derive(Default)]
 struct EarlyOpener {
@@ -473,7 +485,9 @@
 ) {
     let (mut accepted, mut members) = (control.watch(), members.watch());
     let mut changes = endpoints.changes();
-    relay.set_members(&members.borrow_and_update());
+    let mut relays = Relays::default();
+    let current = members.borrow_and_update().clone();
+    relay.set_members(&mut relays, current);
     let mut sweep = tokio::time::interval(POOL_SWEEP_INTERVAL);
     let mut probe = tokio::time::interval(PROBE_INTERVAL);
     let mut keep_alive = tokio::time::interval(KEEP_ALIVE_INTERVAL);
@@ -505,7 +519,7 @@
             }
             changed = members.changed() => {
                 let current = members.borrow_and_update().clone();
-                work::measure(Work::Hosts, || relay.set_members(&current));
+                work::measure(Work::Hosts, || relay.set_members(&mut relays, current));
                 changed.is_err()
             }
             _ = keep_alive.tick() => {
@@ -515,6 +529,9 @@
             _ = sweep.tick() => {
                 relay.pools.remove_idle();
                 relay.traffic.expire_notices(relay.ctx.now());
+                if relays.hosts.expire(relay.ctx.now()) {
+                    relay.share_among(&relays);
+                }
                 false
             }
         };
--- a/src/wisteriahead/services/relay/table.rs
+++ b/src/wisteriahead/services/relay/table.rs
@@ -3,7 +3,7 @@
 use crate::core::plan::{Destination, Plan, Route, RouteIndex};
 use crate::core::query::meets_coverage;
 use crate::core::relay::cover::ZoneCover;
-use crate::core::routes::{Routes, Snapshot, Target};
+use crate::core::routes::{Replicas, Routes, Snapshot, Target};
 use crate::prelude::*;
 use parking_lot::Mutex;
 use std::sync::OnceLock;
@@ -13,20 +13,70 @@
 
 /// A route and the endpoints it leads to.
 pub struct RouteEntry {
-    /// Route of the plan.
-    pub route: Route,
+    plan: Arc<Plan>,
+    /// Position of the route in the plan.
+    position: usize,
     /// One snapshot per part of a split route, or a single one for a gathering route. Built on first
     /// use, since most routes of a large plan are idle.
     snapshots: OnceLock<Vec<Arc<Snapshot>>>,
 }
 
+impl RouteEntry {
+    /// Route of the plan.
+    pub fn route(&self) -> &Route {
+        &self.plan.routes[self.position]
+    }
+
+    fn is_used(&self) -> bool {
+        self.snapshots.get().is_some()
+    }
+}
+
+/// Replicas of a service under the limits of a plan, and what they were built from.
+struct CachedReplicas {
+    announced: Replicas,
+    connections: u32,
+    limited: Replicas,
+}
+
+/// Replicas by service, kept from one table to the next as long as they stay the same.
+#[derive(Default)]
+pub struct ReplicaCache(Mutex<IndexMap<Arc<str>, CachedReplicas>>);
+
+impl ReplicaCache {
+    fn get(&self, service: &Arc<str>, announced: &Replicas, connections: u32) -> Replicas {
+        let mut cached = self.0.lock();
+        if let Some(c) = cached.get(service)
+            && Arc::ptr_eq(&c.announced, announced)
+            && c.connections == connections
+        {
+            return c.limited.clone();
+        }
+        let limited = announced.iter().map(|t| Target { connections, ..t.clone() });
+        let limited = Replicas::new(limited.collect());
+        let announced = announced.clone();
+        let entry = CachedReplicas { announced, connections, limited: limited.clone() };
+        cached.insert(service.clone(), entry);
+        limited
+    }
+
+    /// Drops the services that are no longer known.
+    fn retain_known(&self, endpoints: &Routes) {
+        let mut cached = self.0.lock();
+        if cached.len() > endpoints.services.len() {
+            cached.retain(|service, _| endpoints.services.contains_key(service));
+        }
+    }
+}
+
 /// Immutable table of all routes; a request uses the same one from start to end.
 pub struct RouteTable {
     /// Plan that the routes come from.
     pub plan: Arc<Plan>,
-    index: RouteIndex,
+    index: Arc<RouteIndex>,
     entries: Vec<Arc<RouteEntry>>,
     endpoints: Arc<Routes>,
+    replicas: Arc<ReplicaCache>,
     /// Availability zones of the endpoints.
     zones: OnceLock<IndexSet<Arc<str>>>,
     /// Whether endpoints are known for enough services.
@@ -36,14 +86,31 @@
 }
 
 impl RouteTable {
-    /// Creates the table for a plan and the known endpoints.
-    pub fn new(plan: Arc<Plan>, endpoints: Arc<Routes>) -> Self {
-        let index = RouteIndex::new(&plan.routes);
-        let entry =
-            |r: &Route| Arc::new(RouteEntry { route: r.clone(), snapshots: OnceLock::new() });
-        let entries = plan.routes.iter().map(entry).collect();
-        let (zones, has_endpoints) = (OnceLock::new(), OnceLock::new());
-        Self { plan, index, entries, endpoints, zones, has_endpoints, covers: Mutex::default() }
+    /// Creates the table for a plan and the known endpoints. What `previous` has in common with it is
+    /// shared.
+    pub fn new(plan: Arc<Plan>, endpoints: Arc<Routes>, previous: Option<&Self>) -> Self {
+        let replicas = previous.map(|p| p.replicas.clone()).unwrap_or_default();
+        replicas.retain_known(&endpoints);
+        let same_plan = previous.filter(|p| Arc::ptr_eq(&p.plan, &plan));
+        let index = match same_plan {
+            Some(previous) => previous.index.clone(),
+            None => Arc::new(RouteIndex::new(&plan.routes)),
+        };
+        let entry = |position| {
+            let snapshots = OnceLock::new();
+            Arc::new(RouteEntry { plan: plan.clone(), position, snapshots })
+        };
+        let entries = (0..plan.routes.len()).map(entry).collect();
+        Self {
+            index,
+            entries,
+            endpoints,
+            replicas,
+            zones: OnceLock::new(),
+            has_endpoints: OnceLock::new(),
+            covers: Mutex::default(),
+            plan,
+        }
     }
 
     /// Availability zones of the endpoints that take new requests.
@@ -58,14 +125,15 @@
         if let Some(cover) = covers.get(excluded) {
             return cover.clone();
         }
-        let zones = |service| {
-            let known = self.endpoints.services.get(service).into_iter().flatten();
-            let zones: IndexSet<_> =
-                known.map(|t| &t.zone).filter(|z| !excluded.contains(z)).collect();
-            zones.into_iter().cloned().collect()
-        };
-        let cover =
-            Arc::new(ZoneCover::new(host, own, self.largest_gather().iter().map(zones).collect()));
+        let endpoints = self.largest_gather().iter().map(|s| self.endpoints.services.get(s));
+        let zones = endpoints.map(|known| {
+            known
+                .into_iter()
+                .flat_map(|list| list.iter())
+                .map(|t| &t.zone)
+                .filter(|zone| !excluded.contains(zone))
+        });
+        let cover = Arc::new(ZoneCover::new(host, own, zones));
         covers.insert(excluded.to_vec(), cover.clone());
         cover
     }
@@ -88,12 +156,13 @@
     /// Endpoints of the route with the most shards.
     pub fn gather_targets(&self) -> impl Iterator<Item = &Target> {
         let shards = self.largest_gather().iter();
-        shards.filter_map(|service| self.endpoints.services.get(service)).flatten()
+        let known = shards.filter_map(|service| self.endpoints.services.get(service));
+        known.flat_map(|replicas| replicas.iter())
     }
 
     /// Endpoints that take new requests.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
-        self.endpoints.services.values().flatten()
+        self.endpoints.services.values().flat_map(|replicas| replicas.iter())
     }
 
     /// Whether each gathering route reaches its minimum coverage without the endpoints in cold start
@@ -127,7 +196,7 @@
 
     /// Snapshot that a part of the route's destination leads to.
     pub fn snapshot(&self, entry: &RouteEntry, part: usize) -> Option<Arc<Snapshot>> {
-        let all = entry.snapshots.get_or_init(|| match &entry.route.destination {
+        let all = entry.snapshots.get_or_init(|| match &entry.route().destination {
             Destination::Split(list) => list
                 .iter()
                 .map(|(service, _)| self.build_snapshot(std::slice::from_ref(service)))
@@ -138,14 +207,32 @@
     }
 
     /// Builds the snapshots of the gathering routes that were in use in `previous`, so that no request
-    /// has to; returns them.
-    pub fn prepare(&self, previous: &Self) -> Vec<Arc<Snapshot>> {
-        let used = previous.entries.iter().filter(|e| e.snapshots.get().is_some());
-        let gathers = used.filter(|e| matches!(e.route.destination, Destination::Gather { .. }));
-        gathers
-            .filter_map(|old| self.entries.iter().find(|e| e.route.name == old.route.name))
-            .filter_map(|entry| self.snapshot(entry, 0))
-            .collect()
+    /// has to. Returns the replicas that `previous` did not have.
+    pub fn prepare(&self, previous: &Self) -> Vec<Replicas> {
+        let used = previous.entries.iter().filter(|e| e.is_used());
+        let gathers = used.filter(|e| matches!(e.route().destination, Destination::Gather { .. }));
+        let mut new = Vec::new();
+        for old in gathers {
+            let name = &old.route().name;
+            let Some(entry) = self.entries.iter().find(|e| e.route().name == *name) else {
+                continue;
+            };
+            let Some(snapshot) = self.snapshot(entry, 0) else { continue };
+            let before = old.snapshots.get().and_then(|all| all.first());
+            let before = before.map(|s| &s.shards[..]).unwrap_or_default();
+            let known = |(shard, replicas): &(usize, &Replicas)| {
+                before.get(*shard).is_some_and(|old| Arc::ptr_eq(old, replicas))
+            };
+            let all = snapshot.shards.iter().enumerate();
+            new.extend(all.filter(|r| !known(r)).map(|(_, replicas)| replicas.clone()));
+        }
+        new
+    }
+
+    /// Replicas of the gathering routes that are in use.
+    pub fn used_replicas(&self) -> impl Iterator<Item = &Target> {
+        let used = self.entries.iter().filter_map(|e| e.snapshots.get());
+        used.flatten().flat_map(|s| s.replicas())
     }
 
     fn build_snapshot(&self, services: &[Arc<str>]) -> Arc<Snapshot> {
@@ -153,9 +240,9 @@
         Arc::new(Snapshot { name, shards: services.iter().map(|s| self.replicas(s)).collect() })
     }
 
-    fn replicas(&self, service: &Arc<str>) -> Vec<Target> {
+    fn replicas(&self, service: &Arc<str>) -> Replicas {
         let connections = self.plan.services.get(service).map_or(1, |s| s.connections);
-        let known = self.endpoints.services.get(service).map(Vec::as_slice).unwrap_or_default();
-        known.iter().map(|t| Target { connections, ..t.clone() }).collect()
+        let Some(known) = self.endpoints.services.get(service) else { return Replicas::default() };
+        self.replicas.get(service, known, connections)
     }
 }
--- a/src/wisteriahead/services/relay/traffic.rs
+++ b/src/wisteriahead/services/relay/traffic.rs
@@ -290,7 +290,7 @@
         if notices.is_empty() {
             return None;
         }
-        let shards = snapshot.shards.iter().map(Vec::as_slice);
+        let shards = snapshot.shards.iter().map(|replicas| replicas.as_slice());
         notices.closed_until(now, shards, self.bounds.drain, shards_min)
     }
 
--- a/tests/testsuite/allowance.rs
+++ b/tests/testsuite/allowance.rs
@@ -96,7 +96,7 @@
     }
 
     fn set_targets(&self, targets: Vec<Target>) {
-        let targets = targets.into_iter().map(|t| (t.name.clone(), t)).collect();
+        let targets = targets.into_iter().map(|t| (t.name.clone(), Arc::new(t))).collect();
         *self.tier.routes.lock() = Arc::new(Routes { targets, ..Routes::default() });
     }
 
--- a/tests/testsuite/gathering.rs
+++ b/tests/testsuite/gathering.rs
@@ -125,7 +125,7 @@
         }
         "slot not granted" => {
             let snapshot = Arc::clone(run.gather.snapshot());
-            run.env.full = snapshot.shards.iter().flatten().map(|t| t.key).collect();
+            run.env.full = snapshot.replicas().map(|t| t.key).collect();
             run.done(victim, refused(Reason::Busy));
             run.wake(Span::millis(3));
         }
--- a/tests/testsuite/policy.rs
+++ b/tests/testsuite/policy.rs
@@ -137,7 +137,7 @@
     let policy = Policy { slot_deadline, gang_start: true, ..policy() };
     let start = |full: usize| {
         let mut env = FakeEnvironment::new(vec![Arc::clone(&snapshot)]);
-        env.full = snapshot.shards[..full].iter().flatten().map(|t| t.key).collect();
+        env.full = snapshot.shards[..full].iter().flat_map(|r| r.iter()).map(|t| t.key).collect();
         let gather = Gather::new(Arc::clone(&snapshot), DEADLINE, 0.75).with_policy(policy);
         let mut run = QueryRun { gather, env, sent: Vec::new(), finished: false };
         run.step(0, Event::Start);
--- a/tests/testsuite/props.rs
+++ b/tests/testsuite/props.rs
@@ -31,7 +31,7 @@
 
     /// A snapshot with the given number of replicas of each shard.
     pub fn snapshot(&mut self, name: &str, replicas: &[usize]) -> Arc<Snapshot> {
-        let shard = |n: &usize| (0..*n).map(|_| self.target("north")).collect();
+        let shard = |n: &usize| Arc::new((0..*n).map(|_| self.target("north")).collect());
         Arc::new(Snapshot { name: name.into(), shards: replicas.iter().map(shard).collect() })
     }
 }
--- a/tests/testsuite/query.rs
+++ b/tests/testsuite/query.rs
@@ -275,7 +275,7 @@
         endpoints.snapshot("s2", &[2, 2]),
         endpoints.snapshot("s1", &[1, 2, 2, 2, 1]),
     ];
-    let keys = snapshots.iter().flat_map(|s| s.shards.iter().flatten().map(|t| t.key)).collect();
+    let keys = snapshots.iter().flat_map(|s| s.replicas().map(|t| t.key)).collect();
     (FakeEnvironment::new(snapshots), keys)
 }
 
@@ -403,7 +403,7 @@
     let mut endpoints = Endpoints::default();
     let snapshot = endpoints.snapshot("s1", &[1, 2, 1]);
     let mut env = FakeEnvironment::new(vec![Arc::clone(&snapshot)]);
-    env.full = snapshot.shards.iter().flatten().map(|t| t.key).collect();
+    env.full = snapshot.replicas().map(|t| t.key).collect();
     let mut run = QueryRun::new(env, 0.0);
     assert_eq!((run.env.acquires, run.attempts.len()), (3, 0));
     run.wake(Span::millis(10));
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -13,6 +13,7 @@
 use wisteriahead::core::message::encode;
 use wisteriahead::core::monitors::MONITOR_COUNT;
 use wisteriahead::core::registry::{ApplyOutcome, EXPIRY, Registry};
+use wisteriahead::core::routes::{Replicas, Routes, Target};
 use wisteriahead::core::time::{Span, Time};
 use yare::parameterized;
 
@@ -475,7 +476,7 @@
     registry
 }
 
-fn best(registry: &Registry) -> (usize, usize) {
+fn best(registry: &mut Registry) -> (usize, usize) {
     let best = registry.routes().collections["kits"].best().unwrap();
     (best.shards_held(), best.shards.len())
 }
@@ -483,18 +484,22 @@
 #[test]
 fn different_shard_count_is_another_snapshot() {
     let mut registry = partitioned(4);
-    assert_eq!(best(&registry), (4, 4));
+    assert_eq!(best(&mut registry), (4, 4));
     // Until the new partitioning is complete, a complete older one of the same name is used.
     registry.remove(Time(2), &"leaf-3-4".into(), (1, 1));
-    assert_eq!(best(&registry), (1, 1));
+    assert_eq!(best(&mut registry), (1, 1));
 }
 
 #[test]
 fn shard_count_that_few_endpoints_name_is_never_used() {
     let mut registry = partitioned(16);
-    assert_eq!(best(&registry), (16, 16));
+    assert_eq!(best(&mut registry), (16, 16));
     registry.remove(Time(2), &"leaf-3-16".into(), (1, 1));
-    assert_eq!(best(&registry), (15, 16), "a lost shard was hidden by a wrong number of shards");
+    assert_eq!(
+        best(&mut registry),
+        (15, 16),
+        "a lost shard was hidden by a wrong number of shards"
+    );
 }
 
 /// Guards against requests to the wrong endpoint: one crashed, and its address went to one that
@@ -529,7 +534,7 @@
 
 /// Whether an endpoint is taken to be in cold start, and the limit on its concurrent requests; none if
 /// it gets no requests.
-fn coldness(registry: &Registry) -> Option<(bool, u32)> {
+fn coldness(registry: &mut Registry) -> Option<(bool, u32)> {
     let routes = registry.routes();
     routes.services.get("kits").and_then(|t| t.first()).map(|t| (t.cold, t.allowed))
 }
@@ -551,18 +556,18 @@
         host.registry.set_document(Time(0), zone_document(state, changed));
     }
     host.announce(Time(0), announcement("leaf", 1, 1));
-    assert_eq!(coldness(&host.registry), Some((true, 1)));
+    assert_eq!(coldness(&mut host.registry), Some((true, 1)));
     // A heartbeat that was sent before the endpoint became cold may come now.
     host.announce(Time(1), announcement("leaf", 1, 2));
     let early = Time(0) + Span(COLD.0 - 1);
     assert!(!host.tick(early).0);
-    assert_eq!(coldness(&host.registry), Some((true, 1)));
+    assert_eq!(coldness(&mut host.registry), Some((true, 1)));
     assert!(host.tick(Time(0) + COLD).0, "the routes change");
-    assert_eq!(coldness(&host.registry), Some((false, 2)));
+    assert_eq!(coldness(&mut host.registry), Some((false, 2)));
     // Other changes of the document do not count.
     let (state, changed) = documents[documents.len() - 1];
     host.registry.set_document(Time(0) + COLD, zone_document(state, changed));
-    assert_eq!(coldness(&host.registry), Some((false, 2)));
+    assert_eq!(coldness(&mut host.registry), Some((false, 2)));
 }
 
 /// A zone that has always been in service is no returned one.
@@ -571,5 +576,110 @@
     let mut registry = Registry::default();
     registry.set_document(Time(0), zone_document(ZoneState::In, 0));
     registry.announce(Time(0), announcement("leaf", 1, 1));
-    assert_eq!(coldness(&registry), Some((false, 2)));
+    assert_eq!(coldness(&mut registry), Some((false, 2)));
+}
+
+/// An endpoint that holds no shard, as under a plan.
+fn plain(name: &str, address: u8, incarnation: u64, sequence: u64) -> Announcement {
+    let address = ([127, 0, 0, address], 9).into();
+    let service = format!("service-{}", name.len() % 3);
+    let holdings = Vec::new();
+    Announcement { address, service, holdings, ..announcement(name, incarnation, sequence) }
+}
+
+fn open_document(revision: u64) -> Arc<Document> {
+    let rules = Rules { admit: Admit::Any, ..Rules::default() };
+    let zone_changes = [("elsewhere".to_owned(), revision)].into();
+    Arc::new(Document { rules, zone_changes, ..Document::default() })
+}
+
+/// Targets by name, and the names of each service's replicas.
+fn contents(routes: &Routes) -> impl PartialEq + std::fmt::Debug + use<> {
+    let mut targets: Vec<_> = routes.targets.values().map(|t| Target::clone(t)).collect();
+    targets.sort_by(|a, b| a.name.cmp(&b.name));
+    let replicas = |list: &Replicas| {
+        let mut names: Vec<_> = list.iter().map(|t| (t.name.clone(), t.incarnation)).collect();
+        names.sort();
+        names
+    };
+    let services: BTreeMap<_, _> =
+        routes.services.iter().map(|(name, list)| (name.clone(), replicas(list))).collect();
+    (targets, services)
+}
+
+#[derive(Clone, Debug)]
+enum RegistryStep {
+    Announce { name: usize, address: u8, incarnation: u64, draining: bool },
+    Remove { name: usize, incarnation: u64 },
+    Look,
+}
+
+fn registry_step() -> impl Strategy<Value = RegistryStep> {
+    prop_oneof![
+        6 => (0..8usize, 0..5u8, 0..4u64, any::<bool>()).prop_map(
+            |(name, address, incarnation, draining)| {
+                RegistryStep::Announce { name, address, incarnation, draining }
+            }
+        ),
+        2 => (0..8usize, 0..4u64)
+            .prop_map(|(name, incarnation)| RegistryStep::Remove { name, incarnation }),
+        2 => Just(RegistryStep::Look),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config(200))]
+
+    /// Applying the changes of single endpoints leads to the same index as building it anew.
+    #[test]
+    fn index_of_targets_follows_single_changes(
+        steps in prop::collection::vec(registry_step(), 0..60),
+    ) {
+        let mut registry = Registry::default();
+        registry.set_document(Time(0), open_document(1));
+        for (sequence, step) in (1..).zip(steps) {
+            match step {
+                RegistryStep::Announce { name, address, incarnation, draining } => {
+                    let mut a = plain(&"x".repeat(name + 1), address, incarnation, sequence);
+                    if draining {
+                        a.state = EndpointState::Draining;
+                    }
+                    registry.merge(Time(sequence), a);
+                }
+                RegistryStep::Remove { name, incarnation } => {
+                    let name = "x".repeat(name + 1).into();
+                    registry.remove(Time(sequence), &name, (incarnation, u64::MAX));
+                }
+                RegistryStep::Look => drop(registry.routes()),
+            }
+        }
+        let followed = registry.routes();
+        registry.set_document(Time(1_000), open_document(2));
+        prop_assert_eq!(contents(&followed), contents(&registry.routes()));
+    }
+}
+
+/// Guards against work for all endpoints at each change of one (issue 47).
+#[test]
+fn change_of_one_endpoint_takes_work_for_few() {
+    const ENDPOINTS: usize = 1_350;
+    let mut registry = Registry::default();
+    registry.set_document(Time(0), open_document(1));
+    let service = |i: usize| format!("s{}", i / 3);
+    let announce = |registry: &mut Registry, i: usize, sequence: u64, state: EndpointState| {
+        let address = std::net::SocketAddr::from(([10, 0, (i / 250) as u8, (i % 250) as u8], 9));
+        let a = plain(&format!("e{i}"), 1, 1, sequence);
+        registry.merge(Time(0), Announcement { address, service: service(i), state, ..a });
+    };
+    (0..ENDPOINTS).for_each(|i| announce(&mut registry, i, 1, EndpointState::Warm));
+    let before = registry.routes();
+    let updates = registry.target_updates();
+    announce(&mut registry, 7, 2, EndpointState::Draining);
+    // A document without changes is no reason to look at endpoints.
+    registry.set_document(Time(1), open_document(1));
+    let after = registry.routes();
+    assert_eq!(registry.target_updates() - updates, 1);
+    let kept = after.services.iter().filter(|(s, list)| Arc::ptr_eq(&before.services[*s], list));
+    assert_eq!(kept.count(), ENDPOINTS / 3 - 1, "other services share their replicas");
+    assert!(Arc::ptr_eq(&after, &registry.routes()), "nothing has changed since");
 }
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -345,7 +345,7 @@
         (0..SHARDS).map(|s| (0..3).map(|i| zone((s + i) % ZONES)).collect()).collect();
     for host in 0..300 {
         let own = zone(host % ZONES);
-        let cover = ZoneCover::new(&format!("host-{host}"), &own, shards.clone());
+        let cover = ZoneCover::new(&format!("host-{host}"), &own, shards.iter().map(|s| s.iter()));
         assert_eq!(cover.need(&own), (Need::First, 0));
         assert_eq!(cover.shards(), SHARDS);
         let needs: Vec<_> = (0..ZONES).map(|i| cover.need(&zone(i)).0).collect();
--- a/tests/testsuite/relay_tier.rs
+++ b/tests/testsuite/relay_tier.rs
@@ -496,7 +496,7 @@
                     cold: false,
                 });
             }
-            services.insert(format!("s{shard}").into(), targets);
+            services.insert(format!("s{shard}").into(), Arc::new(targets));
         }
         let routes = Arc::new(Routes { services, ..Routes::default() });
         let member = |(name, zone): &(&str, &str)| Member {
