Send what a plan changes instead of the whole plan

Each new plan went whole to every host, with the operators' text, and again from each host that had it to each neighbour that did not have it yet; all of it was encoded, compressed, decoded and compared for a changed timeout. Hosts that have the revision before now get the differences; others ask for the whole; the operators' text stays in the log, where it is read back. A host pushes to one that is behind only what it has known for a second, unless it leads. Bytes by topic are logged at `debug`.

The property `plan::changed_plan_is_the_new_one` compares both ways.

--- a/src/wisteriahead/core/control/changes.rs
+++ b/src/wisteriahead/core/control/changes.rs
@@ -61,7 +61,8 @@
     pub zone_changes: IndexMap<String, Revision>,
     /// Identifiers of the latest zone changes, oldest first.
     pub carried: Vec<String>,
-    /// The current plan, if the tier is run by a plan.
+    /// The current plan, if the tier is run by a plan. The text as written by the operators is kept in the
+    /// log alone.
     #[serde(default)]
     pub plan: Option<Arc<Plan>>,
 }
@@ -129,7 +130,7 @@
             zones: self.zones.clone(),
             zone_changes: self.zone_changes.clone(),
             carried: self.carried.clone(),
-            plan: self.plan.clone(),
+            plan: self.plan.as_ref().map(|plan| Arc::new(plan.without_source())),
         }
     }
 
--- a/src/wisteriahead/core/control/mod.rs
+++ b/src/wisteriahead/core/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod currency;
 pub mod homes;
 pub mod lockout;
+pub mod plan_change;
 pub mod settled;
 
 use self::audit::{AuditTrail, ChangeRequest};
--- a/src/wisteriahead/core/message.rs
+++ b/src/wisteriahead/core/message.rs
@@ -40,6 +40,21 @@
     Relay,
 }
 
+impl Topic {
+    /// Name in log lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Member => "member",
+            Self::Registry => "registry",
+            Self::Allowance => "allowance",
+            Self::Control => "control",
+            Self::Orders => "orders",
+            Self::Quarantine => "quarantine",
+            Self::Relay => "relay",
+        }
+    }
+}
+
 /// A message between two hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Envelope {
--- a/src/wisteriahead/core/plan.rs
+++ b/src/wisteriahead/core/plan.rs
@@ -153,6 +153,17 @@
 }
 
 impl Plan {
+    /// The same plan without the text as written by the operators.
+    pub fn without_source(&self) -> Self {
+        Self {
+            number: self.number,
+            routes: self.routes.clone(),
+            services: self.services.clone(),
+            limits: self.limits,
+            source: Arc::default(),
+        }
+    }
+
     /// Checks names, references and limits.
     ///
     /// # Errors
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -347,6 +347,18 @@
                 // Adopting a revision may write to disk.
                 tokio::task::spawn_blocking(move || revisions.adopt(active));
             }
+            Notification::Change(change) => {
+                let (base, revision) = (change.base, change.revision);
+                if revision <= self.revisions.revision() {
+                    return;
+                }
+                if base != self.revisions.revision() {
+                    // The sender answers with the whole revision.
+                    return self.send_own_status(from);
+                }
+                let revisions = self.revisions.clone();
+                tokio::task::spawn_blocking(move || revisions.adopt_change(*change));
+            }
             Notification::Here(status) => self.handle_status(from, status),
         }
     }
--- a/src/wisteriahead/services/control/revision_store.rs
+++ b/src/wisteriahead/services/control/revision_store.rs
@@ -5,13 +5,14 @@
 
 use super::wire::ZoneOverride;
 use crate::core::control::changes::ActiveRevision;
+use crate::core::control::plan_change::RevisionChange;
 use crate::core::document::{Document, Revision, ZoneState};
 use crate::core::message::{decode, encode};
 use crate::prelude::*;
 use crate::services::AcceptedDocument;
 use crate::util::disk::{Disk, Journal};
 use crate::util::work::{self, Work};
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
@@ -98,11 +99,30 @@
         work::measure(Work::Plan, || self.adopt_newer(force));
     }
 
+    /// Puts a revision in force that is given as a change of the current one; one that is based on another
+    /// is left for the next exchange of revisions.
+    pub fn adopt_change(&self, change: RevisionChange) {
+        work::measure(Work::Plan, || {
+            let journal = self.journal.lock();
+            let old = self.active();
+            if change.revision <= old.revision {
+                return;
+            }
+            match change.apply(&old) {
+                Ok(force) => self.adopt_locked(journal, force),
+                Err(e) => log::debug!("could not apply a change of revision {}: {e}", old.revision),
+            }
+        });
+    }
+
     fn adopt_newer(&self, force: ActiveRevision) {
-        let mut journal = self.journal.lock();
-        if force.revision <= self.revision() {
-            return;
+        let journal = self.journal.lock();
+        if force.revision > self.revision() {
+            self.adopt_locked(journal, force);
         }
+    }
+
+    fn adopt_locked(&self, mut journal: MutexGuard<'_, Option<Journal>>, force: ActiveRevision) {
         let document = match force.document() {
             Ok(document) => document,
             Err(e) => {
--- a/src/wisteriahead/services/control/state_machine.rs
+++ b/src/wisteriahead/services/control/state_machine.rs
@@ -5,6 +5,7 @@
 use super::wire::{Notification, Request};
 use crate::core::control::State;
 use crate::core::control::changes::ActiveRevision;
+use crate::core::control::plan_change::RevisionChange;
 use crate::core::log::{Message, Replica};
 use crate::core::message::{Topic, decode, encode};
 use crate::prelude::*;
@@ -19,6 +20,8 @@
     peers: Arc<dyn Peers>,
     /// Last revision passed on; shared with the status that this host sends.
     published: Arc<AtomicU64>,
+    /// The same with its content.
+    last: Option<ActiveRevision>,
     /// Revisions for the thread that puts them in force at this host.
     to_adopt: Sender<ActiveRevision>,
 }
@@ -40,7 +43,7 @@
             .name("in-force".to_owned())
             .spawn(move || adopt_loop(&revisions, &rx))
             .context("could not start a thread")?;
-        Ok(Self { state: State::default(), peers, published, to_adopt })
+        Ok(Self { state: State::default(), peers, published, last: None, to_adopt })
     }
 }
 
@@ -78,11 +81,16 @@
         let active = self.state.changes.active();
         self.published.store(active.revision, Ordering::Relaxed);
         if leads {
-            let body = encode(&Notification::Push(active.clone()));
+            let change = self.last.as_ref().and_then(|old| RevisionChange::between(old, &active));
+            let body = encode(&match change {
+                Some(change) => Notification::Change(Box::new(change)),
+                None => Notification::Push(active.clone()),
+            });
             for host in self.peers.others() {
                 self.peers.send(&host, Topic::Control, body.clone());
             }
         }
+        self.last = Some(active.clone());
         // The receiving thread runs until this sender is dropped.
         let _ = self.to_adopt.send(active);
     }
--- a/src/wisteriahead/services/control/tasks.rs
+++ b/src/wisteriahead/services/control/tasks.rs
@@ -8,7 +8,7 @@
 use crate::core::control::lockout::retired_hosts;
 use crate::core::control::{Command, Reply};
 use crate::core::digest;
-use crate::core::document::ZoneState;
+use crate::core::document::{Revision, ZoneState};
 use crate::core::log::{Config, Replica, add_voters, replace_voters, voters_tolerating};
 use crate::core::message::{Topic, encode};
 use crate::kernel::Context;
@@ -120,12 +120,16 @@
 /// Shuts out the hosts that are retired in the document in force.
 async fn retire_loop(shared: &Shared) {
     let mut accepted = shared.revisions.watch();
+    let mut blocked = IndexSet::new();
     loop {
         let retired = retired_hosts(&accepted.borrow_and_update().document);
-        if !retired.is_empty() {
-            sleep(RETIRE_DELAY.to_std()).await;
+        if retired != blocked {
+            if !retired.is_empty() {
+                sleep(RETIRE_DELAY.to_std()).await;
+            }
+            shared.peers.set_blocked(retired.clone());
+            blocked = retired;
         }
-        shared.peers.set_blocked(retired);
         if accepted.changed().await.is_err() {
             return;
         }
@@ -202,12 +206,27 @@
             statuses.insert(from.to_owned(), PeerStatus { status, received_at: Instant::now() });
         }
         drop(statuses);
-        let notification = match theirs.cmp(&own) {
-            std::cmp::Ordering::Less => Notification::Push(self.revisions.active()),
-            std::cmp::Ordering::Greater => Notification::Here(self.host_status()),
-            std::cmp::Ordering::Equal => return,
-        };
-        self.peers.send(from, Topic::Control, encode(&notification));
+        match theirs.cmp(&own) {
+            std::cmp::Ordering::Less => self.push_missed(from, theirs),
+            std::cmp::Ordering::Greater => self.send_own_status(from),
+            std::cmp::Ordering::Equal => {}
+        }
+    }
+
+    /// Sends the revision in force here to a host with an older one, unless that is so new that the host will
+    /// have it from the leader.
+    fn push_missed(&self, host: &str, theirs: Revision) {
+        let settled = self.settled.lock().get(self.now());
+        if theirs < settled || self.newest_revision().is_some() {
+            let push = Notification::Push(self.revisions.active());
+            self.peers.send(host, Topic::Control, encode(&push));
+        }
+    }
+
+    /// Sends this host's status to one host.
+    pub(super) fn send_own_status(&self, host: &str) {
+        let status = Notification::Here(self.host_status());
+        self.peers.send(host, Topic::Control, encode(&status));
     }
 
     /// Hosts with a recent status and a disk, as possible replicas.
--- a/src/wisteriahead/services/control/wire.rs
+++ b/src/wisteriahead/services/control/wire.rs
@@ -1,6 +1,7 @@
 //! Messages between hosts about the tier's state.
 
 use crate::core::control::changes::ActiveRevision;
+use crate::core::control::plan_change::RevisionChange;
 use crate::core::document::Revision;
 use crate::core::log::{Message, Replica, Term};
 use serde::{Deserialize, Serialize};
@@ -52,6 +53,9 @@
     },
     /// Revision in force at the sender, for a host with an older one.
     Push(ActiveRevision),
+    /// What differs from an older revision, for hosts that have that one; others ask for the whole. Older
+    /// releases do not know it and drop the message.
+    Change(Box<RevisionChange>),
     /// Status of the sender.
     Here(HostStatus),
 }
--- a/src/wisteriahead/services/peers/traffic.rs
+++ b/src/wisteriahead/services/peers/traffic.rs
@@ -110,6 +110,11 @@
 }
 
 fn report_topic(metrics: &Metrics, topic: Topic, bytes: TopicBytes) {
+    let TopicBytes { sent, received } = bytes;
+    log::debug!(
+        event = "peer-traffic", topic = topic.name(), sent, received;
+        "sent {sent} and received {received} bytes of topic {}", topic.name()
+    );
     metrics.count(
         match topic {
             Topic::Member => "peers.member.sent_bytes",
--- a/src/wisteriahead/util/work.rs
+++ b/src/wisteriahead/util/work.rs
@@ -156,9 +156,34 @@
     if count == 0 {
         return;
     }
+    let total_us = i64::try_from(total.0).unwrap_or(i64::MAX);
+    metrics.count(
+        match kind {
+            Work::Members => "work.members.us",
+            Work::Registry => "work.registry.us",
+            Work::Plan => "work.plan.us",
+            Work::Hosts => "work.hosts.us",
+            Work::Table => "work.table.us",
+            Work::Relay => "work.relay.us",
+            Work::Request => "work.request.us",
+            Work::Merge => "work.merge.us",
+        },
+        total_us,
+    );
+    metrics.gauge(
+        match kind {
+            Work::Members => "work.members.longest_us",
+            Work::Registry => "work.registry.longest_us",
+            Work::Plan => "work.plan.longest_us",
+            Work::Hosts => "work.hosts.longest_us",
+            Work::Table => "work.table.longest_us",
+            Work::Relay => "work.relay.longest_us",
+            Work::Request => "work.request.longest_us",
+            Work::Merge => "work.merge.longest_us",
+        },
+        longest.0,
+    );
     let name = kind.name();
-    metrics.count(&format!("work.{name}.us"), i64::try_from(total.0).unwrap_or(i64::MAX));
-    metrics.gauge(&format!("work.{name}.longest_us"), longest.0);
     log::debug!(
         event = "work", kind = name, count, total_us = total.0, longest_us = longest.0;
         "{count} pieces of work of kind {name} took {total}, the longest {longest}"
--- a/tests/testsuite/plan.rs
+++ b/tests/testsuite/plan.rs
@@ -3,6 +3,8 @@
 use crate::support::config;
 use proptest::prelude::*;
 use std::sync::Arc;
+use wisteriahead::core::control::changes::ActiveRevision;
+use wisteriahead::core::control::plan_change::{PlanChange, RevisionChange};
 use wisteriahead::core::control::{Command, Reply, StampedCommand, State};
 use wisteriahead::core::document::ZoneState;
 use wisteriahead::core::message::encode;
@@ -174,3 +176,96 @@
         }
     }
 }
+
+/// A plan with some of five routes and services, whose content follows from the picks.
+fn picked_plan(number: u64, picks: &[(usize, u32)]) -> Plan {
+    let mut plan = Plan { routes: Vec::new(), services: Default::default(), ..plan(number) };
+    for &(i, value) in picks {
+        let name = format!("r{i}");
+        let service: Arc<str> = format!("s{i}").into();
+        let destination = match value % 2 {
+            0 => Destination::Split(vec![(service.clone(), value)]),
+            _ => gather(&[&service]),
+        };
+        if plan.routes.iter().all(|r| *r.name != *name) {
+            let timeout = Span::millis(u64::from(value) + 1);
+            let base = route(&name, "h", &format!("/{i}/"));
+            plan.routes.push(Route { timeout, destination, ..base });
+        }
+        let of = Service { connections: value, cold_rate: 0, cold_time: Span::ZERO };
+        plan.services.insert(service, of);
+    }
+    Plan { source: "written".into(), ..plan }
+}
+
+fn active(revision: u64, plan: &Plan) -> ActiveRevision {
+    ActiveRevision { revision, plan: Some(Arc::new(plan.clone())), ..ActiveRevision::default() }
+}
+
+proptest! {
+    #![proptest_config(config(256))]
+
+    /// A host that applies the differences has the same plan as one that gets it whole.
+    #[test]
+    fn changed_plan_is_the_new_one(
+        old in prop::collection::vec((0..5usize, 0..4u32), 0..6),
+        new in prop::collection::vec((0..5usize, 0..4u32), 0..6),
+    ) {
+        let (old, new) = (picked_plan(3, &old), picked_plan(9, &new));
+        let change = PlanChange::between(&old, &new);
+        prop_assert_eq!(change.clone().apply(&old).unwrap(), new.without_source());
+        prop_assert!(change.apply(&picked_plan(4, &[])).is_err(), "another base");
+        let (before, after) = (active(1, &old), active(2, &new));
+        let change = RevisionChange::between(&before, &after).unwrap();
+        let sent = encode(&change);
+        let change: RevisionChange = wisteriahead::core::message::decode(&sent).unwrap();
+        let applied = change.clone().apply(&before).unwrap();
+        prop_assert_eq!(applied.revision, 2);
+        prop_assert_eq!(applied.plan.as_deref(), Some(&new.without_source()));
+        prop_assert!(change.apply(&active(2, &old)).is_err(), "another base");
+    }
+}
+
+#[test]
+fn change_that_names_no_old_route_is_refused() {
+    let (old, new) = (plan(1), plan(2));
+    let change = PlanChange::between(&old, &new);
+    let shorter = Plan { routes: old.routes[..1].to_vec(), ..old };
+    assert!(change.apply(&shorter).unwrap_err().contains("lacks"));
+}
+
+#[test]
+fn revisions_with_other_documents_are_sent_whole() {
+    let (a, b) = (active(1, &plan(1)), active(2, &plan(2)));
+    let edited = ActiveRevision { text: "edited".into(), ..b.clone() };
+    assert_eq!(RevisionChange::between(&a, &edited), None);
+    let without = ActiveRevision { plan: None, ..a.clone() };
+    assert_eq!(RevisionChange::between(&without, &b), None);
+}
+
+/// Guards against a whole plan that each host takes milliseconds to decode for one changed route
+/// (issue 47).
+#[test]
+fn change_of_one_route_is_sent_in_one_packet() {
+    const PACKET_BYTES: usize = 1_400;
+    let shards: Vec<String> = (0..270).map(|i| format!("shard-{i}")).collect();
+    let names: Vec<&str> = shards.iter().map(String::as_str).collect();
+    let mut old = plan(1);
+    let service = old.services[0].clone();
+    old.services.extend(names.iter().map(|name| (Arc::from(*name), service.clone())));
+    old.routes[0].destination = gather(&names);
+    old.routes[1].destination = gather(&names);
+    old.routes.extend((0..40).map(|i| route(&format!("idle-{i}"), "h", &format!("/{i}/"))));
+    let mut new = Plan { number: 2, ..old.clone() };
+    new.routes[1].timeout = Span::millis(401);
+    let whole = encode(&active(2, &new)).len();
+    // A route that gathers carries its shards; one that does not takes some hundred bytes.
+    let change = encode(&RevisionChange::between(&active(1, &old), &active(2, &new))).len();
+    println!("whole plan {whole} bytes, change of a gathering route {change}");
+    assert!(change * 4 < whole);
+    new.routes[1].timeout = old.routes[1].timeout;
+    new.routes[7].timeout = Span::millis(401);
+    let change = encode(&RevisionChange::between(&active(1, &old), &active(2, &new))).len();
+    println!("change of another route {change} bytes");
+    assert!(change < PACKET_BYTES, "{change}");
+}
