Handle hosts and endpoints that change one after the other together

Shares are divided at once when the hosts have grown by half, otherwise once a second; two hosts a tick are asked for their records; pushes go out five times a second at most and routes change every 150 ms at most, the first of them at once; a host that starts asks four hosts at a time.

--- a/src/wisteriahead/core/gossip.rs
+++ b/src/wisteriahead/core/gossip.rs
@@ -1,7 +1,7 @@
 //! Replication of the endpoint registry between the hosts.
 //!
-//! A host that receives announcements with changes pushes them to all other hosts at its next tick, so
-//! that many endpoints which change together take one message to each host.
+//! A host that receives announcements with changes pushes them to all other hosts, a few times a second
+//! at most, so that many endpoints which change together take one message to each host.
 //! Heartbeats without a change are summarized once per period and sent only to the endpoint's
 //! monitors: the few hosts that detect when the endpoint has been silent for too long and then
 //! notify all hosts. To repair lost messages, each host exchanges digests with one of its few
@@ -24,6 +24,9 @@
 pub const DIGEST_PERIOD: Span = Span::secs(1);
 /// Delay after which a change is pushed a second time, in case the first push was lost.
 pub const REPUSH_DELAY: Span = Span::millis(500);
+/// Least time between two pushes, so that endpoints which change one after the other take few messages to each
+/// host. A change after a pause is pushed at the next tick.
+pub const PUSH_PERIOD: Span = Span::millis(200);
 /// Number of hosts that each host sends digests to, in turn. With this many random partners per
 /// host, the hosts form a connected graph even at the design size. A connection to each partner
 /// stays open.
@@ -79,6 +82,7 @@
     changes: IndexMap<Arc<str>, Announcement>,
     /// Changes to push a second time, and when.
     repushes: Vec<(Time, Vec<Announcement>)>,
+    last_push: Option<Time>,
     last_heartbeat: Time,
     last_digest: Time,
     /// Digests of the buckets, and the change of the registry up to which they hold.
@@ -108,7 +112,7 @@
         self.others = others;
     }
 
-    /// Sets the other hosts that monitor endpoints. A host that is away for a short time stays one of them,
+    /// Sets the other hosts that monitor endpoints, and from which this one chooses its partners. A host that is away for a short time stays one of them,
     /// since each change takes work for all endpoints.
     pub fn set_watchers(&mut self, now: Time, watchers: IndexSet<Arc<str>>) {
         if self.watchers == watchers {
@@ -117,6 +121,8 @@
         let before = std::mem::replace(&mut self.watchers, watchers);
         let ranked = digest::rank(&self.host, self.watchers.iter().map(|h| &**h));
         self.preferred = ranked.into_iter().map(Arc::from).collect();
+        let others = std::mem::take(&mut self.others);
+        self.set_receivers(others);
         let (host, after, rankings) = (&self.host, &self.watchers, &mut self.rankings);
         let added: Vec<_> = after.difference(&before).collect();
         self.registry.update_monitors(now, host, |endpoint, monitors| {
@@ -232,8 +238,11 @@
         (warm || !gone.is_empty(), out)
     }
 
-    /// Pushes the changes since the last tick, and those that are due a second time, in one message.
+    /// Pushes the changes since the last push, and those that are due a second time, in one message.
     fn push_changes(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        if self.last_push.is_some_and(|at| now.since(at) < PUSH_PERIOD) {
+            return;
+        }
         let new: Vec<_> = std::mem::take(&mut self.changes).into_values().collect();
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.repushes).into_iter().partition(|(at, _)| *at <= now);
@@ -243,6 +252,7 @@
         }
         let list: Vec<_> = due.into_iter().flat_map(|(_, list)| list).chain(new).collect();
         if !list.is_empty() {
+            self.last_push = Some(now);
             out.extend(self.broadcast(&Message::Push(list)));
         }
     }
--- a/src/wisteriahead/core/member/host_set.rs
+++ b/src/wisteriahead/core/member/host_set.rs
@@ -12,6 +12,8 @@
 
 /// Time for which a host that has left keeps its share.
 pub const LEFT_KEPT: Span = Span::secs(30);
+/// Time between two changes of the set, so that hosts which come or go together change it once.
+pub const CHANGE_PERIOD: Span = Span::secs(1);
 
 /// A host that has a share.
 #[derive(Clone, Debug)]
@@ -29,25 +31,50 @@
     hosts: IndexMap<Arc<str>, Share>,
     /// When the share of a host that has left ends next.
     next_end: Option<Time>,
+    /// Whether the hosts have changed since the last call of [`Self::take_change`] that said so, and when
+    /// that was.
+    changed: bool,
+    taken: Option<Time>,
+    /// Number of hosts at that time.
+    divided: usize,
 }
 
 impl HostSet {
     /// An empty set, in which hosts keep their share up to the health `worst`.
     pub fn new(worst: Health) -> Self {
-        Self { worst, hosts: IndexMap::new(), next_end: None }
+        Self {
+            worst,
+            hosts: IndexMap::new(),
+            next_end: None,
+            changed: false,
+            taken: None,
+            divided: 0,
+        }
     }
 
-    /// Applies changes of the members, and forgets hosts that left long ago; returns whether the set has
-    /// changed.
-    pub fn update(&mut self, now: Time, changes: &MemberChanges) -> bool {
-        let mut changed = false;
+    /// Applies changes of the members.
+    pub fn update(&mut self, now: Time, changes: &MemberChanges) {
         for member in &changes.members {
-            changed |= self.apply(now, member);
+            self.changed |= self.apply(now, member);
         }
         for member in &changes.gone {
-            changed |= self.hosts.swap_remove(&member.host).is_some();
+            self.changed |= self.hosts.swap_remove(&member.host).is_some();
+        }
+    }
+
+    /// Forgets hosts that left long ago. Returns whether what the hosts share is to be divided anew, since the
+    /// set has changed. That is said at once if it has grown or shrunk by half, as while a host that starts
+    /// learns of the others; otherwise at most once in [`CHANGE_PERIOD`].
+    pub fn take_change(&mut self, now: Time) -> bool {
+        self.changed |= self.expire(now);
+        let (hosts, divided) = (self.hosts.len(), self.divided);
+        let much = hosts * 2 >= divided * 3 || hosts * 2 <= divided;
+        let early = self.taken.is_some_and(|at| now.since(at) < CHANGE_PERIOD);
+        if !self.changed || early && !much {
+            return false;
         }
-        changed | self.expire(now)
+        (self.changed, self.taken, self.divided) = (false, Some(now), hosts);
+        true
     }
 
     fn apply(&mut self, now: Time, member: &Member) -> bool {
@@ -75,7 +102,7 @@
     }
 
     /// Takes the share of the hosts that left long ago; returns whether there were any.
-    pub fn expire(&mut self, now: Time) -> bool {
+    fn expire(&mut self, now: Time) -> bool {
         if self.next_end.is_none_or(|at| now < at) {
             return false;
         }
--- a/src/wisteriahead/core/member/mod.rs
+++ b/src/wisteriahead/core/member/mod.rs
@@ -24,7 +24,7 @@
 mod record;
 mod spread;
 
-pub use self::host_set::{HostSet, LEFT_KEPT, MemberChanges};
+pub use self::host_set::{CHANGE_PERIOD, HostSet, LEFT_KEPT, MemberChanges};
 use self::news::ChangeLog;
 pub use self::record::{Health, Member, Record};
 use super::time::{Span, Time};
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -30,6 +30,7 @@
 use crate::core::control::lockout::{lockout, retired_hosts};
 use crate::core::control::settled::SettledRevision;
 use crate::core::control::{Command, Reply};
+use crate::core::digest;
 use crate::core::document::{Document, Revision};
 use crate::core::log::Replica;
 use crate::core::message::{Topic, decode, encode};
@@ -55,6 +56,8 @@
 const CHANGE_TIMEOUT: Span = Span::secs(10);
 /// Time that a starting host waits for the revision of another host.
 const START_TIMEOUT: Span = Span::secs(2);
+/// Number of hosts that a starting host asks for their revision at a time: each answers with the whole.
+const CATCH_UP_HOSTS: usize = 4;
 /// Pause between two attempts to get the revision of another host.
 const RETRY_INTERVAL: Span = Span::millis(10);
 
@@ -275,11 +278,17 @@
         Ok(decode(&timeout(bound.to_std(), call).await??)?)
     }
 
-    /// Requests newer revisions from the other hosts until at least one of them answers.
+    /// Requests newer revisions from a few other hosts at a time until at least one of them answers. The
+    /// statuses that hosts exchange bring what these did not have yet.
     async fn catch_up(&self) {
-        loop {
+        for round in 0.. {
             let request = Request::InForce(self.revisions.revision());
-            let hosts = self.peers.others();
+            let others = self.peers.others();
+            let ranked = digest::rank(self.peers.host(), others.iter().map(String::as_str));
+            let count = ranked.len().max(1);
+            let first = round * CATCH_UP_HOSTS % count;
+            let hosts: Vec<_> =
+                ranked.iter().cycle().skip(first).take(CATCH_UP_HOSTS.min(count)).collect();
             let calls = hosts.iter().map(|h| self.call::<Option<_>>(h, &request));
             let answers = futures::future::join_all(calls).await;
             let answered = answers.iter().any(Result::is_ok);
--- a/src/wisteriahead/services/member.rs
+++ b/src/wisteriahead/services/member.rs
@@ -19,6 +19,9 @@
 const TICK: Duration = Duration::from_millis(200);
 /// Number of ticks between two reports of the metrics.
 const REPORT_TICKS: u32 = 5;
+/// Maximum number of unknown hosts to exchange all records with per tick; the first answer names most of
+/// the others.
+const DISCOVERIES_PER_TICK: usize = 2;
 
 /// What this host reports about itself to the others.
 #[derive(Clone, Copy, Debug)]
@@ -135,7 +138,8 @@
         unknown.retain(|host| machine.record(host).is_none());
         drop(machine);
         *known = version.filter(|_| unknown.is_empty());
-        unknown.into_iter().for_each(|host| self.step(Event::Discovered(host.into())));
+        let next = unknown.into_iter().take(DISCOVERIES_PER_TICK);
+        next.for_each(|host| self.step(Event::Discovered(host.into())));
     }
 
     /// Reports the number of hosts in each state of health.
--- a/src/wisteriahead/services/registry.rs
+++ b/src/wisteriahead/services/registry.rs
@@ -29,8 +29,10 @@
 
 /// Maximum size of an announcement.
 const ANNOUNCEMENT_MAX_BYTES: usize = 64 << 10;
-/// Time between two ticks; changes of endpoints rebuild the routes at most once per tick.
+/// Time between two ticks.
 const TICK: Duration = Duration::from_millis(50);
+/// Least time between two changes of the routes, while endpoints change all the time.
+const ROUTES_PERIOD: Span = Span::millis(150);
 /// Number of ticks between two reports of the metrics.
 const REPORT_TICKS: u32 = 20;
 
@@ -40,20 +42,15 @@
     hosts: HostSet,
 }
 
-impl Watchers {
-    fn others(&self, is_other: impl Fn(&Arc<str>) -> bool) -> IndexSet<Arc<str>> {
-        self.hosts.sorted().into_iter().map(|(host, _)| host).filter(is_other).collect()
-    }
-}
-
 /// Driver of the endpoint registry of this host.
 pub struct RegistryDriver {
     ctx: Context,
     peers: Arc<dyn Peers>,
     gossip: Mutex<Gossip>,
     routes: ArcSwap<Routes>,
-    /// Whether the registry has changed since the routes were built.
+    /// Whether the registry has changed since the routes were built, and when that was.
     stale: AtomicBool,
+    updated: Mutex<Option<Time>>,
     /// Version number of the routes, which rises each time they are rebuilt.
     version: watch::Sender<u64>,
     metrics: Metrics,
@@ -80,13 +77,18 @@
 
     /// Ticks the state machine, and rebuilds the routes if something has changed.
     fn tick(&self) {
+        let now = self.ctx.now();
         let mut gossip = self.gossip.lock();
-        let (changed, out) = gossip.tick(self.ctx.now());
-        let changed = self.stale.swap(false, Ordering::Relaxed) || changed;
-        if changed && gossip.registry.routes_changed() {
+        let (changed, out) = gossip.tick(now);
+        self.mark_stale(changed);
+        let mut updated = self.updated.lock();
+        let early = updated.is_some_and(|at| now.since(at) < ROUTES_PERIOD);
+        if !early && self.stale.swap(false, Ordering::Relaxed) && gossip.registry.routes_changed() {
+            *updated = Some(now);
             self.routes.store(gossip.registry.routes());
             self.version.send_modify(|n| *n += 1);
         }
+        drop(updated);
         drop(gossip);
         self.send(out);
     }
@@ -110,28 +112,28 @@
     }
 
     fn set_members(&self, watchers: &mut Watchers, members: Arc<Vec<Member>>) {
-        let now = self.ctx.now();
         let old = std::mem::replace(&mut watchers.members, members);
-        let changes = MemberChanges::between(&old, &watchers.members);
-        let is_other = |host: &Arc<str>| **host != *self.peers.host();
+        watchers.hosts.update(self.ctx.now(), &MemberChanges::between(&old, &watchers.members));
         let live = watchers.members.iter().filter(|m| m.health <= Health::Suspect);
-        let others = live.map(|m| m.host.clone()).filter(is_other).collect();
-        let mut gossip = self.gossip.lock();
-        if watchers.hosts.update(now, &changes) {
-            gossip.set_watchers(now, watchers.others(is_other));
-        }
-        gossip.set_receivers(others);
+        let others = live.map(|m| m.host.clone()).filter(|host| self.is_other(host)).collect();
+        self.gossip.lock().set_receivers(others);
+        self.update_watchers(watchers);
     }
 
-    /// Drops the hosts that left long ago from those that monitor endpoints.
-    fn expire_watchers(&self, watchers: &mut Watchers) {
+    /// Has other hosts monitor endpoints if those that do have changed.
+    fn update_watchers(&self, watchers: &mut Watchers) {
         let now = self.ctx.now();
-        if watchers.hosts.expire(now) {
-            let others = watchers.others(|host| **host != *self.peers.host());
+        if watchers.hosts.take_change(now) {
+            let hosts = watchers.hosts.sorted().into_iter().map(|(host, _)| host);
+            let others = hosts.filter(|host| self.is_other(host)).collect();
             self.gossip.lock().set_watchers(now, others);
         }
     }
 
+    fn is_other(&self, host: &str) -> bool {
+        *host != *self.peers.host()
+    }
+
     fn set_document(&self, accepted: &AcceptedDocument) {
         let mut gossip = self.gossip.lock();
         let services = accepted.plan.as_ref().map(|plan| plan.services.values());
@@ -329,6 +331,7 @@
                 gossip: Mutex::new(gossip),
                 routes: ArcSwap::default(),
                 stale: AtomicBool::new(false),
+                updated: Mutex::default(),
                 version: watch::channel(0).0,
                 metrics: self.metrics.clone(),
             });
@@ -400,7 +403,7 @@
                 ticks = ticks.wrapping_add(1);
                 if ticks.is_multiple_of(REPORT_TICKS) {
                     driver.report();
-                    driver.expire_watchers(&mut watchers);
+                    work::measure(Work::Registry, || driver.update_watchers(&mut watchers));
                 }
             }
         }
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -331,13 +331,15 @@
         let mut changes = MemberChanges::between(&old, &relays.members);
         changes.members.retain(|m| !m.durable);
         self.forwarder.update_hosts(&changes);
-        if relays.hosts.update(self.ctx.now(), &changes) {
-            self.share_among(relays);
-        }
+        relays.hosts.update(self.ctx.now(), &changes);
+        self.update_shares(relays);
     }
 
-    /// Shares endpoints and budgets with the hosts that relay requests.
-    fn share_among(&self, relays: &Relays) {
+    /// Divides endpoints and budgets anew if the hosts that relay requests have changed.
+    fn update_shares(&self, relays: &mut Relays) {
+        if !relays.hosts.take_change(self.ctx.now()) {
+            return;
+        }
         let count = relays.hosts.len();
         if self.traffic.set_hosts(relays.hosts.sorted()) {
             log::info!(relays = count; "{count} hosts share the retry budgets and endpoint limits");
@@ -506,6 +508,7 @@
             _ = probe.tick() => {
                 relay.traffic.record_alive(relay.ctx.now());
                 relay.probe_zones();
+                work::measure(Work::Hosts, || relay.update_shares(&mut relays));
                 relay.open_early(&mut early);
                 false
             }
@@ -529,9 +532,6 @@
             _ = sweep.tick() => {
                 relay.pools.remove_idle();
                 relay.traffic.expire_notices(relay.ctx.now());
-                if relays.hosts.expire(relay.ctx.now()) {
-                    relay.share_among(&relays);
-                }
                 false
             }
         };
