Choose replicas without hashing names and hosts

The profile shows hashes of zones, names and, for each endpoint in cold start, of all hosts, and two lists for each shard. Zones are few and found by looking at them in turn; a host's share of the rate in cold start is kept until the hosts or the rate change; notices and the order of replicas cost no memory while there are none or few. No decision changes. Ruled out as the next cause: latencies themselves (7 in 100 of a choice).

--- a/src/wisteriahead/core/relay/cover.rs
+++ b/src/wisteriahead/core/relay/cover.rs
@@ -15,10 +15,11 @@
 /// second replica of each shard, for hedges and retries.
 #[derive(Clone, Debug, Default)]
 pub struct ZoneCover {
-    /// Shards whose first attempt goes to each zone, in the order of preference.
-    first: IndexMap<Arc<str>, usize>,
+    /// Zones and the shards whose first attempt goes to each, in the order of preference. They are few, and
+    /// looked up for each replica of a request.
+    first: Vec<(Arc<str>, usize)>,
     /// Zones for further attempts.
-    second: IndexSet<Arc<str>>,
+    second: Vec<Arc<str>>,
 }
 
 /// What the gathers of a host need a zone for.
@@ -41,45 +42,49 @@
         shards: impl Iterator<Item = Z>,
     ) -> Self {
         let mut shards = ShardZones::new(host, own, shards);
-        let (mut first, mut second) = (IndexMap::new(), IndexSet::new());
+        let (mut first, mut second) = (Vec::new(), Vec::new());
         let (mut others, mut needed): (IndexMap<u128, usize>, u128) = (IndexMap::new(), 0);
         while let Some((zone, held)) = shards.widest() {
             for (set, count) in shards.take_with(zone) {
                 *others.entry(set).or_default() += count;
             }
             needed |= 1 << zone;
-            first.insert(shards.zones[zone].clone(), held);
+            first.push((shards.zones[zone].clone(), held));
         }
         // Zones that are needed anyway cost no further connections.
         others.retain(|set, _| set & needed == 0);
         shards.sets = others;
         while let Some((zone, _)) = shards.widest() {
             shards.take_with(zone);
-            second.insert(shards.zones[zone].clone());
+            second.push(shards.zones[zone].clone());
         }
         Self { first, second }
     }
 
     /// What a zone is needed for, and its position among the zones needed for that.
     pub fn need(&self, zone: &str) -> (Need, usize) {
-        let first = self.first.get_index_of(zone).map(|position| (Need::First, position));
-        let second = || self.second.get_index_of(zone).map(|position| (Need::Second, position));
+        let first = self.first.iter().position(|(z, _)| **z == *zone);
+        let first = first.map(|position| (Need::First, position));
+        let second = || {
+            let position = self.second.iter().position(|z| **z == *zone);
+            position.map(|position| (Need::Second, position))
+        };
         first.or_else(second).unwrap_or((Need::None, 0))
     }
 
     /// Number of shards whose first attempt goes to a zone.
     pub fn calls(&self, zone: &str) -> usize {
-        self.first.get(zone).copied().unwrap_or_default()
+        self.first.iter().find(|(z, _)| **z == *zone).map_or(0, |(_, calls)| *calls)
     }
 
     /// Number of shards.
     pub fn shards(&self) -> usize {
-        self.first.values().sum()
+        self.first.iter().map(|(_, calls)| calls).sum()
     }
 
     /// All zones that are needed.
     pub fn zones(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.first.keys().chain(&self.second)
+        self.first.iter().map(|(zone, _)| zone).chain(&self.second)
     }
 }
 
--- a/src/wisteriahead/core/relay/zones.rs
+++ b/src/wisteriahead/core/relay/zones.rs
@@ -5,7 +5,6 @@
 //! zone unresponsive, since the other endpoints respond.
 
 use crate::core::time::{Span, Time};
-use indexmap::IndexMap;
 use std::sync::Arc;
 
 /// Minimum unanswered requests that make a zone unresponsive; a single slow endpoint has fewer in
@@ -25,35 +24,49 @@
     due: Time,
 }
 
+impl Zone {
+    fn is_unresponsive(self, now: Time) -> bool {
+        self.unanswered >= UNANSWERED_MIN && now >= self.due
+    }
+}
+
 /// Zones that requests were sent to.
 #[derive(Clone, Debug, Default)]
 pub struct ZoneMonitor {
-    zones: IndexMap<Arc<str>, Zone>,
+    /// Few, and looked up for each replica of a request.
+    zones: Vec<(Arc<str>, Zone)>,
 }
 
 impl ZoneMonitor {
     /// Records a request to a zone that usually responds within `usual`.
     pub fn request_sent(&mut self, now: Time, zone: &Arc<str>, usual: Span) {
         let due = now + Span(usual.0.saturating_mul(RESPONSE_WAIT_FACTOR)).max(RESPONSE_WAIT_MIN);
-        let z = self.zones.entry(zone.clone()).or_default();
+        let known = self.zones.iter().position(|(z, _)| z == zone);
+        let position = known.unwrap_or_else(|| {
+            self.zones.push((zone.clone(), Zone::default()));
+            self.zones.len() - 1
+        });
+        let z = &mut self.zones[position].1;
         z.due = if z.unanswered == 0 { due } else { z.due.min(due) };
         z.unanswered = z.unanswered.saturating_add(1);
     }
 
     /// Records a response from a zone; refusals count too.
     pub fn response_received(&mut self, zone: &str) {
-        if let Some(z) = self.zones.get_mut(zone) {
+        if let Some((_, z)) = self.zones.iter_mut().find(|(z, _)| **z == *zone) {
             z.unanswered = 0;
         }
     }
 
     /// Whether a zone is unresponsive.
     pub fn is_unresponsive(&self, now: Time, zone: &str) -> bool {
-        self.zones.get(zone).is_some_and(|z| z.unanswered >= UNANSWERED_MIN && now >= z.due)
+        let found = self.zones.iter().find(|(z, _)| **z == *zone);
+        found.is_some_and(|(_, z)| z.is_unresponsive(now))
     }
 
     /// Zones that are unresponsive.
     pub fn unresponsive(&self, now: Time) -> Vec<Arc<str>> {
-        self.zones.keys().filter(|zone| self.is_unresponsive(now, zone)).cloned().collect()
+        let silent = self.zones.iter().filter(|(_, z)| z.is_unresponsive(now));
+        silent.map(|(zone, _)| zone.clone()).collect()
     }
 }
--- a/src/wisteriahead/services/relay/traffic.rs
+++ b/src/wisteriahead/services/relay/traffic.rs
@@ -22,6 +22,7 @@
 use crate::util::metrics::Metrics;
 use parking_lot::Mutex;
 use slotmap::SecondaryMap;
+use smallvec::SmallVec;
 
 /// Quantile of a route's answer times that serves as its hedge delay. One attempt in 12 is hedged,
 /// so that a budget of one extra attempt per 5 requests leaves room for retries.
@@ -65,6 +66,15 @@
     limiter: RateLimiter,
     /// How this host reaches it.
     reach: Option<Reach>,
+    /// This host's share of a total rate in cold start, which takes a hash for each host.
+    cold_share: Option<ColdShare>,
+}
+
+/// Part of a rate that a host may send at.
+#[derive(Clone, Copy, Debug)]
+struct ColdShare {
+    total: u32,
+    share: u32,
 }
 
 impl Endpoint {
@@ -127,6 +137,22 @@
     choices: u64,
 }
 
+/// Order of one replica among those of a shard; the lowest is preferred.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ReplicaRank {
+    /// Whether the endpoint is leaving.
+    last: bool,
+    /// Whether its zone does not respond.
+    silent: bool,
+    cold: bool,
+    /// Whether a request in flight is overdue.
+    slow: bool,
+    cost: (u64, u64, u64),
+}
+
+/// Replicas of a shard with their ranks; few, so that they need no memory of their own.
+type ReplicaOrder<'a> = SmallVec<[(ReplicaRank, &'a Target); 4]>;
+
 /// Traffic state of one host.
 pub struct TrafficState {
     host: Arc<str>,
@@ -200,7 +226,9 @@
         }
         s.hosts = hosts.iter().map(|(host, _)| host.clone()).collect();
         s.groups = Arc::new(Groups::new(hosts.into_iter()));
-        s.endpoints.values_mut().for_each(|e| e.reach = None);
+        for e in s.endpoints.values_mut() {
+            (e.reach, e.cold_share) = (None, None);
+        }
         true
     }
 
@@ -359,7 +387,11 @@
         } = &mut *s;
         self.fill_reach(endpoints, groups, replicas.iter());
         let notices = self.notices.lock();
-        let notice_of = |t: &Target| notices.access(now, t, self.bounds.drain);
+        let noticed = !notices.is_empty();
+        let notice_of = |t: &Target| match noticed {
+            true => notices.access(now, t, self.bounds.drain),
+            false => notices::Access::Open,
+        };
         let in_flight = |key| endpoints.get(key).map_or(0, |e| e.sent.len() as u32);
         let context = ChoiceContext {
             zone: &self.zone,
@@ -374,36 +406,43 @@
                 _ => (REMOTE_ZONE_COST_DOUBLINGS, zone_rank(&self.host, zone)),
             },
         };
-        let is_slow = |t: &Target| {
-            let oldest = endpoints.get(t.key).and_then(|e| e.sent.first());
-            oldest.is_some_and(|at| now.since(*at) > expected)
-        };
         // If this host has a share of no connection at any replica left, it may use one beyond its
         // share, since it could not serve the request otherwise.
         let usable = |e: &Endpoint, t: &Target| e.reach(t).map_or(0, |r| r.connections(gathers));
         let unusable = |t: &Target| endpoints.get(t.key).is_some_and(|e| usable(e, t) == 0);
         let untried = || replicas.iter().filter(|t| !tried.contains(&t.key));
         let min_connections = u32::from(untried().all(unusable));
-        let may_send = |t: &&Target| {
-            !stale_addresses.contains(t) && !matches!(notice_of(t), notices::Access::Closed(_))
-        };
-        let is_cold = |t: &Target| is_cold(cold_signs, now, t, plan);
-        let mut order: Vec<_> = untried().filter(may_send).collect();
-        order.sort_by_cached_key(|t| {
-            let last = notice_of(t) == notices::Access::Last;
-            let silent = zone_monitor.is_unresponsive(now, &t.zone);
-            (last, silent, is_cold(t), is_slow(t), latencies.rank(now, t, &context))
-        });
-        for target in order {
+        let mut order = ReplicaOrder::new();
+        for target in untried().filter(|t| !stale_addresses.contains(t)) {
+            let access = notice_of(target);
+            if matches!(access, notices::Access::Closed(_)) {
+                continue;
+            }
+            let oldest = endpoints.get(target.key).and_then(|e| e.sent.first());
+            let rank = ReplicaRank {
+                last: access == notices::Access::Last,
+                silent: zone_monitor.is_unresponsive(now, &target.zone),
+                cold: is_cold(cold_signs, now, target, plan),
+                slow: oldest.is_some_and(|at| now.since(*at) > expected),
+                cost: latencies.rank(now, target, &context),
+            };
+            order.push((rank, target));
+        }
+        // Replicas are few, and a stable order among equals is not needed: ranks end in a tie-break.
+        order.sort_unstable_by_key(|(rank, _)| *rank);
+        for (rank, target) in order {
             let Some(e) = endpoints.entry(target.key).map(|e| e.or_default()) else { continue };
             let connections = usable(e, target).max(min_connections);
             if e.sent.len() as u32 >= max_in_flight(target, connections) {
                 continue;
             }
-            if !is_cold(target) {
+            if !rank.cold {
                 e.limiter.record(now);
-            } else if !e.limiter.try_acquire(now, self.cold_rate(target, plan, hosts)) {
-                continue;
+            } else {
+                let rate = self.cold_rate(&mut e.cold_share, target, plan, hosts);
+                if !e.limiter.try_acquire(now, rate) {
+                    continue;
+                }
             }
             e.sent.push(now);
             zone_monitor.request_sent(now, &target.zone, expected);
@@ -415,30 +454,63 @@
 
     /// Whether a replica that is reachable has room for a request from this host.
     pub fn has_room(&self, now: Time, replicas: &[Target], plan: &Plan) -> bool {
-        let s = self.state.lock();
+        let mut s = self.state.lock();
         let connections = |t: &Target| self.reach(&s, t).connections(true);
         let min_connections = u32::from(replicas.iter().all(|t| connections(t) == 0));
         let notices = self.notices.lock();
-        let usable = |t: &&Target| {
-            !s.stale_addresses.contains(t)
-                && !s.zone_monitor.is_unresponsive(now, &t.zone)
-                && !matches!(notices.access(now, t, self.bounds.drain), notices::Access::Closed(_))
-        };
-        replicas.iter().filter(usable).any(|t| {
-            let connections = connections(t).max(min_connections);
-            let Some(e) = s.endpoints.get(t.key) else { return connections > 0 };
-            let cold = || e.limiter.allows(now, self.cold_rate(t, plan, &s.hosts));
-            (e.sent.len() as u32) < max_in_flight(t, connections)
-                && (!is_cold(&s.cold_signs, now, t, plan) || cold())
-        })
+        let noticed = !notices.is_empty();
+        for t in replicas {
+            let connections = self.reach(&s, t).connections(true).max(min_connections);
+            let State { endpoints, stale_addresses, zone_monitor, cold_signs, hosts, .. } = &mut *s;
+            let closed = || {
+                let access = notices.access(now, t, self.bounds.drain);
+                matches!(access, notices::Access::Closed(_))
+            };
+            if stale_addresses.contains(t)
+                || zone_monitor.is_unresponsive(now, &t.zone)
+                || noticed && closed()
+            {
+                continue;
+            }
+            let Some(e) = endpoints.get_mut(t.key) else {
+                if connections > 0 {
+                    return true;
+                }
+                continue;
+            };
+            let cold = is_cold(cold_signs, now, t, plan);
+            let has_slot = (e.sent.len() as u32) < max_in_flight(t, connections);
+            if has_slot && !cold {
+                return true;
+            }
+            if has_slot {
+                let rate = self.cold_rate(&mut e.cold_share, t, plan, hosts);
+                if e.limiter.allows(now, rate) {
+                    return true;
+                }
+            }
+        }
+        false
     }
 
-    /// This host's share of the requests per second to an endpoint in cold start.
-    fn cold_rate(&self, to: &Target, plan: &Plan, hosts: &[Arc<str>]) -> u32 {
+    /// This host's share of the requests per second to an endpoint in cold start; `known` is the share that
+    /// was worked out before.
+    fn cold_rate(
+        &self,
+        known: &mut Option<ColdShare>,
+        to: &Target,
+        plan: &Plan,
+        hosts: &[Arc<str>],
+    ) -> u32 {
         let per_endpoint =
             plan.services.get(&to.service).map_or(0.0, |s| s.cold_rate as f64 / 1_000.0);
-        let total = per_endpoint.mul_add(self.bounds.cold_ratio, self.bounds.cold_slack);
-        host_share(&to.name, total as u32, &self.host, hosts)
+        let total = per_endpoint.mul_add(self.bounds.cold_ratio, self.bounds.cold_slack) as u32;
+        if let Some(known) = known.filter(|known| known.total == total) {
+            return known.share;
+        }
+        let share = host_share(&to.name, total, &self.host, hosts);
+        *known = Some(ColdShare { total, share });
+        share
     }
 
     /// Records that nothing listens at an endpoint's address.
