--- a/src/wisteriahead/services/relay/traffic.rs
+++ b/src/wisteriahead/services/relay/traffic.rs
@@ -273,6 +273,9 @@
 
     /// Records what an endpoint said about further requests, in its answer to the request `id`.
     pub fn record_notice(&self, now: Time, id: &str, from: &Target, notice: Notice) {
+        if notice == Notice::default() {
+            return;
+        }
         let news = self.notices.lock().record(now, from, notice);
         let (endpoint, incarnation) = (&*from.name, from.incarnation);
         if news.leaving {
--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -1,12 +1,21 @@
 //! The replicated log of changes, with daemons in processes of their own.
 
+use anyhow::bail;
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
 use serde_json::{Value, json};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use wisteria_testkit::process::program_folder;
 use wisteria_testkit::tier::Tier;
+use wisteriahead::core::message::{Topic, encode};
 use wisteriahead::core::verdict::{Reason, Verdict};
+use wisteriahead::kernel::Kernel;
 use wisteriahead::ops::client::{Client, Server};
 use wisteriahead::ops::failure::Failure;
+use wisteriahead::prelude::*;
+use wisteriahead::services::control::{ControlService, ControlSettings};
+use wisteriahead::services::{Handler, Peers};
 
 const ZONES: &str = "[[zone]]\nname = \"north\"\n\n[[zone]]\nname = \"south\"\n";
 /// Maximum number of attempts before a condition counts as never met.
@@ -251,3 +260,56 @@
     kill(&mut tier, "v3").await;
     assert_eq!(edit_until_accepted(&tier, "h4", "c2", 1, ZONES).await, 2);
 }
+
+/// A host that knows 300 others, of which one answers.
+struct LargeTier {
+    /// Hosts that were asked, and how many calls are open now and were at most.
+    asked: Mutex<IndexSet<String>>,
+    open: AtomicUsize,
+    most: AtomicUsize,
+}
+
+impl Peers for LargeTier {
+    fn host(&self) -> &str {
+        "new"
+    }
+
+    fn zone(&self) -> &str {
+        "north"
+    }
+
+    fn others(&self) -> Vec<String> {
+        (0..300).map(|i| format!("h{i}")).collect()
+    }
+
+    fn set_handler(&self, _: Topic, _: Arc<dyn Handler>) {}
+
+    fn send(&self, _: &str, _: Topic, _: Vec<u8>) {}
+
+    fn call<'a>(&'a self, to: &'a str, _: Topic, _: Vec<u8>) -> BoxFuture<'a, Result<Vec<u8>>> {
+        self.asked.lock().insert(to.to_owned());
+        let open = self.open.fetch_add(1, Ordering::Relaxed) + 1;
+        self.most.fetch_max(open, Ordering::Relaxed);
+        Box::pin(async move {
+            tokio::task::yield_now().await;
+            self.open.fetch_sub(1, Ordering::Relaxed);
+            // The host has nothing newer.
+            if to == "h17" { Ok(encode(&None::<u8>)) } else { bail!("unreachable") }
+        })
+    }
+}
+
+/// Guards against a host that starts and has each host of a large tier send it the whole plan (issue
+/// 47).
+#[tokio::test]
+async fn host_that_starts_asks_few_others_at_a_time_until_one_answers() {
+    let (asked, open, most) = (Mutex::default(), AtomicUsize::new(0), AtomicUsize::new(0));
+    let tier = Arc::new(LargeTier { asked, open, most });
+    let mut kernel = Kernel::default();
+    kernel.context().publish::<dyn Peers>(<dyn Peers>::NAME, tier.clone());
+    let settings = ControlSettings { joins: true, ..ControlSettings::default() };
+    kernel.start(Arc::new(ControlService::new(settings))).await.unwrap();
+    assert!(tier.asked.lock().contains("h17"), "the host that answers was never asked");
+    assert!(tier.most.load(Ordering::Relaxed) <= 4, "{}", tier.most.load(Ordering::Relaxed));
+    kernel.stop(Span::secs(1)).await;
+}
