Do upkeep that depends on all hosts or endpoints when they change

The hosts that get a status are ranked when the others change, zones are collected when a table is prepared, and endpoints to connect to early are looked for once a second when there was none.

--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -113,6 +113,8 @@
     published: Arc<AtomicU64>,
     currency: Mutex<Currency>,
     settled: Mutex<SettledRevision>,
+    /// Hosts that get this host's status, and the version of the other hosts that they were chosen from.
+    status_targets: Mutex<(Option<u64>, Vec<String>)>,
     started: Instant,
     voter_repair: Option<VoterRepair>,
     /// When this host became leader, as far as its repair task has noticed.
@@ -197,6 +199,7 @@
             published: Arc::default(),
             currency: Mutex::default(),
             settled: Mutex::default(),
+            status_targets: Mutex::default(),
             started: Instant::now(),
             voter_repair: settings.voter_repair,
             leader_since: Mutex::new(None),
--- a/src/wisteriahead/services/control/tasks.rs
+++ b/src/wisteriahead/services/control/tasks.rs
@@ -167,20 +167,33 @@
     /// Sends this host's status to the leader and a few other hosts. A leader sends it to all hosts
     /// in turn, so that they know the leader.
     pub(super) fn send_status(&self, round: usize) {
-        let others = self.peers.others();
         let status = self.host_status();
         self.update_currency(self.peers.host(), &status);
         let body = encode(&Notification::Here(status));
-        let targets = digest::rank(self.peers.host(), others.iter().map(String::as_str));
-        let targets = targets.into_iter().take(FANOUT).map(str::to_owned);
-        let leads = self.group(TIER_GROUP).is_some_and(|g| g.status().leads);
-        let part = others.iter().skip(round % LEADER_PARTS).step_by(LEADER_PARTS);
-        let part = part.filter(|_| leads).cloned();
-        for host in targets.chain(part).chain(self.leader(TIER_GROUP)).collect::<IndexSet<_>>() {
+        let mut targets: IndexSet<String> = self.status_targets().into_iter().collect();
+        if self.group(TIER_GROUP).is_some_and(|g| g.status().leads) {
+            let others = self.peers.others();
+            targets.extend(others.into_iter().skip(round % LEADER_PARTS).step_by(LEADER_PARTS));
+        }
+        targets.extend(self.leader(TIER_GROUP));
+        for host in targets {
             self.peers.send(&host, Topic::Control, body.clone());
         }
     }
 
+    /// Hosts that this one sends its status to besides the leader; ranked anew when the other hosts have
+    /// changed.
+    fn status_targets(&self) -> Vec<String> {
+        let version = self.peers.others_version();
+        let mut known = self.status_targets.lock();
+        if version.is_none() || known.0 != version {
+            let others = self.peers.others();
+            let ranked = digest::rank(self.peers.host(), others.iter().map(String::as_str));
+            *known = (version, ranked.into_iter().take(FANOUT).map(str::to_owned).collect());
+        }
+        known.1.clone()
+    }
+
     /// Sends this host's status to all other hosts at once.
     pub(super) fn broadcast_status(&self) {
         let body = encode(&Notification::Here(self.host_status()));
--- a/src/wisteriahead/services/relay/mod.rs
+++ b/src/wisteriahead/services/relay/mod.rs
@@ -66,6 +66,8 @@
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval at which an endpoint of each unresponsive zone is probed, and timeout of a probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which endpoints to connect to early are looked for again, once there was none.
+const EARLY_PAUSE: Span = Span::secs(1);
 /// Fraction of the time to apply a plan for which a new plan may wait for its endpoints; the rest is
 /// for its distribution to this host.
 const PLAN_WAIT_FRACTION: (u64, u64) = (3, 5);
@@ -260,13 +262,14 @@
         let Some(table) = self.table.load_full() else { return };
         let (groups, host, zone) =
             (self.traffic.groups(), self.traffic.host(), self.traffic.zone());
-        if early.is_done(&table, &groups) {
+        let now = self.ctx.now();
+        if early.is_done(now, &table, &groups) {
             return;
         }
         let own = |t: &&Target| *t.zone == *zone && groups.owns(host, t);
         let round = early.connections.next_round(table.gather_targets().filter(own));
         if round.is_empty() {
-            early.done = Some((table.clone(), groups.clone()));
+            early.done = Some((table.clone(), groups.clone(), now));
         }
         for target in round {
             let connections = self.traffic.max_connections(target);
@@ -323,6 +326,7 @@
             let new = table.prepare(&previous);
             if table.used_replicas().next().is_some() {
                 self.cover(self.ctx.now(), &table);
+                table.zones();
             }
             self.traffic.cache_reach(new.iter().flat_map(|replicas| replicas.iter()));
         }
@@ -467,17 +471,19 @@
     }
 }
 
-/// Endpoints that were connected to early, and the state in which none was left to connect to.
+/// Endpoints that were connected to early, and the state in which none was left to connect to, and when.
 #[derive(Default)]
 struct EarlyOpener {
     connections: EarlyConnections,
-    done: Option<(Arc<RouteTable>, Arc<Groups>)>,
+    done: Option<(Arc<RouteTable>, Arc<Groups>, Time)>,
 }
 
 impl EarlyOpener {
-    fn is_done(&self, table: &Arc<RouteTable>, groups: &Arc<Groups>) -> bool {
-        let same = |(t, g): &(_, _)| Arc::ptr_eq(t, table) && Arc::ptr_eq(g, groups);
-        self.done.as_ref().is_some_and(same)
+    fn is_done(&self, now: Time, table: &Arc<RouteTable>, groups: &Arc<Groups>) -> bool {
+        self.done.as_ref().is_some_and(|(t, g, at)| {
+            let same = Arc::ptr_eq(t, table) && Arc::ptr_eq(g, groups);
+            same || now.since(*at) < EARLY_PAUSE
+        })
     }
 }
 
--- a/src/wisteriahead/services/relay/table.rs
+++ b/src/wisteriahead/services/relay/table.rs
@@ -77,8 +77,8 @@
     entries: Vec<Arc<RouteEntry>>,
     endpoints: Arc<Routes>,
     replicas: Arc<ReplicaCache>,
-    /// Availability zones of the endpoints.
-    zones: OnceLock<IndexSet<Arc<str>>>,
+    /// Availability zones of the endpoints; few.
+    zones: OnceLock<Vec<Arc<str>>>,
     /// Whether endpoints are known for enough services.
     has_endpoints: OnceLock<bool>,
     /// Zones that gathers are sent to, by the zones that they leave out.
@@ -114,8 +114,16 @@
     }
 
     /// Availability zones of the endpoints that take new requests.
-    pub fn zones(&self) -> &IndexSet<Arc<str>> {
-        self.zones.get_or_init(|| self.targets().map(|t| t.zone.clone()).collect())
+    pub fn zones(&self) -> &[Arc<str>] {
+        self.zones.get_or_init(|| {
+            let mut zones: Vec<Arc<str>> = Vec::new();
+            for target in self.targets() {
+                if !zones.contains(&target.zone) {
+                    zones.push(target.zone.clone());
+                }
+            }
+            zones
+        })
     }
 
     /// Zones that the gathers of a host in the zone `own` are sent to, without the excluded ones. They
