--- a/src/wisteriahead/core/member/mod.rs
+++ b/src/wisteriahead/core/member/mod.rs
@@ -347,7 +347,7 @@
         let changed = if zones_changed {
             self.rebuild_view(now)
         } else {
-            hosts.iter().fold(false, |changed, host| self.refresh_member(now, host) || changed)
+            hosts.iter().filter(|host| self.refresh_member(now, host)).count() > 0
         };
         if changed {
             out.push(Action::Changed(hosts));
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -553,11 +553,9 @@
             let actions = work::measure(Work::Request, step);
             let stepped = self.timeline.is_some().then(|| relay.ctx.now());
             let finished = work::measure(Work::Request, || self.execute(actions));
-            if let (Some(timeline), Some(stepped)) = (&mut self.timeline, stepped) {
-                if is_start {
-                    (timeline.read, timeline.chosen) = (now, Some(stepped));
-                    timeline.sent = Some(relay.ctx.now());
-                }
+            if let (true, Some(timeline)) = (is_start, &mut self.timeline) {
+                (timeline.read, timeline.chosen) = (now, stepped);
+                timeline.sent = Some(relay.ctx.now());
             }
             let min_coverage = self.route.destination.min_coverage();
             if self.enough.is_none() && gather.coverage().meets(min_coverage) {
--- a/src/wisteriahead/util/work.rs
+++ b/src/wisteriahead/util/work.rs
@@ -82,11 +82,13 @@
 }
 
 impl Counter {
-    const NEW: Self = Self {
-        count: AtomicU64::new(0),
-        total_us: AtomicU64::new(0),
-        longest_us: AtomicU64::new(0),
-    };
+    const fn new() -> Self {
+        Self {
+            count: AtomicU64::new(0),
+            total_us: AtomicU64::new(0),
+            longest_us: AtomicU64::new(0),
+        }
+    }
 
     fn record(&self, span: Span) {
         self.count.fetch_add(1, Ordering::Relaxed);
@@ -104,7 +106,7 @@
     }
 }
 
-static COUNTERS: [Counter; Work::ALL.len()] = [Counter::NEW; Work::ALL.len()];
+static COUNTERS: [Counter; Work::ALL.len()] = [const { Counter::new() }; Work::ALL.len()];
 static ENABLED: AtomicBool = AtomicBool::new(false);
 
 /// Starts or stops measuring.
