Set the timer of a batch's results once, not at each end of a call

Each of 30 calls of a batch moved the timer a little later, and read the clock twice for it. The timer now fires when it was first due and is set again then.

--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -528,8 +528,11 @@
         loop {
             let due = flush.due();
             if let Some(at) = due {
-                let wait = at.since(self.ctx.now()).to_std();
-                timer.as_mut().reset(tokio::time::Instant::now() + wait);
+                let at = tokio::time::Instant::now() + at.since(self.ctx.now()).to_std();
+                // The timer is left alone if it is early enough; most ends of calls make it due later.
+                if timer.is_elapsed() || at < timer.deadline() {
+                    timer.as_mut().reset(at);
+                }
             }
             tokio::select! {
                 biased;
@@ -546,7 +549,11 @@
                         continue;
                     }
                 }
-                () = &mut timer, if due.is_some() => {}
+                () = &mut timer, if due.is_some() => {
+                    if due.is_some_and(|at| at > self.ctx.now()) {
+                        continue;
+                    }
+                }
                 () = &mut deadline => return Ok(()),
             }
             let now = self.ctx.now();
