--- a/src/wisteriahead/core/member/mod.rs
+++ b/src/wisteriahead/core/member/mod.rs
@@ -335,9 +335,12 @@
 
     /// Adds the digest of a record to that of its zone, or takes it out again.
     fn toggle_digest(&mut self, zone: &Arc<str>, digest: u64) {
-        match self.digests.get_mut(zone) {
-            Some(all) => *all ^= digest,
-            None => drop(self.digests.insert(zone.clone(), digest)),
+        let all = self.digests.get(zone).copied().unwrap_or_default() ^ digest;
+        // A zone without hosts has no digest, as at a host that never knew it.
+        if all == 0 {
+            self.digests.swap_remove(zone);
+        } else {
+            self.digests.insert(zone.clone(), all);
         }
     }
 
--- a/src/wisteriahead/core/relay/timing.rs
+++ b/src/wisteriahead/core/relay/timing.rs
@@ -9,8 +9,8 @@
 const MARGIN_DIVISOR: u64 = 2;
 /// Inverse of the largest fraction of an objective that counts as late.
 const LATENESS_DIVISOR: u64 = 8;
-/// Inverse of the weight of a sample above the estimate, and of one below it: the estimate settles where one
-/// sample in five exceeds it.
+/// Inverse of the weight of a sample above the estimate, and of one below it. The former is greater, so that
+/// most samples do not exceed the estimate.
 const LATENESS_RISE_DIVISOR: u64 = 2;
 const LATENESS_FALL_DIVISOR: u64 = 8;
 /// Divisor of the latency objective that gives the time a request waits for a free slot.
--- a/src/wisteriahead/services/member.rs
+++ b/src/wisteriahead/services/member.rs
@@ -123,9 +123,9 @@
         }
     }
 
-    /// Tells the state machine of hosts that it doesn't know yet; `known` is the version of the other
-    /// hosts when it knew all.
-    fn discover(&self, known: &mut Option<u64>) {
+    /// Tells the state machine of hosts that it doesn't know yet, of some at each tick; `known` is the version
+    /// of the other hosts when it knew all.
+    fn discover(&self, known: &mut Option<u64>, tick: u32) {
         // Read first, so that a host that is added meanwhile is found the next time.
         let version = self.peers.others_version();
         if version.is_some() && version == *known {
@@ -138,6 +138,9 @@
         unknown.retain(|host| machine.record(host).is_none());
         drop(machine);
         *known = version.filter(|_| unknown.is_empty());
+        // Hosts that never answer must not keep the others from their turn.
+        let turn = tick as usize * DISCOVERIES_PER_TICK % unknown.len().max(1);
+        unknown.rotate_left(turn);
         let next = unknown.into_iter().take(DISCOVERIES_PER_TICK);
         next.for_each(|host| self.step(Event::Discovered(host.into())));
     }
@@ -182,7 +185,7 @@
                 if driver.ctx.is_lame_duck() {
                     driver.step(Event::Retire);
                 }
-                driver.discover(&mut known);
+                driver.discover(&mut known, ticks);
                 driver.step(Event::Tick);
                 ticks = ticks.wrapping_add(1);
                 if ticks.is_multiple_of(REPORT_TICKS) {
--- a/tests/testsuite/member.rs
+++ b/tests/testsuite/member.rs
@@ -1,17 +1,27 @@
 //! Membership over a simulated network that loses, delays and reorders messages, with cut links,
 //! frozen hosts and crashes.
 
+use crate::support::until;
+use anyhow::Result;
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
 use proptest::prelude::*;
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use wisteria_testkit::matrix::Matrix;
 use wisteriahead::core::member::{
     Action, CHANGE_PERIOD, Event, Health, HostSet, LEFT_KEPT, Member, MemberChanges, Membership,
     Message, Record,
 };
+use wisteriahead::core::message::Topic;
 use wisteriahead::core::time::{Span, Time};
+use wisteriahead::kernel::Kernel;
+use wisteriahead::services::member::{MemberService, MemberSettings};
+use wisteriahead::services::{Handler, Peers};
+use wisteriahead::util::metrics::Metrics;
 
 const TICK: Span = Span::millis(200);
 /// Ticks within which every view must be correct once all faults have ended.
@@ -566,3 +576,53 @@
     (0..5 * 3).for_each(|_| net.tick());
     assert_eq!(net.first_wrong_view(), None);
 }
+
+/// Other hosts that never answer, and those that were sent a message.
+#[derive(Default)]
+struct SilentPeers {
+    sent: Mutex<BTreeSet<String>>,
+}
+
+const SILENT_HOSTS: usize = 9;
+
+impl Peers for SilentPeers {
+    fn host(&self) -> &str {
+        "new"
+    }
+
+    fn zone(&self) -> &str {
+        "z"
+    }
+
+    fn others(&self) -> Vec<String> {
+        (0..SILENT_HOSTS).map(|i| format!("h{i}")).collect()
+    }
+
+    fn listen_address(&self) -> Option<SocketAddr> {
+        Some(([127, 0, 0, 1], 9).into())
+    }
+
+    fn set_handler(&self, _: Topic, _: Arc<dyn Handler>) {}
+
+    fn send(&self, to: &str, _: Topic, _: Vec<u8>) {
+        self.sent.lock().insert(to.to_owned());
+    }
+
+    fn call<'a>(&'a self, _: &'a str, _: Topic, _: Vec<u8>) -> BoxFuture<'a, Result<Vec<u8>>> {
+        Box::pin(std::future::pending())
+    }
+}
+
+/// Guards against a host that exchanges records with two silent hosts only, and never with one that
+/// would answer.
+#[tokio::test]
+async fn silent_hosts_do_not_keep_others_from_being_discovered() {
+    let peers = Arc::new(SilentPeers::default());
+    let mut kernel = Kernel::default();
+    kernel.context().publish::<dyn Peers>(<dyn Peers>::NAME, peers.clone());
+    let settings = MemberSettings { incarnation: 1, durable: false };
+    let service = MemberService::new(settings, Metrics::new(None).unwrap());
+    kernel.start(Arc::new(service)).await.unwrap();
+    until("all hosts are asked", || peers.sent.lock().len() == SILENT_HOSTS).await;
+    kernel.stop(Span::secs(1)).await;
+}
