--- a/src/wisteriahead/core/query/mod.rs
+++ b/src/wisteriahead/core/query/mod.rs
@@ -44,8 +44,6 @@
 pub enum Event<T = Hits> {
     /// The query starts.
     Start,
-    /// The query goes on with the next part of its shards; see [`Gather::has_unsent`].
-    Continue,
     /// An attempt ended with an answer or a failure.
     Done(AttemptId, Result<T, Refusal>),
     /// Attempts ended together; all are applied before the query can finish, so that either all of
@@ -105,10 +103,6 @@
     canary: Option<Canary>,
     /// When free slots are checked again, while a gang start waits for them.
     gang_retry: Option<Time>,
-    /// Parts of the shards that a gang start sends to one after the other; all at once if there are none.
-    start_parts: Vec<Vec<u32>>,
-    /// Number of these that were not sent to yet.
-    unsent: usize,
     quarantined: bool,
     /// Whether endpoints died running the same query before and none has answered it since.
     suspect: bool,
@@ -142,8 +136,6 @@
             snapshot_retry: None,
             canary: None,
             gang_retry: None,
-            start_parts: Vec::new(),
-            unsent: 0,
             quarantined: false,
             suspect: false,
             finished: false,
@@ -186,7 +178,6 @@
         }
         match event {
             Event::Start => self.start(&mut step),
-            Event::Continue => self.send_next_part(&mut step),
             Event::Done(id, result) => self.on_done(id, result, &mut step),
             Event::DoneBatch(list) => {
                 list.into_iter().for_each(|(id, result)| self.on_done(id, result, &mut step));
--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -406,7 +406,7 @@
     let shards = snapshot.shard_count();
     let policy = timing::policy(route, started, margin, driver.hedge_delay());
     let mut gather = Gather::new(snapshot.clone(), deadline, min_coverage).with_policy(policy);
-    gather = gather.with_suspicion(suspect.is_some()).with_start_parts(driver.start_parts());
+    gather = gather.with_suspicion(suspect.is_some());
     if let Some(shard) = suspect.filter(|_| is_gather) {
         gather = gather.with_canary(shard, timeout);
     }
@@ -534,7 +534,6 @@
             }
             let now = self.relay.ctx.now();
             let is_start = matches!(event, Event::Start);
-            let sends_first = is_start || matches!(event, Event::Continue);
             let (relay, table) = (self.relay, self.table);
             let hedge_delay = self.hedge_delay();
             let gathers = self.gathers();
@@ -554,9 +553,8 @@
             let actions = work::measure(Work::Request, step);
             let stepped = self.timeline.is_some().then(|| relay.ctx.now());
             let finished = work::measure(Work::Request, || self.execute(actions));
-            if let (true, Some(timeline)) = (sends_first, &mut self.timeline) {
-                timeline.read = if is_start { now } else { timeline.read };
-                timeline.chosen = stepped;
+            if let (true, Some(timeline)) = (is_start, &mut self.timeline) {
+                (timeline.read, timeline.chosen) = (now, stepped);
                 timeline.sent = Some(relay.ctx.now());
             }
             let min_coverage = self.route.destination.min_coverage();
@@ -577,33 +575,8 @@
                     timeline: self.timeline.take(),
                 };
             }
-            next = if gather.has_unsent() {
-                // The messages of this part leave before the next one is chosen.
-                tokio::task::yield_now().await;
-                Event::Continue.into()
-            } else {
-                self.next().await
-            };
-        }
-    }
-
-    /// Parts of the shards that a gather is sent to one after the other: those of each group of hosts,
-    /// where the hosts of all zones that it needs are divided alike.
-    fn start_parts(&self) -> Vec<Vec<u32>> {
-        let groups = self.relay.traffic.groups();
-        let host = self.relay.traffic.host();
-        let mut zones = self.cover.zones();
-        let divided =
-            |zone: &Arc<str>| groups.is_divided(zone).then(|| groups.parts(host, zone, 0));
-        let Some(count) = zones.next().and_then(divided) else { return Vec::new() };
-        if !self.gathers() || zones.any(|zone| divided(zone) != Some(count)) {
-            return Vec::new();
-        }
-        let mut parts = vec![Vec::new(); count];
-        for (shard, service) in (0..).zip(&self.services) {
-            parts[Groups::part(service, count)].push(shard);
+            next = self.next().await;
         }
-        parts
     }
 
     /// Records how late a gather ended that waited for more shards as long as the objective allows.
--- a/tests/testsuite/policy.rs
+++ b/tests/testsuite/policy.rs
@@ -156,49 +156,6 @@
     assert_eq!(run.gather.verdict(), Verdict::NotRun);
 }
 
-/// Guards against a gather whose first message leaves when the endpoints of all shards are chosen
-/// (issue 47).
-#[test]
-fn gang_start_in_parts_sends_each_shard_once_and_part_by_part() {
-    let slot_deadline = Some(Time(0) + Span::millis(20));
-    let snapshot = Endpoints::default().snapshot("1", &[2; 6]);
-    let policy = Policy { slot_deadline, gang_start: true, ..policy() };
-    let run = |full: usize| {
-        let mut env = FakeEnvironment::new(vec![Arc::clone(&snapshot)]);
-        env.full = snapshot.shards[..full].iter().flat_map(|r| r.iter()).map(|t| t.key).collect();
-        let gather = Gather::new(Arc::clone(&snapshot), DEADLINE, 0.75).with_policy(policy);
-        let gather = gather.with_start_parts(vec![vec![4, 1], vec![], vec![0, 5, 3, 2]]);
-        let mut run = QueryRun { gather, env, sent: Vec::new(), finished: false };
-        run.step(0, Event::Start);
-        run
-    };
-    let mut all = run(0);
-    assert_eq!((all.sent.len(), all.gather.has_unsent()), (2, true));
-    // An answer in between neither ends the query nor sends to the others.
-    all.step(1, Event::Done(all.sent[0], Ok(1)));
-    assert_eq!((all.sent.len(), all.finished), (2, false));
-    all.step(1, Event::Continue);
-    assert_eq!((all.sent.len(), all.gather.has_unsent()), (2, true), "an empty part");
-    all.step(2, Event::Continue);
-    assert_eq!((all.sent.len(), all.gather.has_unsent()), (6, false));
-    all.step(2, Event::Continue);
-    assert_eq!(all.sent.len(), 6, "nothing is left");
-    for attempt in all.sent.clone().into_iter().skip(1) {
-        all.step(3, Event::Done(attempt, Ok(1)));
-    }
-    assert!(all.finished);
-    assert_eq!(all.gather.coverage().answered, 6);
-    // While slots are missing nothing is sent, and then all parts are.
-    let mut waits = run(2);
-    assert_eq!((waits.sent.len(), waits.gather.has_unsent()), (0, false));
-    waits.env.full.clear();
-    waits.step(10, Event::Wake);
-    assert_eq!((waits.sent.len(), waits.gather.has_unsent()), (2, true));
-    // A part that is due after the deadline is not sent.
-    waits.step(400, Event::Continue);
-    assert!(waits.finished && waits.sent.len() == 2 && !waits.gather.has_unsent());
-}
-
 #[test]
 fn unreachable_endpoint_is_replaced_without_budget() {
     let mut run = QueryRun::new(1, 1.0, 0, policy());
