--- a/review/stand-in-2/src/late_retry.rs
+++ b/review/stand-in-2/src/late_retry.rs
@@ -35,6 +35,7 @@
         work: Box::new(work),
         spoils: Box::new(|_| false),
         crashes: Box::new(|_| false),
+        cold_limit: usize::MAX,
     };
     Leaf::start(setup, &tier.control, events, record)
 }
--- a/review/stand-in-2/src/leaf.rs
+++ b/review/stand-in-2/src/leaf.rs
@@ -19,6 +19,8 @@
     Arrived,
     /// A request began to run.
     Ran,
+    /// A request began to run while the endpoint was cold.
+    RanCold,
     /// A request crashed the endpoint.
     Crashed,
 }
@@ -67,6 +69,8 @@
     pub spoils: Test,
     /// Requests that crash it.
     pub crashes: Test,
+    /// Requests that begin in a second at which it crashes while it is cold.
+    pub cold_limit: usize,
 }
 
 struct Shared {
@@ -79,6 +83,8 @@
     /// Tickets of the requests that run or wait, in the order of their arrival.
     present: Mutex<Vec<u64>>,
     tickets: AtomicU64,
+    /// Until when it is cold, and when requests began since it became so.
+    cold: Mutex<(Option<Instant>, Vec<Instant>)>,
     events: Events,
     record: Record,
 }
@@ -103,6 +109,7 @@
             ended: AtomicBool::new(false),
             present: Mutex::default(),
             tickets: AtomicU64::new(0),
+            cold: Mutex::default(),
             events: Arc::clone(events),
             record: record.clone(),
         });
@@ -118,9 +125,10 @@
         Self(shared)
     }
 
-    /// Address that it listens on.
-    pub fn address(&self) -> SocketAddr {
-        self.0.address
+    /// Becomes cold for a time.
+    pub fn become_cold(&self, time: Duration) {
+        *self.0.cold.lock().unwrap() = (Some(Instant::now() + time), Vec::new());
+        self.0.note(&format!("is cold for {time:?}"));
     }
 
     /// Says that it is draining until that is acknowledged; returns when it was.
@@ -162,6 +170,30 @@
         self.record.note(&self.setup.id, what);
     }
 
+    /// How much longer it is cold.
+    fn cold_left(&self) -> Duration {
+        let until = self.cold.lock().unwrap().0;
+        until.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()))
+    }
+
+    /// Notes that a request begins; returns false if the endpoint cannot bear it and crashes.
+    fn begin(&self, request: &str) -> bool {
+        if self.cold_left().is_zero() {
+            self.happened(request, Happened::Ran);
+            return true;
+        }
+        self.happened(request, Happened::RanCold);
+        let now = Instant::now();
+        let begun = &mut self.cold.lock().unwrap().1;
+        begun.retain(|at| now - *at < Duration::from_secs(1));
+        begun.push(now);
+        let bears = begun.len() < self.setup.cold_limit;
+        if !bears && !self.ended.swap(true, Ordering::Relaxed) {
+            self.note(&format!("crashes, cold, with {} requests in a second", begun.len()));
+        }
+        bears
+    }
+
     fn beat(&self, control: &[SocketAddr]) -> bool {
         let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
@@ -175,6 +207,7 @@
                 ("state", state),
                 ("born", &self.born.to_string()),
                 ("seq", &seq.to_string()),
+                ("cold", &self.cold_left().as_millis().to_string()),
             ],
         );
         let start = format!("POST {}{} HTTP/1.1", wire("beat-path"), self.setup.id);
@@ -293,7 +326,9 @@
     extra: &mut Option<Vec<u8>>,
 ) -> Option<Vec<u8>> {
     if request.path() == "/health" {
-        return Some(leaf.respond("health", "200 OK", None, b""));
+        let cold = leaf.cold_left().as_millis().to_string();
+        let headers = [(wire("instance"), leaf.setup.id.as_str()), (wire("cold"), &cold)];
+        return Some(http::format("HTTP/1.1 200 OK", &headers, b""));
     }
     let id = request.header(wire("id")).unwrap_or("").to_owned();
     if request.header(wire("expect")).is_some_and(|expected| expected != leaf.setup.id) {
@@ -313,7 +348,9 @@
     while !place.may_run() {
         look(leaf, stream, &id)?;
     }
-    leaf.happened(&id, Happened::Ran);
+    if !leaf.begin(&id) {
+        return None;
+    }
     if (leaf.setup.crashes)(request.path()) {
         std::thread::sleep(CRASH_AFTER);
         if !leaf.ended.swap(true, Ordering::Relaxed) {
--- a/review/stand-in-2/src/main.rs
+++ b/review/stand-in-2/src/main.rs
@@ -4,6 +4,7 @@
 //! environment it leaves out the disruption.
 
 mod caller;
+mod cold_again;
 mod http;
 mod late_retry;
 mod leaf;
@@ -11,7 +12,6 @@
 mod poison;
 mod record;
 mod stale_refusal;
-mod stray_beats;
 mod tier;
 mod wire;
 
@@ -37,10 +37,10 @@
     let Ok(record) = Record::create(Path::new(path)) else { return ExitCode::from(2) };
     let outcome = match case.as_str() {
         "stale-refusal" => stale_refusal::run(trouble, &record),
+        "cold-again" => cold_again::run(trouble, &record),
         "lost-learner" => lost_learner::run(&record),
         "late-retry" => late_retry::run(trouble, &record),
         "poison" => poison::run(trouble, &record),
-        "stray-beats" => stray_beats::run(trouble, &record),
         _ => Err(format!("there is no case `{case}`")),
     };
     match outcome {
--- a/review/stand-in-2/src/poison.rs
+++ b/review/stand-in-2/src/poison.rs
@@ -50,6 +50,7 @@
                 work: Box::new(|_| Some(ORDER_WORK)),
                 spoils: Box::new(|_| false),
                 crashes: Box::new(|path| path.contains("/poison")),
+                cold_limit: usize::MAX,
             };
             let leaf = Leaf::start(setup, &control, &events, &record);
             while !leaf.has_ended() && !stop.load(Ordering::Relaxed) {
--- a/review/stand-in-2/src/stale_refusal.rs
+++ b/review/stand-in-2/src/stale_refusal.rs
@@ -76,6 +76,7 @@
         work: Box::new(work),
         spoils: Box::new(spoils),
         crashes: Box::new(|_| false),
+        cold_limit: usize::MAX,
     };
     Leaf::start(setup, &tier.control, events, record)
 }
--- a/review/stand-in-2/src/tier.rs
+++ b/review/stand-in-2/src/tier.rs
@@ -16,6 +16,8 @@
 pub const ZONES: [&str; 3] = ["hk-a", "hk-b", "hk-c"];
 /// Time allowed for the first plan, which is given while the tier starts.
 pub const FIRST_PLAN_PATIENCE: Duration = Duration::from_secs(15);
+/// Stands before the name of a service whose endpoints bear only some requests while they are cold.
+pub const COLD_MARK: &str = "cold ";
 const INTERNAL_PORTS: u16 = 8;
 
 /// One process of the tier.
@@ -185,7 +187,11 @@
         services: &[String],
         wait: Duration,
     ) -> Result<(), String> {
-        let services: Vec<_> = services.iter().map(|s| fill("service", &[("name", s)])).collect();
+        let entry = |s: &String| match s.strip_prefix(COLD_MARK) {
+            Some(name) => fill("cold-service", &[("name", name)]),
+            None => fill("service", &[("name", s)]),
+        };
+        let services: Vec<_> = services.iter().map(entry).collect();
         let plan = fill(
             "plan",
             &[
