--- a/review/play-2.sh
+++ b/review/play-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays one case: play-2.sh FOLDER NAME. Ends with 1 if the rule was broken, 0 if it held, 2 if the case could
+# Plays one case: play-2.sh NAME RECORD. Ends with 1 if the rule was broken, 0 if it held, 2 if the case could
 # not run.
 cd "$(dirname "$0")/.." || exit 2
 program=target/review/release/stand-in-2
@@ -17,6 +17,6 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-timeout -s KILL 118 "$program" "$2" "review/$1/record.txt"
+timeout -s KILL 118 "$program" "$1" "$2"
 code=$?
 case $code in 0 | 1 | 2) exit $code ;; *) exit 2 ;; esac
