Decide on changes of the voters in a state machine

Cause: the statuses that say which voters are silent stood in the service, on its own clock, so no test could play losses in their order. core/log/supervisor.rs takes the time and the statuses; the service calls it. What a status says, how old it may be and when a voter counts as silent are as before.

--- a/crates/wisteria-testkit/src/cluster.rs
+++ b/crates/wisteria-testkit/src/cluster.rs
@@ -128,6 +128,19 @@
         cluster
     }
 
+    /// Adds a host with an empty disk, which belongs to no configuration yet, starts it and returns its
+    /// number.
+    pub fn add_host(&mut self) -> usize {
+        let (i, now) = (self.hosts.len(), self.hosts.first().map_or(Time(1_000_000), |h| h.now));
+        let id = Replica { host: format!("h{i}"), zone: "z".into(), disk: self.next_disk };
+        self.next_disk += 1;
+        let (disk, frozen, slow) = (Arc::new(FakeDisk::default()), false, false);
+        let host = Host { id, disk, running: None, crash_countdown: None, frozen, slow, now };
+        self.hosts.push(host);
+        self.start(i);
+        i
+    }
+
     /// Starts the process of a host, which recovers its replica from the disk.
     pub fn start(&mut self, i: usize) {
         let host = &mut self.hosts[i];
@@ -230,6 +243,11 @@
         self.step(i, Event::Tick);
     }
 
+    /// Clock of one host.
+    pub fn time(&self, i: usize) -> Time {
+        self.hosts[i].now
+    }
+
     /// Delivers one message, or drops it if the link is blocked or the recipient is down or
     /// suspended. With `copy`, the message also stays in flight, to be delivered again.
     pub fn deliver(&mut self, n: usize, copy: bool) {
--- a/src/wisteriahead/core/log/mod.rs
+++ b/src/wisteriahead/core/log/mod.rs
@@ -19,10 +19,12 @@
 mod lead;
 mod node;
 mod repair;
+mod supervisor;
 
 pub use entries::Entries;
 pub use node::Node;
 pub use repair::{add_voters, replace_disks, replace_voters, voters_tolerating};
+pub use supervisor::{STATUS_MAX_AGE, Supervisor, VoterRepair};
 
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/src/wisteriahead/core/log/supervisor.rs
@@ -0,0 +1,116 @@
+//! Decides on changes of the replicas from the statuses that hosts send each other.
+//!
+//! Load pattern: hosts with a replica are lost one after the other, each at any moment of the change
+//! that an earlier loss started.
+
+use super::{Change, Config, Replica, Term, add_voters, replace_voters, voters_tolerating};
+use crate::prelude::*;
+
+/// Age up to which the leader or the replica in a received status is taken into account.
+pub const STATUS_MAX_AGE: Span = Span::secs(3);
+/// Maximum number of hosts whose status is kept.
+const STATUSES_MAX: usize = 2_048;
+
+/// When non-voting hosts with a disk become voters.
+#[derive(Clone, Copy, Debug)]
+pub struct VoterRepair {
+    /// Time without contact after which a voter is replaced by such a host.
+    pub silent_after: Span,
+    /// Number of voters that may fail at once with a quorum remaining; voters are added up to the
+    /// number that this takes.
+    pub fault_tolerance: usize,
+}
+
+/// What a host reported last.
+#[derive(Clone, Debug)]
+struct Status {
+    received_at: Time,
+    replica: Option<Replica>,
+    leader: Option<(Term, String)>,
+}
+
+/// Statuses of the other hosts, as far as they concern the replicas of the log.
+#[derive(Clone, Debug, Default)]
+pub struct Supervisor {
+    /// `None` leaves silent voters and the number of voters to operators.
+    repair: Option<VoterRepair>,
+    statuses: IndexMap<String, Status>,
+    /// When this host became leader, as far as it has noticed.
+    led_since: Option<Time>,
+}
+
+impl Supervisor {
+    /// Creates a supervisor that knows no other host yet.
+    pub fn new(repair: Option<VoterRepair>) -> Self {
+        Self { repair, ..Self::default() }
+    }
+
+    /// Records the status of another host: its replica, if it has one, and the leader that it knows.
+    pub fn record(
+        &mut self,
+        now: Time,
+        host: &str,
+        replica: Option<Replica>,
+        leader: Option<(Term, String)>,
+    ) {
+        if self.statuses.len() < STATUSES_MAX || self.statuses.contains_key(host) {
+            self.statuses.insert(host.to_owned(), Status { received_at: now, replica, leader });
+        }
+    }
+
+    /// Replicas of the hosts with a recent status.
+    pub fn replicas(&self, now: Time) -> Vec<Replica> {
+        self.recent(now).filter_map(|s| s.replica.clone()).collect()
+    }
+
+    /// Term and name of the leader that is known here: `own` is the one that this host's replica knows,
+    /// if it has one.
+    pub fn leader(&self, now: Time, own: Option<(Term, String)>) -> Option<(Term, String)> {
+        let known = || self.recent(now).filter_map(|s| s.leader.clone());
+        own.or_else(|| known().max_by_key(|(term, _)| *term))
+    }
+
+    fn recent(&self, now: Time) -> impl Iterator<Item = &Status> {
+        self.statuses.values().filter(move |s| now.since(s.received_at) < STATUS_MAX_AGE)
+    }
+
+    /// Notes that this host does not lead.
+    pub const fn follow(&mut self) {
+        self.led_since = None;
+    }
+
+    /// Next change for this host, the leader `me`, to make. `caught_up` are the learners that have
+    /// caught up.
+    pub fn next_change(
+        &mut self,
+        now: Time,
+        me: &Replica,
+        config: &Config,
+        caught_up: &[Replica],
+    ) -> Option<Change> {
+        let led_since = *self.led_since.get_or_insert(now);
+        let (seen, gone) = (self.replicas(now), self.silent_voters(now, led_since, me, config));
+        replace_voters(config, caught_up, &seen, &gone)
+            .or_else(|| add_voters(config, &seen, voters_tolerating(self.repair?.fault_tolerance)))
+    }
+
+    /// Voters whose last status is so old that they are to be replaced. Empty until this host has
+    /// led for that long: before that, voters may not have sent their status to it.
+    fn silent_voters(
+        &self,
+        now: Time,
+        led_since: Time,
+        me: &Replica,
+        config: &Config,
+    ) -> Vec<Replica> {
+        let Some(VoterRepair { silent_after, .. }) = self.repair else { return Vec::new() };
+        if now.since(led_since) < silent_after {
+            return Vec::new();
+        }
+        let is_heard = |r: &Replica| {
+            let status = self.statuses.get(&r.host);
+            status.is_some_and(|s| now.since(s.received_at) < silent_after) || r == me
+        };
+        config.voters.iter().filter(|r| !is_heard(r)).cloned().collect()
+    }
+}
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -19,6 +19,8 @@
 pub use submit::wall_ms;
 pub use wire::{Voters, ZoneOverride};
 
+pub use crate::core::log::VoterRepair;
+
 use self::bootstrap::TIER_GROUP;
 use self::identity::DiskIdentity;
 use self::state_machine::{GroupSender, TierState};
@@ -32,7 +34,7 @@
 use crate::core::control::{Command, Reply};
 use crate::core::digest;
 use crate::core::document::{Document, Revision};
-use crate::core::log::Replica;
+use crate::core::log::{Config, Replica, Supervisor};
 use crate::core::message::{Topic, decode, encode};
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
@@ -75,16 +77,6 @@
     pub voter_repair: Option<VoterRepair>,
 }
 
-/// When non-voting hosts with a disk become voters.
-#[derive(Clone, Copy, Debug)]
-pub struct VoterRepair {
-    /// Time without contact after which a voter is replaced by such a host.
-    pub silent_after: Span,
-    /// Number of voters that may fail at once with a quorum remaining; voters are added up to the
-    /// number that this takes.
-    pub fault_tolerance: usize,
-}
-
 /// Service that publishes [`Control`], [`Commands`], [`Plans`] and [`Admin`].
 pub struct ControlService {
     settings: ControlSettings,
@@ -116,9 +108,9 @@
     /// Hosts that get this host's status, and the version of the other hosts that they were chosen from.
     status_targets: Mutex<(Option<u64>, Vec<String>)>,
     started: Instant,
-    voter_repair: Option<VoterRepair>,
-    /// When this host became leader, as far as its repair task has noticed.
-    leader_since: Mutex<Option<Instant>>,
+    supervisor: Mutex<Supervisor>,
+    /// Replicas of the log that were logged last.
+    logged_replicas: Mutex<Config>,
 }
 
 impl ControlService {
@@ -201,8 +193,8 @@
             settled: Mutex::default(),
             status_targets: Mutex::default(),
             started: Instant::now(),
-            voter_repair: settings.voter_repair,
-            leader_since: Mutex::new(None),
+            supervisor: Mutex::new(Supervisor::new(settings.voter_repair)),
+            logged_replicas: Mutex::default(),
         })
     }
 
@@ -259,17 +251,10 @@
 
     /// Name of a group's leader, if it is known and another host.
     fn leader(&self, name: &str) -> Option<String> {
-        if let Some(group) = self.group(name)
-            && let Some(leader) = group.status().leader
-        {
-            return Some(leader.host).filter(|host| host != self.peers.host());
-        }
-        let statuses = self.statuses.lock();
-        let recent = statuses
-            .values()
-            .filter(|s| Span::from(s.received_at.elapsed()) < tasks::STATUS_MAX_AGE);
-        let leader = recent.filter_map(|s| s.status.leader.as_ref()).max_by_key(|(term, _)| *term);
-        leader.map(|(_, host)| host.clone()).filter(|host| host != self.peers.host())
+        let status = self.group(name).map(|group| group.status());
+        let own = status.and_then(|s| Some((s.term, s.leader?.host)));
+        let (_, leader) = self.supervisor.lock().leader(self.now(), own)?;
+        Some(leader).filter(|host| host != self.peers.host())
     }
 
     async fn call<T: DeserializeOwned>(&self, host: &str, request: &Request) -> Result<T> {
--- a/src/wisteriahead/services/control/tasks.rs
+++ b/src/wisteriahead/services/control/tasks.rs
@@ -4,12 +4,12 @@
 use super::bootstrap::{self, TIER_GROUP};
 use super::submit;
 use super::wire::{HostStatus, Notification, ZoneOverride};
-use super::{PeerStatus, Shared, VoterRepair};
+use super::{PeerStatus, Shared};
 use crate::core::control::lockout::retired_hosts;
 use crate::core::control::{Command, Reply};
 use crate::core::digest;
 use crate::core::document::{Revision, ZoneState};
-use crate::core::log::{Config, Replica, add_voters, replace_voters, voters_tolerating};
+use crate::core::log::{Config, Replica};
 use crate::core::message::{Topic, encode};
 use crate::kernel::Context;
 use crate::prelude::*;
@@ -18,8 +18,8 @@
 
 /// Interval between rounds of voter repair and submission of overrides.
 const REPAIR_INTERVAL: Span = Span::millis(250);
-/// Interval between status messages. It must be well below [`VoterRepair::silent_after`], 2.5 s on
-/// the platform, after which a voter without a status message is replaced.
+/// Interval between status messages. It must be well below the time after which a voter without a
+/// status message is replaced, 2.5 s on the platform.
 const STATUS_INTERVAL: Span = Span::millis(500);
 /// Interval between checks for a stopped replica.
 const RESTART_INTERVAL: Span = Span::secs(1);
@@ -31,13 +31,11 @@
 /// them open.
 const FANOUT: usize = 3;
 /// Number of rounds in which a leader sends its status to all other hosts, a part of them in each
-/// round. All rounds together take less than [`STATUS_MAX_AGE`].
+/// round. All rounds together take less than [`STATUS_MAX_AGE`](crate::core::log::STATUS_MAX_AGE).
 const LEADER_PARTS: usize = 4;
 /// Delay before retired hosts are shut out, so that one that requested its own retirement still
 /// gets the answer.
 const RETIRE_DELAY: Span = Span::millis(300);
-/// Age up to which the leader or the disk in a received status is taken into account.
-pub const STATUS_MAX_AGE: Span = Span::secs(3);
 /// Time allowed for submitting one local override to the log.
 const OVERRIDE_TIMEOUT: Span = Span::secs(2);
 /// Maximum number of hosts whose status is kept.
@@ -214,6 +212,11 @@
                 tokio::task::spawn_blocking(move || revisions.add_override(&zone_override));
             }
         }
+        let replica = status.disk.map(|disk| {
+            let (host, zone) = (from.to_owned(), status.zone.clone());
+            Replica { host, zone, disk }
+        });
+        self.supervisor.lock().record(self.now(), from, replica, status.leader.clone());
         let mut statuses = self.statuses.lock();
         if statuses.len() < STATUSES_MAX || statuses.contains_key(from) {
             statuses.insert(from.to_owned(), PeerStatus { status, received_at: Instant::now() });
@@ -244,31 +247,7 @@
 
     /// Hosts with a recent status and a disk, as possible replicas.
     pub(super) fn recent_replicas(&self) -> Vec<Replica> {
-        let statuses = self.statuses.lock();
-        let replica = |(host, s): (&String, &PeerStatus)| {
-            let is_recent = Span::from(s.received_at.elapsed()) < STATUS_MAX_AGE;
-            let (zone, disk) = (s.status.zone.clone(), s.status.disk.filter(|_| is_recent)?);
-            Some(Replica { host: host.clone(), zone, disk })
-        };
-        statuses.iter().filter_map(replica).collect()
-    }
-
-    /// Voters whose last status is so old that they are to be replaced. Empty until this host has
-    /// led for that long: before that, voters may not have sent their status to it.
-    fn silent_voters(&self, config: &Config) -> Vec<Replica> {
-        let Some(VoterRepair { silent_after, .. }) = self.voter_repair else { return Vec::new() };
-        let leader_since = *self.leader_since.lock().get_or_insert_with(Instant::now);
-        if Span::from(leader_since.elapsed()) < silent_after {
-            return Vec::new();
-        }
-        let statuses = self.statuses.lock();
-        let is_heard = |r: &Replica| {
-            let is_recent = statuses
-                .get(&r.host)
-                .is_some_and(|s| Span::from(s.received_at.elapsed()) < silent_after);
-            is_recent || r.host == self.peers.host()
-        };
-        config.voters.iter().filter(|r| !is_heard(r)).cloned().collect()
+        self.supervisor.lock().replicas(self.now())
     }
 
     /// Replaces voters that lost their disk or are silent, and adds missing ones, if this host is the
@@ -276,21 +255,20 @@
     async fn repair_voters(&self) {
         let Some(group) = self.group(TIER_GROUP) else { return };
         let status = group.status();
-        if !status.leads {
-            *self.leader_since.lock() = None;
-            return;
-        }
-        let (replicas, silent) = (self.recent_replicas(), self.silent_voters(&status.config));
-        let add = || {
-            add_voters(
-                &status.config,
-                &replicas,
-                voters_tolerating(self.voter_repair?.fault_tolerance),
-            )
+        self.log_replicas(&status.config);
+        let change = {
+            let (mut supervisor, now) = (self.supervisor.lock(), self.now());
+            match &self.me {
+                Some(me) if status.leads => {
+                    supervisor.next_change(now, me, &status.config, &status.caught_up)
+                }
+                _ => {
+                    supervisor.follow();
+                    None
+                }
+            }
         };
-        if let Some(change) =
-            replace_voters(&status.config, &status.caught_up, &replicas, &silent).or_else(add)
-        {
+        if let Some(change) = change {
             log::info!("changing the voters to restore fault tolerance: {change:?}");
             let result = timeout(REPAIR_TIMEOUT.to_std(), group.change(change)).await;
             if !matches!(result, Ok(Ok(_))) {
@@ -299,6 +277,24 @@
         }
     }
 
+    /// Logs the replicas of the tier's log when they have changed.
+    fn log_replicas(&self, config: &Config) {
+        let mut logged = self.logged_replicas.lock();
+        if *logged == *config {
+            return;
+        }
+        let names = |list: &[Replica]| {
+            let names = list.iter().map(|r| format!("{} (disk {:08x})", r.host, r.disk >> 32));
+            if list.is_empty() { "none".to_owned() } else { names.collect::<Vec<_>>().join(", ") }
+        };
+        log::info!(
+            "replicas of the tier's log as known here: voters {}; learners {}",
+            names(&config.voters),
+            names(&config.learners)
+        );
+        *logged = config.clone();
+    }
+
     /// Submits the zones that are taken out locally to the log.
     async fn submit_overrides(&self) {
         for ZoneOverride { id, operator, zone, base } in self.revisions.overrides() {
