Add voters in pairs and keep learners that replace none

Cause: a learner was promoted as soon as it had caught up, also where three voters became four. Four tolerate no more losses than three, and need three: with two losses to be borne, the loss of the new voter, which still counts as lost for 6 s, and of another took the quorum. Two learners are added and promoted one right after the other. A learner whose voter has come back stays one and takes the place of the next that is lost.

--- a/src/wisteriahead/core/log/mod.rs
+++ b/src/wisteriahead/core/log/mod.rs
@@ -23,7 +23,7 @@
 
 pub use entries::Entries;
 pub use node::Node;
-pub use repair::{add_voters, replace_disks, replace_voters, voters_tolerating};
+pub use repair::{add_voters, keep_voters, replace_disks, replace_voters, voters_tolerating};
 pub use supervisor::{STATUS_MAX_AGE, Supervisor, VoterRepair};
 
 use crate::prelude::*;
--- a/src/wisteriahead/core/log/supervisor.rs
+++ b/src/wisteriahead/core/log/supervisor.rs
@@ -3,7 +3,7 @@
 //! Load pattern: hosts with a replica are lost one after the other, each at any moment of the change
 //! that an earlier loss started.
 
-use super::{Change, Config, Replica, Term, add_voters, replace_voters, voters_tolerating};
+use super::{Change, Config, Replica, Term, keep_voters, replace_disks, voters_tolerating};
 use crate::prelude::*;
 
 /// Age up to which the leader or the replica in a received status is taken into account.
@@ -91,8 +91,12 @@
     ) -> Option<Change> {
         let led_since = *self.led_since.get_or_insert(now);
         let (seen, gone) = (self.replicas(now), self.gone(now, led_since, me, config));
-        replace_voters(config, caught_up, &seen, &gone)
-            .or_else(|| add_voters(config, &seen, voters_tolerating(self.repair?.fault_tolerance)))
+        match self.repair {
+            Some(VoterRepair { fault_tolerance, .. }) => {
+                keep_voters(config, caught_up, &seen, &gone, voters_tolerating(fault_tolerance))
+            }
+            None => replace_disks(config, caught_up, &seen),
+        }
     }
 
     /// Voters that are silent; a slow one is not.
--- a/tests/testsuite/succession.rs
+++ b/tests/testsuite/succession.rs
@@ -3,7 +3,7 @@
 use crate::support::config;
 use proptest::prelude::*;
 use wisteriahead::core::log::{
-    Change, Config, Replica, add_voters, replace_voters, voters_tolerating,
+    Change, Config, Replica, add_voters, keep_voters, replace_voters, voters_tolerating,
 };
 
 fn replica(i: usize) -> Replica {
@@ -118,3 +118,36 @@
 fn number_of_voters_follows_from_the_tolerated_losses() {
     assert_eq!([1, 2, 9].map(voters_tolerating), [3, 5, 7]);
 }
+
+/// Guards against a number of voters that stays even: until the next voter is added, a loss beside that
+/// of the new voter takes the quorum that the voters before it had.
+#[test]
+fn voters_are_promoted_in_pairs() {
+    let mut config = Config { voters: (0..3).map(replica).collect(), learners: Vec::new() };
+    let seen: Vec<_> = (0..5).map(replica).collect();
+    let mut changes = Vec::new();
+    while let Some(change) = keep_voters(&config, &config.learners, &seen, &[], 5) {
+        apply(&mut config, change.clone());
+        changes.push(change);
+        assert!(changes.len() < 20, "the changes do not end: {changes:?}");
+    }
+    let new = [replica(3), replica(4)];
+    let expected = [new.clone().map(Change::AddLearner), new.map(Change::Promote)].concat();
+    assert_eq!(changes, expected);
+}
+
+/// A learner whose voter has come back stays one, and takes the place of the next voter that is lost.
+#[test]
+fn learner_that_replaced_none_is_kept_for_the_next_loss() {
+    let spare = replica(3);
+    let mut config =
+        Config { voters: (0..3).map(replica).collect(), learners: vec![spare.clone()] };
+    let mut seen: Vec<_> = (0..4).map(replica).collect();
+    let ready = [spare.clone()];
+    assert_eq!(keep_voters(&config, &ready, &seen, &[], 3), None);
+    seen[1].disk = 99;
+    for expected in [Change::Remove(replica(1)), Change::Promote(spare)] {
+        assert_eq!(keep_voters(&config, &ready, &seen, &[], 3), Some(expected.clone()));
+        apply(&mut config, expected);
+    }
+}
