Judge no silence on a host that stood still

Cause: a leader that stands still receives no status; before its replica steps down, its repair could take all others for silent and append the removal of a sound voter. It is not committed unless that host is elected again with it. After a pause of one second in its decisions a host counts silence anew, as a new leader does.

--- a/src/wisteriahead/core/log/supervisor.rs
+++ b/src/wisteriahead/core/log/supervisor.rs
@@ -8,6 +8,8 @@
 
 /// Age up to which the leader or the replica in a received status is taken into account.
 pub const STATUS_MAX_AGE: Span = Span::secs(3);
+/// Time within which the hosts that are there have sent their status to a new leader.
+const FIRST_STATUSES_WITHIN: Span = Span::secs(1);
 /// Maximum number of hosts whose status is kept.
 const STATUSES_MAX: usize = 2_048;
 
@@ -35,8 +37,10 @@
     /// `None` leaves silent voters and the number of voters to operators.
     repair: Option<VoterRepair>,
     statuses: IndexMap<String, Status>,
-    /// When this host became leader, as far as it has noticed.
+    /// Since when this host leads and receives statuses, as far as it has noticed.
     led_since: Option<Time>,
+    /// When this host last decided on a change.
+    decided_at: Time,
 }
 
 impl Supervisor {
@@ -89,7 +93,10 @@
         config: &Config,
         caught_up: &[Replica],
     ) -> Option<Change> {
-        let led_since = *self.led_since.get_or_insert(now);
+        // A host that stood still has received no status meanwhile.
+        let stood_still = now.since(self.decided_at) >= FIRST_STATUSES_WITHIN;
+        let led_since = self.led_since.filter(|_| !stood_still).unwrap_or(now);
+        (self.led_since, self.decided_at) = (Some(led_since), now);
         let (seen, gone) = (self.replicas(now), self.gone(now, led_since, me, config));
         match self.repair {
             Some(VoterRepair { fault_tolerance, .. }) => {
