Count the silence of the leader before from its last heartbeat

Cause: a new leader judged no silence until it had led for 2.5 s, after an election of up to 2 s. A new leader knows when it heard from the leader before. Hosts with a disk also send their status to all others with a disk, so that whichever leads next knows the spares; the changes of a round follow one another without a pause of 250 ms.

--- a/crates/wisteria-testkit/src/cluster.rs
+++ b/crates/wisteria-testkit/src/cluster.rs
@@ -263,6 +263,13 @@
         }
     }
 
+    /// Delivers all messages in flight and those that follow from them.
+    pub fn deliver_all(&mut self) {
+        while !self.in_flight.is_empty() {
+            self.deliver(0, false);
+        }
+    }
+
     /// Runs rounds that deliver up to 400 messages and advance all clocks by 50 ms.
     pub fn settle(&mut self, rounds: usize) {
         for _ in 0..rounds {
--- a/src/wisteriahead/core/log/supervisor.rs
+++ b/src/wisteriahead/core/log/supervisor.rs
@@ -41,6 +41,8 @@
     led_since: Option<Time>,
     /// When this host last decided on a change.
     decided_at: Time,
+    /// Leader that this host followed last, and when it heard from it.
+    followed: Option<(Replica, Time)>,
 }
 
 impl Supervisor {
@@ -79,9 +81,13 @@
         self.statuses.values().filter(move |s| now.since(s.received_at) < STATUS_MAX_AGE)
     }
 
-    /// Notes that this host does not lead.
-    pub const fn follow(&mut self) {
+    /// Notes that this host does not lead; it last heard from `leader`, if it knows one, at the given
+    /// time.
+    pub fn follow(&mut self, leader: Option<&Replica>, heard_at: Time) {
         self.led_since = None;
+        if let Some(leader) = leader {
+            self.followed = Some((leader.clone(), heard_at));
+        }
     }
 
     /// Next change for this host, the leader `me`, to make. `caught_up` are the learners that have
@@ -113,9 +119,19 @@
             let status = self.statuses.get(&r.host);
             status.filter(|s| now.since(s.received_at) < silent_after)
         };
-        // Hosts send their status to a new leader, and may not have sent it here before.
-        let may_judge = now.since(led_since) >= silent_after;
-        let is_silent = |r: &&Replica| may_judge && *r != me && status(r).is_none();
+        // Hosts send their status to a new leader, and may not have sent it here before. How long the
+        // leader before is silent is known.
+        let silent_since = |r: &Replica| match &self.followed {
+            Some((leader, heard_at)) if leader == r => *heard_at,
+            _ => led_since,
+        };
+        let may_judge = now.since(led_since) >= FIRST_STATUSES_WITHIN;
+        let is_silent = |r: &&Replica| {
+            may_judge
+                && *r != me
+                && status(r).is_none()
+                && now.since(silent_since(r)) >= silent_after
+        };
         config.voters.iter().filter(is_silent).cloned().collect()
     }
 }
--- a/src/wisteriahead/services/control/mod.rs
+++ b/src/wisteriahead/services/control/mod.rs
@@ -26,7 +26,8 @@
 use self::state_machine::{GroupSender, TierState};
 use self::wire::{Hello, HostStatus, Notification, Request, SubmitResult, TierInfo};
 use super::{
-    AcceptedDocument, Admin, Change, Commands, Control, Handler, Peers, Plans, ReplicaStorage,
+    AcceptedDocument, Admin, Change, Commands, Control, Handler, Members, Peers, Plans,
+    ReplicaStorage,
 };
 use crate::core::control::currency::Currency;
 use crate::core::control::lockout::{lockout, retired_hosts};
@@ -35,6 +36,7 @@
 use crate::core::digest;
 use crate::core::document::{Document, Revision};
 use crate::core::log::{Config, Replica, Supervisor};
+use crate::core::member::Member;
 use crate::core::message::{Topic, decode, encode};
 use crate::kernel::{Context, Service};
 use crate::prelude::*;
@@ -108,6 +110,8 @@
     /// Hosts that get this host's status, and the version of the other hosts that they were chosen from.
     status_targets: Mutex<(Option<u64>, Vec<String>)>,
     started: Instant,
+    /// Hosts of the tier, where the service that follows them runs.
+    members: Option<watch::Receiver<Arc<Vec<Member>>>>,
     supervisor: Mutex<Supervisor>,
     /// Replicas of the log that were logged last.
     logged_replicas: Mutex<Config>,
@@ -121,7 +125,8 @@
 
     async fn run(&self, ctx: &Context) -> Result<()> {
         let peers = ctx.find::<dyn Peers>(<dyn Peers>::NAME)?;
-        let shared = Arc::new(Shared::open(&self.settings, peers.clone())?);
+        let members = ctx.find::<dyn Members>(<dyn Members>::NAME).ok();
+        let shared = Arc::new(Shared::open(&self.settings, peers.clone(), members)?);
         shared.resume()?;
         *self.shared.lock() = Some(shared.clone());
         peers.set_handler(Topic::Control, shared.clone());
@@ -166,7 +171,11 @@
 }
 
 impl Shared {
-    fn open(settings: &ControlSettings, peers: Arc<dyn Peers>) -> Result<Self> {
+    fn open(
+        settings: &ControlSettings,
+        peers: Arc<dyn Peers>,
+        members: Option<Arc<dyn Members>>,
+    ) -> Result<Self> {
         let mut voters = settings.voters.clone();
         voters.sort();
         voters.dedup();
@@ -193,6 +202,7 @@
             settled: Mutex::default(),
             status_targets: Mutex::default(),
             started: Instant::now(),
+            members: members.map(|members| members.watch()),
             supervisor: Mutex::new(Supervisor::new(settings.voter_repair)),
             logged_replicas: Mutex::default(),
         })
--- a/src/wisteriahead/services/control/tasks.rs
+++ b/src/wisteriahead/services/control/tasks.rs
@@ -10,6 +10,7 @@
 use crate::core::digest;
 use crate::core::document::{Revision, ZoneState};
 use crate::core::log::{Config, Replica};
+use crate::core::member::{Health, Member};
 use crate::core::message::{Topic, encode};
 use crate::kernel::Context;
 use crate::prelude::*;
@@ -25,6 +26,11 @@
 const RESTART_INTERVAL: Span = Span::secs(1);
 /// Interval between attempts to join or create a tier.
 const JOIN_INTERVAL: Span = Span::millis(50);
+/// Maximum number of changes of the voters in one round.
+const CHANGES_MAX: usize = 8;
+/// Pause between two changes of the voters in one round, after which the replica's status is up to
+/// date.
+const CHANGE_PAUSE: Span = Span::millis(20);
 /// Time allowed for one change of the voters.
 const REPAIR_TIMEOUT: Span = Span::secs(1);
 /// Number of hosts besides the leader that a host sends its status to; it keeps connections to
@@ -86,7 +92,12 @@
 
 async fn repair_loop(shared: &Shared) {
     loop {
-        shared.repair_voters().await;
+        for _ in 0..CHANGES_MAX {
+            if !shared.repair_voters().await {
+                break;
+            }
+            sleep(CHANGE_PAUSE.to_std()).await;
+        }
         shared.submit_overrides().await;
         sleep(REPAIR_INTERVAL.to_std()).await;
     }
@@ -174,6 +185,7 @@
             targets.extend(others.into_iter().skip(round % LEADER_PARTS).step_by(LEADER_PARTS));
         }
         targets.extend(self.leader(TIER_GROUP));
+        targets.extend(self.hosts_with_disks());
         for host in targets {
             self.peers.send(&host, Topic::Control, body.clone());
         }
@@ -192,6 +204,18 @@
         known.1.clone()
     }
 
+    /// Other hosts with a disk, if this host has one: whichever of them leads next has to know which
+    /// replicas there are.
+    fn hosts_with_disks(&self) -> Vec<String> {
+        let Some(members) = self.members.as_ref().filter(|_| self.me.is_some()) else {
+            return Vec::new();
+        };
+        let is_there = |m: &&Member| m.durable && m.health <= Health::Suspect;
+        let members = members.borrow();
+        let there = members.iter().filter(is_there).filter(|m| *m.host != *self.peers.host());
+        there.map(|m| m.host.to_string()).collect()
+    }
+
     /// Sends this host's status to all other hosts at once.
     pub(super) fn broadcast_status(&self) {
         let body = encode(&Notification::Here(self.host_status()));
@@ -252,8 +276,10 @@
 
     /// Replaces voters that lost their disk or are silent, and adds missing ones, if this host is the
     /// leader.
-    async fn repair_voters(&self) {
-        let Some(group) = self.group(TIER_GROUP) else { return };
+    ///
+    /// Returns whether it made a change, which may call for another one.
+    async fn repair_voters(&self) -> bool {
+        let Some(group) = self.group(TIER_GROUP) else { return false };
         let status = group.status();
         self.log_replicas(&status.config);
         let change = {
@@ -263,17 +289,20 @@
                     supervisor.next_change(now, me, &status.config, &status.caught_up)
                 }
                 _ => {
-                    supervisor.follow();
+                    let heard_at = Time(now.0.saturating_sub(status.since_quorum.0));
+                    supervisor.follow(status.leader.as_ref(), heard_at);
                     None
                 }
             }
         };
-        let Some(change) = change else { return };
+        let Some(change) = change else { return false };
         log::info!("changing the voters to restore fault tolerance: {change:?}");
         let result = timeout(REPAIR_TIMEOUT.to_std(), group.change(change)).await;
-        if !matches!(result, Ok(Ok(_))) {
+        let committed = matches!(result, Ok(Ok(_)));
+        if !committed {
             log::info!("could not change the voters, will retry: {result:?}");
         }
+        committed
     }
 
     /// Logs the replicas of the tier's log when they have changed.
