Remove learners that are lost or have stopped

Cause: replace_voters looked for lost voters, replace_disks for learners whose host has another disk. A learner that is gone was neither, and no second one is added beside it. Ruled out: that only this order of losses does it. Now a learner counts as lost like a voter, after 2.5 s without a status, or when its host reports that its replica has stopped. A slow one reports, and stays (test). A host that is silent is no spare.

--- a/src/wisteriahead/core/log/repair.rs
+++ b/src/wisteriahead/core/log/repair.rs
@@ -51,9 +51,10 @@
     config.all().all(|r| r != new).then(|| Change::AddLearner(new.clone()))
 }
 
-/// Next change as in [`replace_disks`], or to replace a voter in `gone`, the voters that have been
-/// silent for so long that they count as permanently lost. A host that has a disk but is no replica
-/// takes its place: it becomes a learner, the lost voter is removed, and the learner is promoted.
+/// Next change as in [`replace_disks`], or to replace a replica in `gone`, which has been silent for
+/// so long that it counts as permanently lost. A learner is removed, since no other can be added
+/// before. A host that has a disk but is no replica takes the place of a voter: it becomes a learner,
+/// the lost voter is removed, and the learner is promoted.
 pub fn replace_voters(
     config: &Config,
     ready: &[Replica],
@@ -70,6 +71,9 @@
     seen: &[Replica],
     gone: &[Replica],
 ) -> Option<Change> {
+    if let Some(lost) = config.learners.iter().find(|l| gone.contains(l)) {
+        return Some(Change::Remove(lost.clone()));
+    }
     let Some(lost) = config.voters.iter().find(|v| gone.contains(v)) else {
         return replace_disks_and(spares, config, ready, seen);
     };
--- a/src/wisteriahead/core/log/supervisor.rs
+++ b/src/wisteriahead/core/log/supervisor.rs
@@ -66,7 +66,9 @@
 
     /// Replicas of the hosts with a recent status.
     pub fn replicas(&self, now: Time) -> Vec<Replica> {
-        self.recent(now).filter_map(|s| s.replica.clone()).collect()
+        let silent_after = self.repair.map_or(STATUS_MAX_AGE, |r| r.silent_after);
+        let is_heard = |s: &&Status| now.since(s.received_at) < silent_after;
+        self.recent(now).filter(is_heard).filter_map(|s| s.replica.clone()).collect()
     }
 
     /// Term and name of the leader that is known here: `own` is the one that this host's replica knows,
@@ -112,7 +114,8 @@
         }
     }
 
-    /// Voters that are silent; a slow one is not.
+    /// Voters that are silent, and learners that are silent or do not run on their host. A slow one is
+    /// neither.
     fn gone(&self, now: Time, led_since: Time, me: &Replica, config: &Config) -> Vec<Replica> {
         let Some(VoterRepair { silent_after, .. }) = self.repair else { return Vec::new() };
         let status = |r: &Replica| {
@@ -132,6 +135,9 @@
                 && status(r).is_none()
                 && now.since(silent_since(r)) >= silent_after
         };
-        config.voters.iter().filter(is_silent).cloned().collect()
+        let has_stopped = |r: &&Replica| status(r).is_some_and(|s| s.replica.as_ref() != Some(*r));
+        let voters = config.voters.iter().filter(is_silent);
+        let learners = config.learners.iter().filter(|r| is_silent(r) || has_stopped(r));
+        voters.chain(learners).cloned().collect()
     }
 }
--- a/src/wisteriahead/services/control/tasks.rs
+++ b/src/wisteriahead/services/control/tasks.rs
@@ -149,11 +149,12 @@
     /// Status of this host.
     pub(super) fn host_status(&self) -> HostStatus {
         let status = self.group(TIER_GROUP).map(|g| g.status());
+        let runs = status.is_some();
         let leader = status.and_then(|v| Some((v.term, v.leader?.host)));
         HostStatus {
             zone: self.peers.zone().to_owned(),
             revision: self.revisions.revision(),
-            disk: self.me.as_ref().map(|me| me.disk),
+            disk: self.me.as_ref().filter(|_| runs).map(|me| me.disk),
             leader,
             marks: self.revisions.overrides(),
             newest: self.newest_revision(),
--- a/src/wisteriahead/services/control/wire.rs
+++ b/src/wisteriahead/services/control/wire.rs
@@ -26,7 +26,7 @@
     pub zone: String,
     /// Revision in force at the sender.
     pub revision: Revision,
-    /// Random identifier of the sender's disk, if it has one.
+    /// Random identifier of the sender's disk, if it has one and its replica runs.
     pub disk: Option<u64>,
     /// Term and name of the leader that the sender knows.
     pub leader: Option<(Term, String)>,
