Send no request again over a connection on which it was refused

Two endpoints are full; one refuses the order as not run and sends the refusal a second time, late, where the response to the next request on that connection is expected. Cause: after a refusal the connection went back to the pool, and the order, under the same id, was sent over it again. The copy names the order, so the comparison of ids could not tell the two sendings apart: the copy was taken for the refusal of the second sending, which the endpoint ran, and the order was sent a third time. Evidence: the test of this commit, where an endpoint refuses each order once, sends the refusal twice and counts runs: with the connection used again order-0 runs twice, with 64 connections and with one (2 of 2 fail). Ruled out: another connection (the copy comes on the one on which the refusal came), a hedge (orders have none), another host (the test has one). A connection now remembers the requests that were refused on it (32 at most, then it is closed) and is not leased for them. Where no other is idle a new one is set up, at the limit in place of it. It holds for every call of the relay: orders, parts of gathers, hedges, batches of other hosts. The product's own endpoint protocol needs none: its attempts have identifiers of their own.

--- a/src/wisteriahead/services/relay/pools.rs
+++ b/src/wisteriahead/services/relay/pools.rs
@@ -5,7 +5,7 @@
 use crate::core::relay::notices::Access;
 use crate::core::routes::Target;
 use crate::prelude::*;
-use crate::services::transport::{Lease, Pool, ResponseMemory};
+use crate::services::transport::{Lease, Pool, RequestKey, ResponseMemory};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -14,6 +14,7 @@
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use parking_lot::Mutex;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
@@ -101,7 +102,8 @@
         let pool = self.pool(to.address, connections);
         let to_start = times.start_by.saturating_duration_since(Instant::now());
         let wait = times.connect_timeout.to_std().min(to_start);
-        let leased = Pool::lease_within(pool.clone(), Some(wait)).await;
+        let key = request_key(call);
+        let leased = Pool::lease_for(pool.clone(), key, wait).await;
         if leased.is_err() && pool.is_refused() {
             relay.traffic.record_endpoint_end(relay.ctx.now(), to);
         }
@@ -126,6 +128,9 @@
             false => exchange.await,
         };
         let (part, reusable) = exchanged?;
+        if part.is_err() {
+            lease.record_refusal(key);
+        }
         if reusable {
             lease.give_back().await;
         }
@@ -133,6 +138,13 @@
     }
 }
 
+/// Key of a request, by the identifier that its caller chose.
+fn request_key(call: &Call) -> RequestKey {
+    let mut hasher = DefaultHasher::new();
+    call.meta.id.as_bytes().hash(&mut hasher);
+    hasher.finish()
+}
+
 fn build_request(headers: HeaderMap, call: &Call) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
--- a/src/wisteriahead/services/transport/mod.rs
+++ b/src/wisteriahead/services/transport/mod.rs
@@ -10,7 +10,7 @@
 mod pool;
 pub use self::memory::MemoryShare;
 pub(super) use self::memory::ResponseMemory;
-pub(super) use self::pool::{Lease, Pool};
+pub(super) use self::pool::{Lease, Pool, RequestKey};
 
 use self::exchange::AttemptResult;
 
--- a/src/wisteriahead/services/transport/pool.rs
+++ b/src/wisteriahead/services/transport/pool.rs
@@ -25,12 +25,22 @@
 /// Maximum number of interim responses before a final one.
 const INTERIM_MAX: u32 = 16;
 
-/// Sends requests on one connection.
-pub type Sender = SendRequest<Full<Bytes>>;
+/// Number of refusals after which a connection is closed, so that it need not remember more.
+const REFUSALS_MAX: usize = 32;
+
+/// Key of a request, the same for all its attempts.
+pub type RequestKey = u64;
+
+/// A connection, and the requests that were refused on it. An endpoint may send a refusal twice; the
+/// late copy names the request and would be taken for the response to its next attempt.
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    refused: Vec<RequestKey>,
+}
 
 #[derive(Default)]
 struct State {
-    idle: Vec<Sender>,
+    idle: Vec<Connection>,
     /// Number of connections that are idle, in use or being set up.
     open: u32,
     /// Maximum of `open`.
@@ -102,23 +112,21 @@
     ///
     /// Refuses with "not run" if the limit is reached or the connection can't be set up.
     pub async fn lease(pool: Arc<Self>) -> Result<Lease, Refusal> {
-        Self::lease_within(pool, None).await
+        Self::take(pool, None)?.connect().await
     }
 
-    /// Takes an idle connection or sets up a new one, within a time limit if there is one.
+    /// Takes an idle connection or sets up a new one, within a time limit, for a request that was not
+    /// refused on it.
     ///
     /// # Errors
     ///
     /// Refuses with "not run" if the limit of connections is reached or none can be set up in time.
-    pub async fn lease_within(pool: Arc<Self>, limit: Option<Duration>) -> Result<Lease, Refusal> {
-        let slot = match pool.take()? {
-            TakeResult::Idle(sender) => {
-                return Ok(Lease { pool, sender: Some(sender), returned: false });
-            }
-            // From here on, dropping the lease releases the slot.
-            TakeResult::Slot => Lease { pool, sender: None, returned: false },
-        };
-        let Some(limit) = limit else { return slot.connect().await };
+    pub async fn lease_for(
+        pool: Arc<Self>,
+        request: RequestKey,
+        limit: Duration,
+    ) -> Result<Lease, Refusal> {
+        let slot = Self::take(pool, Some(request))?;
         let timed_out =
             |_| Refusal::not_run(Reason::Connection, "no connection was set up in time");
         timeout(limit, slot.connect()).await.map_err(timed_out)?
@@ -136,41 +144,46 @@
         Refusal::may_have_run(Reason::Mismatch, detail)
     }
 
-    /// Takes an idle connection or, if there is none, a slot for a new one.
-    fn take(&self) -> Result<TakeResult, Refusal> {
-        let mut s = self.state.lock();
-        while let Some(sender) = s.idle.pop() {
-            if sender.is_ready() {
-                return Ok(TakeResult::Idle(sender));
+    /// Takes an idle connection on which the request was not refused or, if there is none, a slot for a
+    /// new one. Dropping the lease releases it.
+    fn take(pool: Arc<Self>, request: Option<RequestKey>) -> Result<Lease, Refusal> {
+        let mut s = pool.state.lock();
+        let is_usable = |c: &Connection| request.is_none_or(|key| !c.refused.contains(&key));
+        while let Some(at) = s.idle.iter().rposition(is_usable) {
+            let connection = s.idle.remove(at);
+            if connection.sender.is_ready() {
+                drop(s);
+                return Ok(Lease { pool, connection: Some(connection), returned: false });
             }
             s.open -= 1;
         }
+        // At the limit, a connection on which the request was refused makes room for another one.
+        if s.open >= s.max && s.idle.pop().is_some() {
+            s.open -= 1;
+        }
         if s.open >= s.max {
             return Err(Refusal::not_run(Reason::Busy, "all connections to the endpoint are busy"));
         }
         s.open += 1;
-        Ok(TakeResult::Slot)
+        drop(s);
+        Ok(Lease { pool, connection: None, returned: false })
     }
 }
 
-/// Result of [`Pool::take`].
-enum TakeResult {
-    /// An idle connection.
-    Idle(Sender),
-    /// A slot in which a connection can be set up.
-    Slot,
-}
-
 /// A connection in use; dropping it closes the connection and releases its slot in the pool.
 pub struct Lease {
     pool: Arc<Pool>,
-    sender: Option<Sender>,
+    connection: Option<Connection>,
     /// Whether the connection was returned to the pool, open.
     returned: bool,
 }
 
 impl Lease {
+    /// Sets up the connection unless there is one.
     async fn connect(mut self) -> Result<Self, Refusal> {
+        if self.connection.is_some() {
+            return Ok(self);
+        }
         let failed = |e: &dyn std::fmt::Display| {
             Refusal::not_run(Reason::Connection, format!("could not connect: {e}"))
         };
@@ -190,7 +203,7 @@
                 log::trace!("connection to an endpoint failed: {e}");
             }
         });
-        self.sender = Some(sender);
+        self.connection = Some(Connection { sender, refused: Vec::new() });
         Ok(self)
     }
 
@@ -204,7 +217,7 @@
         &mut self,
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Refusal> {
-        let Some(sender) = &mut self.sender else {
+        let Some(Connection { sender, .. }) = &mut self.connection else {
             return Err(Refusal::not_run(Reason::Connection, "the connection is closed"));
         };
         let interim = Arc::new(InterimResponses::default());
@@ -234,14 +247,21 @@
         }
     }
 
+    /// Records that a request was refused on this connection, which is not used for it again.
+    pub fn record_refusal(&mut self, request: RequestKey) {
+        if let Some(connection) = &mut self.connection {
+            connection.refused.push(request);
+        }
+    }
+
     /// Returns the connection to the pool; its last response must have been read completely. It is
     /// closed instead if it is no longer usable or the pool is at its limits.
     pub async fn give_back(mut self) {
-        let Some(mut sender) = self.sender.take() else { return };
-        if sender.ready().await.is_ok() {
+        let Some(mut connection) = self.connection.take() else { return };
+        if connection.refused.len() < REFUSALS_MAX && connection.sender.ready().await.is_ok() {
             let mut s = self.pool.state.lock();
             if s.open <= s.max && s.idle.len() < s.max_idle {
-                s.idle.push(sender);
+                s.idle.push(connection);
                 self.returned = true;
             }
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod keys;
 mod late_batches;
 mod late_orders;
+mod late_refusals;
 mod log;
 mod member;
 mod operator;
--- a/tests/testsuite/relay_tier.rs
+++ b/tests/testsuite/relay_tier.rs
@@ -52,6 +52,8 @@
 pub const MISSING: &str = "missing";
 /// Milliseconds after which a refused caller may retry.
 pub const RETRY: &str = "retry";
+/// Marks a response of an endpoint that has not run the request.
+pub const REFUSED: &str = "refused";
 pub const LEAVING: &str = "leaving";
 /// Milliseconds for which an endpoint wants no requests.
 pub const QUIET: &str = "quiet";
@@ -76,7 +78,13 @@
         call.headers.clone()
     }
 
-    fn read_response(&self, _: &Call, head: &response::Parts) -> Reply {
+    fn read_response(&self, call: &Call, head: &response::Parts) -> Reply {
+        if head.headers.get(ID).is_some_and(|id| *id != call.meta.id) {
+            return Reply::Mismatch;
+        }
+        if head.headers.contains_key(REFUSED) {
+            return Reply::NotRun(Reason::Busy);
+        }
         let signature = head.headers.get(SIGNATURE).cloned();
         Reply::Ran { success: head.status.is_success(), signature }
     }
