Believe no refusal of an order that does not name it

Cause: a response without the request's id was taken for the answer to whatever was sent last. A copy of a refusal without an id, or one to another request, let an order run twice. The platform's pages say that endpoints echo the id. Parts of gathers without an id are still taken, as the pages show one. They may run again.

--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -9,7 +9,7 @@
 use super::table::{RouteEntry, RouteTable};
 use super::timeline::{GatherEnd, GatherTimeline};
 use super::traffic::Permit;
-use crate::core::plan::{Destination, Route};
+use crate::core::plan::{Destination, Idempotency, Route};
 use crate::core::quarantine::{
     Admission, Death, Digest, Fingerprint, Record, SuspectRun, TRIAL_DELAY, service_shard,
 };
@@ -705,7 +705,8 @@
             .clamp(CONNECT_TIMEOUT_MIN, CONNECT_TIMEOUT_MAX);
         let max_bytes = if self.gathers() { PART_MAX_BYTES } else { RESPONSE_MAX_BYTES };
         let (start_by, deadline) = (self.deadline, self.deadline);
-        CallTimes { connect_timeout, start_by, deadline, max_bytes, own_timer: true }
+        let once = self.route.repeat == Idempotency::Once;
+        CallTimes { connect_timeout, start_by, deadline, max_bytes, once, own_timer: true }
     }
 
     /// Sends an attempt directly to its endpoint.
--- a/src/wisteriahead/services/relay/forward.rs
+++ b/src/wisteriahead/services/relay/forward.rs
@@ -509,6 +509,8 @@
             start_by: arrived + batch.start_within.to_std(),
             deadline: arrived + batch.left.to_std(),
             max_bytes: PART_MAX_BYTES,
+            // Only gathers come in batches, and they may run again.
+            once: false,
             own_timer: false,
         };
         // Ends all calls that are still open.
--- a/src/wisteriahead/services/relay/pools.rs
+++ b/src/wisteriahead/services/relay/pools.rs
@@ -53,6 +53,8 @@
     pub deadline: Instant,
     /// Maximum size of the response body.
     pub max_bytes: usize,
+    /// Whether the request may run only once. A refusal that does not name it then proves nothing.
+    pub once: bool,
     /// Whether a call ends itself at its deadline; otherwise whoever waits for it drops it then.
     pub own_timer: bool,
 }
@@ -120,7 +122,7 @@
             return Err(Refusal::not_run(Reason::Unavailable, "the endpoint wants no requests"));
         }
         let request = build_request(relay.protocol.request_headers(call, to, left), call);
-        let exchange = exchange(relay, call, to, &mut lease, request, times.max_bytes);
+        let exchange = exchange(relay, call, to, &mut lease, request, times);
         let exchanged = match times.own_timer {
             true => timeout(left.to_std(), exchange).await.unwrap_or_else(|_| {
                 Err(Refusal::may_have_run(Reason::Deadline, "the endpoint did not answer in time"))
@@ -160,10 +162,14 @@
     to: &Target,
     lease: &mut Lease,
     request: Request<Full<Bytes>>,
-    max_bytes: usize,
+    times: CallTimes,
 ) -> Result<(Result<EndpointResponse, Refusal>, bool), Refusal> {
     let (head, body) = lease.send(request).await?.into_parts();
-    let reply = relay.protocol.read_response(call, &head);
+    let is_named = !times.once || relay.protocol.names_request(call, &head);
+    let reply = match relay.protocol.read_response(call, &head) {
+        Reply::NotRun(_) if !is_named => Reply::Mismatch,
+        reply => reply,
+    };
     // An answer that is not this endpoint's says nothing about it.
     if !matches!(reply, Reply::Mismatch | Reply::NotRun(Reason::WrongEndpoint)) {
         let id = call.meta.id.to_str().unwrap_or_default();
@@ -179,7 +185,7 @@
             return Err(Refusal::may_have_run(Reason::Mismatch, detail));
         }
     };
-    let (body, memory) = relay.pools.memory.read(body, max_bytes).await?;
+    let (body, memory) = relay.pools.memory.read(body, times.max_bytes).await?;
     let (status, reusable) = (head.status, !closes_connection(&head.headers));
     let headers = head.headers;
     let part = |signature| EndpointResponse { status, headers, body, signature, memory };
--- a/src/wisteriahead/services/relay/protocol.rs
+++ b/src/wisteriahead/services/relay/protocol.rs
@@ -116,6 +116,9 @@
     /// Interprets the head of an endpoint's response to a call.
     fn read_response(&self, call: &Call, head: &response::Parts) -> Reply;
 
+    /// Whether an endpoint's response names the request that it answers.
+    fn names_request(&self, call: &Call, head: &response::Parts) -> bool;
+
     /// Reads what an endpoint's response says about further requests.
     fn read_notice(&self, head: &response::Parts) -> Notice;
 
--- a/tests/testsuite/late_refusals.rs
+++ b/tests/testsuite/late_refusals.rs
@@ -21,11 +21,13 @@
     seen: Mutex<IndexMap<String, (usize, usize)>>,
     /// Connections that were opened.
     connections: Mutex<usize>,
+    /// Whether the late copy of a refusal names its order.
+    copies_name_order: bool,
 }
 
 impl Endpoint {
-    async fn start() -> (Arc<Self>, SocketAddr) {
-        let endpoint = Arc::new(Self::default());
+    async fn start(copies_name_order: bool) -> (Arc<Self>, SocketAddr) {
+        let endpoint = Arc::new(Self { copies_name_order, ..Self::default() });
         let listener = TcpListener::bind(ANY).await.unwrap();
         let address = listener.local_addr().unwrap();
         let accepting = endpoint.clone();
@@ -62,9 +64,8 @@
                     format!("HTTP/1.1 503 Busy\r\n{id}{REFUSED}: 1\r\ncontent-length: 0\r\n\r\n")
                 };
                 let named = format!("{ID}: {id}\r\n");
-                let refusal = refusal(&named);
-                late = Some(refusal.clone());
-                refusal
+                late = Some(refusal(if self.copies_name_order { &named } else { "" }));
+                refusal(&named)
             } else {
                 format!(
                     "HTTP/1.1 200 OK\r\n{ID}: {id}\r\n{SIGNATURE}: s\r\ncontent-length: 2\r\n\r\nok"
@@ -102,7 +103,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn late_copy_of_a_refusal_is_not_the_answer_to_the_next_sending(connections: u32) {
-    let (endpoint, address) = Endpoint::start().await;
+    let (endpoint, address) = Endpoint::start(true).await;
     let tier = tier(address, connections).await;
     for n in 0..20 {
         let id = format!("order-{n}");
@@ -113,3 +114,16 @@
         assert!(known, "{id} ran {} times and was answered {status}", endpoint.runs(&id));
     }
 }
+
+/// Guards against a refusal that names no request: it may be the copy of one to another order.
+#[tokio::test]
+async fn refusal_that_names_no_order_proves_nothing() {
+    let (endpoint, address) = Endpoint::start(false).await;
+    let tier = tier(address, CONNECTIONS).await;
+    for n in 0..20 {
+        let id = format!("order-{n}");
+        let status = order(&tier, &id).await;
+        assert!(endpoint.runs(&id) <= 1, "{id} ran {} times", endpoint.runs(&id));
+        assert_ne!(status, StatusCode::SERVICE_UNAVAILABLE, "{id}: {:?}", endpoint.seen.lock());
+    }
+}
--- a/tests/testsuite/relay_tier.rs
+++ b/tests/testsuite/relay_tier.rs
@@ -89,6 +89,10 @@
         Reply::Ran { success: head.status.is_success(), signature }
     }
 
+    fn names_request(&self, call: &Call, head: &response::Parts) -> bool {
+        head.headers.get(ID) == Some(&call.meta.id)
+    }
+
     fn read_notice(&self, head: &response::Parts) -> Notice {
         let quiet = head.headers.get(QUIET).and_then(|v| v.to_str().ok()?.parse().ok());
         Notice { leaving: head.headers.contains_key(LEAVING), quiet: quiet.map(Span::millis) }
