Tell a host that stood still by its own clock alone

Now the loop that sends statuses, twice a second, tells the supervisor that the host runs. The test plays changes that take 1.25 s each.

--- a/src/wisteriahead/core/log/supervisor.rs
+++ b/src/wisteriahead/core/log/supervisor.rs
@@ -39,8 +39,8 @@
     statuses: IndexMap<String, Status>,
     /// Since when this host leads and receives statuses, as far as it has noticed.
     led_since: Option<Time>,
-    /// When this host last decided on a change.
-    decided_at: Time,
+    /// When this host was last known to run.
+    ran_at: Time,
     /// Leader that this host followed last, and when it heard from it.
     followed: Option<(Replica, Time)>,
 }
@@ -83,6 +83,15 @@
         self.statuses.values().filter(move |s| now.since(s.received_at) < STATUS_MAX_AGE)
     }
 
+    /// Notes that this host runs; called more often than once a second. A host that stood
+    /// still has received no status meanwhile, and judges silence like a new leader.
+    pub fn tick(&mut self, now: Time) {
+        if now.since(self.ran_at) >= FIRST_STATUSES_WITHIN {
+            self.led_since = self.led_since.map(|_| now);
+        }
+        self.ran_at = now;
+    }
+
     /// Notes that this host does not lead; it last heard from `leader`, if it knows one, at the given
     /// time.
     pub fn follow(&mut self, leader: Option<&Replica>, heard_at: Time) {
@@ -101,10 +110,8 @@
         config: &Config,
         caught_up: &[Replica],
     ) -> Option<Change> {
-        // A host that stood still has received no status meanwhile.
-        let stood_still = now.since(self.decided_at) >= FIRST_STATUSES_WITHIN;
-        let led_since = self.led_since.filter(|_| !stood_still).unwrap_or(now);
-        (self.led_since, self.decided_at) = (Some(led_since), now);
+        self.tick(now);
+        let led_since = *self.led_since.get_or_insert(now);
         let (seen, gone) = (self.replicas(now), self.gone(now, led_since, me, config));
         match self.repair {
             Some(VoterRepair { fault_tolerance, .. }) => {
--- a/src/wisteriahead/services/control/tasks.rs
+++ b/src/wisteriahead/services/control/tasks.rs
@@ -20,7 +20,8 @@
 /// Interval between rounds of voter repair and submission of overrides.
 const REPAIR_INTERVAL: Span = Span::millis(250);
 /// Interval between status messages. It must be well below the time after which a voter without a
-/// status message is replaced, 2.5 s on the platform.
+/// status message is replaced, 2.5 s on the platform, and below one second, as
+/// [`Supervisor::tick`](crate::core::log::Supervisor::tick) requires.
 const STATUS_INTERVAL: Span = Span::millis(500);
 /// Interval between checks for a stopped replica.
 const RESTART_INTERVAL: Span = Span::secs(1);
@@ -73,6 +74,7 @@
 
 async fn status_loop(shared: &Shared) {
     for round in 0_usize.. {
+        shared.supervisor.lock().tick(shared.now());
         shared.send_status(round);
         sleep(STATUS_INTERVAL.to_std()).await;
     }
--- a/tests/testsuite/repair.rs
+++ b/tests/testsuite/repair.rs
@@ -171,6 +171,7 @@
 
     /// Sends the status of a host to the others.
     fn send_status(&mut self, i: usize) {
+        self.machines[i].supervisor.tick(self.now);
         let (host, now) = (&self.cluster.hosts[i], self.now);
         let node = host.running.as_ref().map(|r| &r.node);
         let replica = node.map(|_| host.id.clone());
@@ -493,6 +494,28 @@
     assert_eq!(supervisor.next_change(later, &a, &config, &ready), None);
 }
 
+/// Guards against a lost voter that is never replaced because each change of the voters takes long: that
+/// is no sign that the leader stood still.
+#[test]
+fn leader_whose_changes_take_long_replaces_lost_voters() {
+    let repair = VoterRepair { silent_after: SILENT_AFTER, fault_tolerance: 1 };
+    let mut supervisor = Supervisor::new(Some(repair));
+    let [a, b, c, d] = ["a", "b", "c", "d"].map(replica);
+    let config = Config { voters: vec![a.clone(), b.clone(), c], learners: vec![] };
+    let mut changes = Vec::new();
+    for millis in (0..6_000).step_by(250) {
+        let now = Time(1) + Span::millis(millis);
+        supervisor.tick(now);
+        for r in [&b, &d] {
+            supervisor.record(now, &r.host, Some(r.clone()), Some((1, "a".to_owned())));
+        }
+        if millis % 1_250 == 0 {
+            changes.extend(supervisor.next_change(now, &a, &config, &[]));
+        }
+    }
+    assert_eq!(changes.first(), Some(&Change::AddLearner(d)));
+}
+
 /// Guards against a host whose replica was removed from the log and goes on reporting to the leader of
 /// that time, so that the next leader never learns that it is there.
 #[test]
