Choose endpoints by what is known when a request is sent

Cause: a request kept the endpoints that it found on arrival for its retries and hedges, and for its first sending when its body came late. Ruled out: news that comes late, or a successor that is not known (requests that arrive then go to it). Each attempt now takes the endpoints of its service from the host's present table, if that has changed.

--- a/src/wisteriahead/services/relay/drive.rs
+++ b/src/wisteriahead/services/relay/drive.rs
@@ -21,7 +21,7 @@
 use crate::core::relay::groups::Groups;
 use crate::core::relay::stop;
 use crate::core::relay::timing::{self, FlushTimes};
-use crate::core::routes::{Snapshot, Target};
+use crate::core::routes::{Replicas, Snapshot, Target};
 use crate::prelude::*;
 use crate::util::work::{self, Work};
 use futures::future::BoxFuture;
@@ -90,6 +90,16 @@
     services: &'a [Arc<str>],
 }
 
+impl RelayEnvironment<'_> {
+    /// Replicas of a shard by the host's present table, if that is not the one of the request: since the
+    /// request arrived, endpoints may have begun to drain, or their zone may have been taken out.
+    fn newer_replicas(&self, replicas: &[Target]) -> Option<Replicas> {
+        let newer = self.relay.table.load();
+        let newer = newer.as_ref().filter(|newer| !std::ptr::eq(&***newer, self.table))?;
+        Some(self.table.newer_replicas(newer, &replicas.first()?.service))
+    }
+}
+
 impl Environment for RelayEnvironment<'_> {
     type Permit = Permit;
 
@@ -101,10 +111,14 @@
     ) -> Option<(Target, Permit)> {
         let (expected, plan) = (self.hedge_delay, &self.table.plan);
         let traffic = &self.relay.traffic;
+        let newer = self.newer_replicas(replicas);
+        let replicas = newer.as_ref().map_or(replicas, |newer| &newer[..]);
         traffic.acquire(now, replicas, tried, expected, self.gathers, plan, self.cover)
     }
 
     fn has_free_slot(&self, now: Time, replicas: &[Target]) -> bool {
+        let newer = self.newer_replicas(replicas);
+        let replicas = newer.as_ref().map_or(replicas, |newer| &newer[..]);
         self.relay.traffic.has_room(now, replicas, &self.table.plan)
     }
 
--- a/src/wisteriahead/services/relay/table.rs
+++ b/src/wisteriahead/services/relay/table.rs
@@ -69,7 +69,8 @@
     }
 }
 
-/// Immutable table of all routes; a request uses the same one from start to end.
+/// Immutable table of all routes. A request uses the same one from start to end, and for each attempt the
+/// endpoints that take new requests then ([`RouteTable::newer_replicas`]).
 pub struct RouteTable {
     /// Plan that the routes come from.
     pub plan: Arc<Plan>,
@@ -243,14 +244,23 @@
         used.flatten().flat_map(|s| s.replicas())
     }
 
+    /// Endpoints of a service that take new requests by a newer table, under the limits of this plan.
+    pub fn newer_replicas(&self, newer: &Self, service: &Arc<str>) -> Replicas {
+        self.limited(&newer.endpoints, service)
+    }
+
     fn build_snapshot(&self, services: &[Arc<str>]) -> Arc<Snapshot> {
         let name = self.plan.number.to_string().into();
         Arc::new(Snapshot { name, shards: services.iter().map(|s| self.replicas(s)).collect() })
     }
 
     fn replicas(&self, service: &Arc<str>) -> Replicas {
+        self.limited(&self.endpoints, service)
+    }
+
+    fn limited(&self, endpoints: &Routes, service: &Arc<str>) -> Replicas {
         let connections = self.plan.services.get(service).map_or(1, |s| s.connections);
-        let Some(known) = self.endpoints.services.get(service) else { return Replicas::default() };
+        let Some(known) = endpoints.services.get(service) else { return Replicas::default() };
         self.replicas.get(service, known, connections)
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod late_batches;
 mod late_orders;
 mod late_refusals;
+mod late_sendings;
 mod log;
 mod member;
 mod operator;
--- a/tests/testsuite/relay_tier.rs
+++ b/tests/testsuite/relay_tier.rs
@@ -336,12 +336,12 @@
     }
 }
 
-/// Control, endpoints and members of a host. Tests publish plans; the lists never change.
+/// Control, endpoints and members of a host. Tests publish plans and endpoints.
 pub struct StaticServices {
     pub accepted: watch::Sender<AcceptedDocument>,
     /// What the host is told of the time since its plan was confirmed.
     pub unconfirmed: Mutex<Option<Span>>,
-    pub routes: Arc<Routes>,
+    pub routes: Mutex<Arc<Routes>>,
     pub changes: watch::Sender<u64>,
     pub members: watch::Sender<Arc<Vec<Member>>>,
 }
@@ -362,7 +362,7 @@
 
 impl Endpoints for StaticServices {
     fn routes(&self) -> Arc<Routes> {
-        self.routes.clone()
+        self.routes.lock().clone()
     }
 
     fn changes(&self) -> watch::Receiver<u64> {
@@ -530,7 +530,7 @@
             let services_of_host = Arc::new(StaticServices {
                 accepted: watch::channel(accepted).0,
                 unconfirmed: Mutex::new(Some(Span::ZERO)),
-                routes: routes.clone(),
+                routes: Mutex::new(routes.clone()),
                 changes: watch::channel(0).0,
                 members: watch::channel(members.clone()).0,
             });
