--- a/crates/wisteria-testkit/src/cluster.rs
+++ b/crates/wisteria-testkit/src/cluster.rs
@@ -116,28 +116,25 @@
             highest_applied: BTreeMap::new(),
             durable: BTreeMap::new(),
         };
-        for i in 0..hosts {
-            let disk = Arc::new(FakeDisk::default());
-            let now = Time(1_000_000);
-            let (frozen, slow) = (false, false);
-            let host =
-                Host { id: id(i), disk, running: None, crash_countdown: None, frozen, slow, now };
-            cluster.hosts.push(host);
-            cluster.start(i);
-        }
+        (0..hosts).for_each(|i| cluster.push_host(id(i), Time(1_000_000)));
         cluster
     }
 
+    /// Adds a host with an empty disk and starts it.
+    fn push_host(&mut self, id: Replica, now: Time) {
+        let (disk, frozen, slow) = (Arc::new(FakeDisk::default()), false, false);
+        let host = Host { id, disk, running: None, crash_countdown: None, frozen, slow, now };
+        self.hosts.push(host);
+        self.start(self.hosts.len() - 1);
+    }
+
     /// Adds a host with an empty disk, which belongs to no configuration yet, starts it and returns its
     /// number.
     pub fn add_host(&mut self) -> usize {
         let (i, now) = (self.hosts.len(), self.hosts.first().map_or(Time(1_000_000), |h| h.now));
         let id = Replica { host: format!("h{i}"), zone: "z".into(), disk: self.next_disk };
         self.next_disk += 1;
-        let (disk, frozen, slow) = (Arc::new(FakeDisk::default()), false, false);
-        let host = Host { id, disk, running: None, crash_countdown: None, frozen, slow, now };
-        self.hosts.push(host);
-        self.start(i);
+        self.push_host(id, now);
         i
     }
 
--- a/tests/testsuite/late_refusals.rs
+++ b/tests/testsuite/late_refusals.rs
@@ -19,8 +19,6 @@
 struct Endpoint {
     /// Sendings and runs of each order.
     seen: Mutex<IndexMap<String, (usize, usize)>>,
-    /// Connections that were opened.
-    connections: Mutex<usize>,
     /// Whether the late copy of a refusal names its order.
     copies_name_order: bool,
 }
@@ -33,7 +31,6 @@
         let accepting = endpoint.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                *accepting.connections.lock() += 1;
                 tokio::spawn(accepting.clone().serve(stream));
             }
         });
